--- /dev/null
+++ b/packages/base/event_catalog.cc
@@ -0,0 +1,106 @@
+#include "base/event_catalog.h"
+
+namespace pomelotray {
+
+const std::vector<EventDescription>& EventCatalog() {
+  using Code = EventCode;
+  constexpr EventLevel kInfo = EventLevel::kInfo;
+  constexpr EventLevel kWarning = EventLevel::kWarning;
+  constexpr EventLevel kError = EventLevel::kError;
+  static const std::vector<EventDescription>* const kCatalog = new std::vector<EventDescription>{
+      {Code::kProcessStarted, kInfo, "process_started", "The process started."},
+      {Code::kProcessReady, kInfo, "process_ready", "The process is ready to serve."},
+      {Code::kProcessDraining, kInfo, "process_draining", "A graceful stop began."},
+      {Code::kProcessStopped, kInfo, "process_stopped", "The process stopped."},
+      {Code::kOpenListenerWithoutToken, kWarning, "open_listener_without_token",
+       "A listener other than loopback has no token; set --operator-token."},
+      {Code::kInvalidInputRefused, kWarning, "invalid_input_refused", "Invalid input was refused."},
+      {Code::kPeerLive, kInfo, "peer_live", "Another instance is reachable."},
+      {Code::kPeerSuspect, kWarning, "peer_suspect", "Another instance missed heartbeats."},
+      {Code::kPeerDead, kWarning, "peer_dead", "Another instance is considered dead."},
+      {Code::kPeerLeaving, kInfo, "peer_leaving", "Another instance announced its stop."},
+      {Code::kPeerAuthenticationFailed, kWarning, "peer_authentication_failed",
+       "A message did not prove the shared key; check --peer-key on both instances."},
+      {Code::kInstanceLeaseGranted, kInfo, "instance_lease_granted",
+       "The store granted the instance lease."},
+      {Code::kInstanceLeaseLost, kWarning, "instance_lease_lost",
+       "The instance lease lapsed or could not be renewed."},
+      {Code::kShardClaimed, kInfo, "shard_claimed", "This instance became owner of a shard."},
+      {Code::kShardReleased, kInfo, "shard_released", "This instance handed a shard over."},
+      {Code::kShardDeposed, kWarning, "shard_deposed", "Another instance owns the shard now."},
+      {Code::kLocalTakeover, kWarning, "local_takeover",
+       "This instance took a shard over during a store outage."},
+      {Code::kJournalCommitted, kInfo, "journal_committed", "A batch of records became durable."},
+      {Code::kJournalSnapshotWritten, kInfo, "journal_snapshot_written",
+       "A journal snapshot was written."},
+      {Code::kJournalRecovered, kInfo, "journal_recovered", "A journal was read after a claim."},
+      {Code::kStoreOutageBegan, kWarning, "store_outage_began", "The store stopped answering."},
+      {Code::kStoreOutageEnded, kInfo, "store_outage_ended", "The store answers again."},
+      {Code::kStoreAnswerLost, kWarning, "store_answer_lost",
+       "The outcome of a store write was unknown and is read back."},
+      {Code::kJobAccepted, kInfo, "job_accepted", "A job became durable."},
+      {Code::kJobRefused, kInfo, "job_refused", "A job was refused and will not run."},
+      {Code::kJobFinished, kInfo, "job_finished", "A job reached a final state."},
+      {Code::kJobCancelled, kInfo, "job_cancelled", "A job was cancelled."},
+      {Code::kTaskIntent, kInfo, "task_intent",
+       "The intent to start a task that may not be repeated became durable."},
+      {Code::kTaskStartSent, kInfo, "task_start_sent", "A start was sent to a worker."},
+      {Code::kTaskStarted, kInfo, "task_started", "A worker confirmed the start of a task."},
+      {Code::kTaskStartRefused, kWarning, "task_start_refused", "A worker refused a start."},
+      {Code::kTaskEnded, kInfo, "task_ended", "A worker reported the end of a task."},
+      {Code::kTaskOutcomeUnknown, kError, "task_outcome_unknown",
+       "A task that may not be repeated may have run; it is not run again."},
+      {Code::kTaskAdopted, kInfo, "task_adopted", "A new owner adopted a running task."},
+      {Code::kTaskRequeued, kInfo, "task_requeued", "A repeatable task was queued again."},
+      {Code::kTaskPreempted, kInfo, "task_preempted",
+       "A repeatable task made room for urgent work."},
+      {Code::kGangReserved, kInfo, "gang_reserved", "Room is being reserved for a gang."},
+      {Code::kRequestReceived, kInfo, "request_received", "A caller's request arrived."},
+      {Code::kRequestSent, kInfo, "request_sent", "A request was sent to an executor."},
+      {Code::kRequestAnswered, kInfo, "request_answered", "A request was answered."},
+      {Code::kRequestRefused, kInfo, "request_refused", "A request was refused."},
+      {Code::kRequestRetried, kWarning, "request_retried",
+       "A request was sent to another executor."},
+      {Code::kStaleAnswerDropped, kWarning, "stale_answer_dropped",
+       "An answer to another attempt or a truncated answer was dropped."},
+      {Code::kContractApplied, kInfo, "contract_applied", "An operator's contract was stored."},
+      {Code::kContractInForce, kInfo, "contract_in_force",
+       "A contract revision is in force on this instance."},
+      {Code::kContractConflict, kInfo, "contract_conflict",
+       "A contract change lost against another operator's change."},
+      {Code::kSliceChanged, kInfo, "slice_changed", "A shard's slice of a contract changed."},
+      {Code::kStaleConfigurationIgnored, kInfo, "stale_configuration_ignored",
+       "An older configuration revision was ignored."},
+      {Code::kWorkerFenced, kInfo, "worker_fenced", "A worker accepted this owner's epoch."},
+      {Code::kWorkerUnreachable, kWarning, "worker_unreachable", "A worker does not answer."},
+      {Code::kWorkerGone, kWarning, "worker_gone", "A worker left the VM list or rebooted."},
+      {Code::kWorkerLeaving, kInfo, "worker_leaving", "A worker is leaving; it gets no new work."},
+      {Code::kWorkerQuarantined, kWarning, "worker_quarantined",
+       "A worker failed several starts; it gets no work until a probe succeeds."},
+      {Code::kWorkerProbed, kInfo, "worker_probed", "A quarantined worker is being probed."},
+      {Code::kWorkerRestored, kInfo, "worker_restored", "A quarantined worker works again."},
+      {Code::kWorkerReservation, kInfo, "worker_reservation",
+       "The resources reserved on a worker changed."},
+  };
+  return *kCatalog;
+}
+
+const EventDescription& DescribeEvent(EventCode code) {
+  for (const EventDescription& description : EventCatalog()) {
+    if (description.code == code) {
+      return description;
+    }
+  }
+  return EventCatalog().front();
+}
+
+std::optional<EventCode> ParseEventCode(int number) {
+  for (const EventDescription& description : EventCatalog()) {
+    if (static_cast<int>(description.code) == number) {
+      return description.code;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/base/event_catalog.h
@@ -0,0 +1,95 @@
+#ifndef POMELOTRAY_BASE_EVENT_CATALOG_H_
+#define POMELOTRAY_BASE_EVENT_CATALOG_H_
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace pomelotray {
+
+enum class EventLevel { kInfo, kWarning, kError };
+
+// Numbers of all log and timeline events. A number is never reused; docs/events.md lists them all.
+// 1xx process, 2xx membership, 3xx state and ownership, 4xx jobs and tasks, 5xx requests, 6xx
+// configuration and limits, 7xx upstreams.
+enum class EventCode {
+  kProcessStarted = 100,
+  kProcessReady = 101,
+  kProcessDraining = 102,
+  kProcessStopped = 103,
+  kOpenListenerWithoutToken = 104,
+  kInvalidInputRefused = 105,
+
+  kPeerLive = 200,
+  kPeerSuspect = 201,
+  kPeerDead = 202,
+  kPeerLeaving = 203,
+  kPeerAuthenticationFailed = 204,
+
+  kInstanceLeaseGranted = 300,
+  kInstanceLeaseLost = 301,
+  kShardClaimed = 302,
+  kShardReleased = 303,
+  kShardDeposed = 304,
+  kLocalTakeover = 305,
+  kJournalCommitted = 306,
+  kJournalSnapshotWritten = 307,
+  kJournalRecovered = 308,
+  kStoreOutageBegan = 309,
+  kStoreOutageEnded = 310,
+  kStoreAnswerLost = 311,
+
+  kJobAccepted = 400,
+  kJobRefused = 401,
+  kJobFinished = 402,
+  kJobCancelled = 403,
+  kTaskIntent = 404,
+  kTaskStartSent = 405,
+  kTaskStarted = 406,
+  kTaskStartRefused = 407,
+  kTaskEnded = 408,
+  kTaskOutcomeUnknown = 409,
+  kTaskAdopted = 410,
+  kTaskRequeued = 411,
+  kTaskPreempted = 412,
+  kGangReserved = 413,
+
+  kRequestReceived = 500,
+  kRequestSent = 501,
+  kRequestAnswered = 502,
+  kRequestRefused = 503,
+  kRequestRetried = 504,
+  kStaleAnswerDropped = 505,
+
+  kContractApplied = 600,
+  kContractInForce = 601,
+  kContractConflict = 602,
+  kSliceChanged = 603,
+  kStaleConfigurationIgnored = 604,
+
+  kWorkerFenced = 700,
+  kWorkerUnreachable = 701,
+  kWorkerGone = 702,
+  kWorkerLeaving = 703,
+  kWorkerQuarantined = 704,
+  kWorkerProbed = 705,
+  kWorkerRestored = 706,
+  kWorkerReservation = 707,
+};
+
+// One row of the event catalogue.
+struct EventDescription {
+  EventCode code;
+  EventLevel level;
+  std::string_view name;
+  std::string_view text;
+};
+
+const std::vector<EventDescription>& EventCatalog();
+const EventDescription& DescribeEvent(EventCode code);
+// Looks an event up by its number, as read from a log line.
+std::optional<EventCode> ParseEventCode(int number);
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_BASE_EVENT_CATALOG_H_
--- /dev/null
+++ b/packages/ports/worker_port.h
@@ -0,0 +1,87 @@
+#ifndef POMELOTRAY_PORTS_WORKER_PORT_H_
+#define POMELOTRAY_PORTS_WORKER_PORT_H_
+
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "base/epoch.h"
+#include "base/error.h"
+#include "base/resources.h"
+#include "base/strong_id.h"
+
+namespace pomelotray {
+
+// State of one attempt on a worker. A lapsed attempt was stopped by the worker because its lease
+// was not renewed.
+enum class AttemptState { kRunning, kSucceeded, kFailed, kStopped, kLapsed };
+
+struct AttemptReport {
+  AttemptId attempt;
+  TaskId task;
+  JobId job;
+  AttemptState state = AttemptState::kRunning;
+  Resources reserved;
+  // Measured use, which lags.
+  Resources used;
+  absl::Duration run_time;
+  std::string result;
+};
+
+// What a worker says about itself in every answer.
+struct WorkerInventory {
+  WorkerId worker;
+  BootId boot;
+  // The highest epoch the worker has seen.
+  Epoch epoch;
+  bool leaving = false;
+  Resources capacity;
+  // Running attempts and ended ones that are not yet acknowledged.
+  std::vector<AttemptReport> attempts;
+};
+
+struct TaskStart {
+  AttemptId attempt;
+  TaskId task;
+  JobId job;
+  Epoch epoch;
+  // The worker refuses the start when it is another boot than this one.
+  BootId boot;
+  Resources demand;
+  absl::Duration lease;
+  std::string payload;
+  bool repeatable = true;
+};
+
+struct WorkerHeartbeat {
+  InstanceId owner;
+  Epoch epoch;
+  // Attempts whose lease is renewed to `lease` from now.
+  std::vector<AttemptId> renew;
+  absl::Duration lease;
+  // Ended attempts that the worker may forget, because their end is durable.
+  std::vector<AttemptId> acknowledge;
+};
+
+enum class StopMode { kCheckpoint, kThrottle, kStop };
+
+// One worker's interface, by address. Errors: kFenced when the worker has seen a higher epoch,
+// kConflict when the attempt already exists or does not fit, kUnavailable when the call had no
+// effect, kOutcomeUnknown when it may have.
+class WorkerPort {
+ public:
+  virtual ~WorkerPort() = default;
+
+  // Makes the worker refuse commands of lower epochs, then returns its inventory.
+  virtual Result<WorkerInventory> Fence(const std::string& address, const InstanceId& owner,
+                                        const Epoch& epoch) = 0;
+  virtual Result<void> Start(const std::string& address, const TaskStart& start) = 0;
+  virtual Result<WorkerInventory> Heartbeat(const std::string& address,
+                                            const WorkerHeartbeat& heartbeat) = 0;
+  virtual Result<void> Stop(const std::string& address, const AttemptId& attempt,
+                            const Epoch& epoch, StopMode mode) = 0;
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_PORTS_WORKER_PORT_H_
