adapters, standins: Add HTTP adapters of the platform ports and their stand-ins

The ports of store, workers, executors and VM list get one thin HTTP/JSON adapter each. Failures map to the documented kinds: no effect, outcome unknown, or the status of the refusal. The stand-ins serve the same interfaces on 127.0.0.1 with faults on request, and record as events what really ran.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -71,7 +71,7 @@
 pomelotray_package(daemon DEPENDS pomelotray_shard pomelotray_api pomelotray_adapters pomelotray_peer
   docopt)
 pomelotray_package(cli DEPENDS pomelotray_history pomelotray_model PkgConfig::HTTPLIB docopt)
-pomelotray_package(standins DEPENDS pomelotray_ports PkgConfig::HTTPLIB docopt)
+pomelotray_package(standins DEPENDS pomelotray_adapters PkgConfig::HTTPLIB docopt)
 pomelotray_package(bench DEPENDS pomelotray_scheduler)
 
 pomelotray_program(pomelotrayd packages/daemon/main.cc DEPENDS pomelotray_daemon)
--- /dev/null
+++ b/packages/adapters/worker_codec.cc
@@ -0,0 +1,105 @@
+#include "adapters/worker_codec.h"
+
+#include <utility>
+
+#include "adapters/wire_json.h"
+
+namespace pomelotray {
+namespace {
+
+std::optional<AttemptReport> DecodeAttempt(const nlohmann::json& json) {
+  const std::optional<std::string> attempt = wire::ReadString(json, "attempt");
+  const std::optional<std::string> task = wire::ReadString(json, "task");
+  const std::optional<std::string> job = wire::ReadString(json, "job");
+  const std::optional<std::string> state_name = wire::ReadString(json, "state");
+  const std::optional<Resources> reserved = wire::ReadResources(json, "reserved");
+  const std::optional<Resources> used = wire::ReadResources(json, "used");
+  const std::optional<absl::Duration> run_time = wire::ReadMillis(json, "run_ms");
+  std::optional<std::string> result = wire::ReadBytes(json, "result");
+  if (!attempt || attempt->empty() || !task || !job || !state_name || !reserved || !used ||
+      !run_time || !result || reserved->AnyNegative()) {
+    return std::nullopt;
+  }
+  const std::optional<AttemptState> state = wire::ParseAttemptState(*state_name);
+  if (!state) {
+    return std::nullopt;
+  }
+  return AttemptReport{AttemptId(*attempt), TaskId(*task), JobId(*job), *state,
+                       *reserved,           *used,         *run_time,   std::move(*result)};
+}
+
+nlohmann::json EncodeAttempt(const AttemptReport& report) {
+  return {{"attempt", report.attempt.value()},
+          {"task", report.task.value()},
+          {"job", report.job.value()},
+          {"state", wire::AttemptStateName(report.state)},
+          {"reserved", wire::ToJson(report.reserved)},
+          {"used", wire::ToJson(report.used)},
+          {"run_ms", wire::ToMillis(report.run_time)},
+          {"result", wire::ToBase64(report.result)}};
+}
+
+template <typename Id>
+nlohmann::json EncodeIds(const std::vector<Id>& ids) {
+  nlohmann::json array = nlohmann::json::array();
+  for (const Id& id : ids) {
+    array.push_back(id.value());
+  }
+  return array;
+}
+
+}  // namespace
+
+std::optional<WorkerInventory> DecodeInventory(const nlohmann::json& json) {
+  const std::optional<std::string> worker = wire::ReadString(json, "worker");
+  const std::optional<std::string> boot = wire::ReadString(json, "boot");
+  const std::optional<Epoch> epoch = wire::ReadEpoch(json, "epoch");
+  const std::optional<bool> leaving = wire::ReadBool(json, "leaving");
+  const std::optional<Resources> capacity = wire::ReadResources(json, "capacity");
+  const nlohmann::json* attempts = wire::FindArray(json, "attempts");
+  if (!worker || !boot || boot->empty() || !epoch || !leaving || !capacity || attempts == nullptr ||
+      capacity->AnyNegative()) {
+    return std::nullopt;
+  }
+  WorkerInventory inventory{WorkerId(*worker), BootId(*boot), *epoch, *leaving, *capacity, {}};
+  for (const nlohmann::json& item : *attempts) {
+    std::optional<AttemptReport> report = DecodeAttempt(item);
+    if (!report) {
+      return std::nullopt;
+    }
+    inventory.attempts.push_back(std::move(*report));
+  }
+  return inventory;
+}
+
+nlohmann::json EncodeInventory(const WorkerInventory& inventory) {
+  nlohmann::json attempts = nlohmann::json::array();
+  for (const AttemptReport& report : inventory.attempts) {
+    attempts.push_back(EncodeAttempt(report));
+  }
+  return {{"worker", inventory.worker.value()},           {"boot", inventory.boot.value()},
+          {"epoch", wire::ToJson(inventory.epoch)},       {"leaving", inventory.leaving},
+          {"capacity", wire::ToJson(inventory.capacity)}, {"attempts", std::move(attempts)}};
+}
+
+nlohmann::json EncodeTaskStart(const TaskStart& start) {
+  return {{"attempt", start.attempt.value()},
+          {"task", start.task.value()},
+          {"job", start.job.value()},
+          {"epoch", wire::ToJson(start.epoch)},
+          {"boot", start.boot.value()},
+          {"demand", wire::ToJson(start.demand)},
+          {"lease_ms", wire::ToMillis(start.lease)},
+          {"payload", wire::ToBase64(start.payload)},
+          {"repeatable", start.repeatable}};
+}
+
+nlohmann::json EncodeHeartbeat(const WorkerHeartbeat& heartbeat) {
+  return {{"owner", heartbeat.owner.value()},
+          {"epoch", wire::ToJson(heartbeat.epoch)},
+          {"renew", EncodeIds(heartbeat.renew)},
+          {"lease_ms", wire::ToMillis(heartbeat.lease)},
+          {"acknowledge", EncodeIds(heartbeat.acknowledge)}};
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/standins/main.cc
@@ -0,0 +1,197 @@
+#include <docopt/docopt.h>
+#include <signal.h>
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "absl/random/random.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "base/event_log.h"
+#include "base/hybrid_clock.h"
+#include "base/log_sink.h"
+#include "base/system_clock.h"
+#include "standins/executor_standin.h"
+#include "standins/store_standin.h"
+#include "standins/vm_list_standin.h"
+#include "standins/worker_standin.h"
+
+namespace pomelotray {
+namespace {
+
+constexpr char kUsage[] =
+    R"(Stand-ins for the platform's interfaces, for tests only. They bind 127.0.0.1.
+
+Usage:
+  pomelotray-standin store [--port=<n>]
+  pomelotray-standin vmlist [--port=<n>] [--file=<path>] [--lag-ms=<n>]
+  pomelotray-standin worker --id=<id> [--port=<n>] [--cpu-milli=<n>] [--memory-mib=<n>]
+                     [--accelerators=<n>] [--boot=<id>] [--usage-lag-ms=<n>]
+                     [--fail-all-starts] [--events=<path>]
+                     [--region=<id>] [--domain=<id>] [--rack=<id>] [--pool=<name>]
+  pomelotray-standin executor --id=<id> [--port=<n>] [--slots=<n>] [--connections=<n>]
+                     [--boot=<id>] [--events=<path>]
+                     [--region=<id>] [--domain=<id>] [--rack=<id>] [--pool=<name>]
+  pomelotray-standin --help
+
+Options:
+  --port=<n>          Port to listen on; 0 picks a free one [default: 0].
+  --file=<path>       JSON file with the initial list, {"vms": [...]}.
+  --lag-ms=<n>        Time until a change of the list is visible [default: 0].
+  --id=<id>           Id of the VM.
+  --cpu-milli=<n>     Processors in thousandths of a core [default: 16000].
+  --memory-mib=<n>    Memory in MiB [default: 32768].
+  --accelerators=<n>  Accelerators [default: 0].
+  --slots=<n>         Requests that run at the same time [default: 8].
+  --connections=<n>   Open connections [default: 64].
+  --boot=<id>         Boot id; a random one by default.
+  --usage-lag-ms=<n>  Time until the use of a task is reported [default: 5000].
+  --fail-all-starts   Every task fails as soon as it has started.
+  --events=<path>     File for events as JSON lines; standard error by default.
+  --region=<id>       Region, only for the row in the VM list [default: region].
+  --domain=<id>       Failure domain, only for the row in the VM list [default: domain].
+  --rack=<id>         Rack, only for the row in the VM list [default: rack].
+  --pool=<name>       Pool, only for the row in the VM list [default: pool].
+
+Prints one JSON line with its address when it is ready and stops on SIGTERM or SIGINT.
+)";
+
+constexpr int kExitUsage = 64;
+constexpr int kExitFailure = 1;
+
+using Arguments = std::map<std::string, docopt::value>;
+
+std::string Text(const Arguments& arguments, const char* name) {
+  const docopt::value& value = arguments.at(name);
+  return value.isString() ? value.asString() : "";
+}
+
+// Ends the program on a value that is not a whole number of at least 0.
+int64_t Number(const Arguments& arguments, const char* name) {
+  int64_t number = -1;
+  if (!absl::SimpleAtoi(Text(arguments, name), &number) || number < 0) {
+    std::cerr << name << " must be a whole number of at least 0.\n";
+    std::exit(kExitUsage);
+  }
+  return number;
+}
+
+BootId BootOf(const Arguments& arguments) {
+  const std::string given = Text(arguments, "--boot");
+  if (!given.empty()) {
+    return BootId(given);
+  }
+  absl::BitGen random;
+  return BootId(absl::StrCat("boot-", absl::Hex(absl::Uniform<uint64_t>(random))));
+}
+
+// The row of this VM for the VM list.
+nlohmann::json VmRow(const Arguments& arguments, const char* role, const std::string& address) {
+  return {{"id", Text(arguments, "--id")},
+          {"role", role},
+          {"address", address},
+          {"region", Text(arguments, "--region")},
+          {"domain", Text(arguments, "--domain")},
+          {"rack", Text(arguments, "--rack")},
+          {"pool", Text(arguments, "--pool")},
+          {"leaving", false}};
+}
+
+// Serves until a signal in `signals` arrives.
+template <typename Standin>
+int Serve(Standin* standin, const Arguments& arguments, const sigset_t& signals,
+          nlohmann::json ready) {
+  const int port = static_cast<int>(Number(arguments, "--port"));
+  if (!standin->Start(port)) {
+    std::cerr << "Port " << port << " on 127.0.0.1 cannot be bound; choose another one.\n";
+    return kExitFailure;
+  }
+  ready["address"] = standin->address();
+  std::cout << ready.dump() << std::endl;
+  int signal = 0;
+  sigwait(&signals, &signal);
+  standin->Stop();
+  return 0;
+}
+
+int RunVmList(const Arguments& arguments, const sigset_t& signals, const Clock* clock,
+              HybridClock* hybrid_clock) {
+  VmListStandin standin(clock, hybrid_clock, absl::Milliseconds(Number(arguments, "--lag-ms")));
+  const std::string path = Text(arguments, "--file");
+  if (!path.empty()) {
+    std::ifstream file(path);
+    const nlohmann::json list = nlohmann::json::parse(file, nullptr, /*allow_exceptions=*/false);
+    if (!standin.Load(list)) {
+      std::cerr << "File " << path << " must hold {\"vms\": [...]}.\n";
+      return kExitFailure;
+    }
+  }
+  return Serve(&standin, arguments, signals, {{"standin", "vmlist"}});
+}
+
+int RunWorker(const Arguments& arguments, const sigset_t& signals, const Clock* clock,
+              EventLog* events) {
+  WorkerOptions options;
+  options.id = WorkerId(Text(arguments, "--id"));
+  options.boot = BootOf(arguments);
+  options.capacity = Resources{MilliCores(Number(arguments, "--cpu-milli")),
+                               MebiBytes(Number(arguments, "--memory-mib")),
+                               AcceleratorCount(Number(arguments, "--accelerators")), SlotCount(0)};
+  options.usage_lag = absl::Milliseconds(Number(arguments, "--usage-lag-ms"));
+  options.fail_all_starts = arguments.at("--fail-all-starts").asBool();
+  WorkerStandin standin(options, clock, events);
+  nlohmann::json row = VmRow(arguments, "worker", "");
+  row["capacity"] = {{"cpu_milli", options.capacity.cpu.value()},
+                     {"memory_mib", options.capacity.memory.value()},
+                     {"accelerators", options.capacity.accelerators.value()},
+                     {"slots", 0}};
+  return Serve(&standin, arguments, signals, row);
+}
+
+int RunExecutor(const Arguments& arguments, const sigset_t& signals, const Clock* clock,
+                EventLog* events) {
+  ExecutorOptions options;
+  options.id = ExecutorId(Text(arguments, "--id"));
+  options.boot = BootOf(arguments);
+  options.slots = Number(arguments, "--slots");
+  options.max_connections = static_cast<int>(Number(arguments, "--connections"));
+  ExecutorStandin standin(options, clock, events);
+  nlohmann::json row = VmRow(arguments, "executor", "");
+  row["capacity"] = {
+      {"cpu_milli", 0}, {"memory_mib", 0}, {"accelerators", 0}, {"slots", options.slots}};
+  row["max_connections"] = options.max_connections;
+  return Serve(&standin, arguments, signals, row);
+}
+
+int Main(int argc, char** argv) {
+  const Arguments arguments =
+      docopt::docopt(kUsage, std::vector<std::string>(argv + 1, argv + argc), /*help=*/true);
+  // Blocked before any thread starts, so that only sigwait sees them.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  const SystemClock clock;
+  HybridClock hybrid_clock(&clock);
+  if (arguments.at("store").asBool()) {
+    StoreStandin standin(&clock, &hybrid_clock);
+    return Serve(&standin, arguments, signals, {{"standin", "store"}});
+  }
+  if (arguments.at("vmlist").asBool()) {
+    return RunVmList(arguments, signals, &clock, &hybrid_clock);
+  }
+  EventLog events(Text(arguments, "--id"), &hybrid_clock, MakeLogSink(Text(arguments, "--events")));
+  return arguments.at("worker").asBool() ? RunWorker(arguments, signals, &clock, &events)
+                                         : RunExecutor(arguments, signals, &clock, &events);
+}
+
+}  // namespace
+}  // namespace pomelotray
+
+int main(int argc, char** argv) { return pomelotray::Main(argc, argv); }
--- /dev/null
+++ b/packages/standins/standin_server.cc
@@ -0,0 +1,195 @@
+#include "standins/standin_server.h"
+
+#include <httplib.h>
+
+#include <thread>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "standins/connection_threads.h"
+#include "standins/fault_injector.h"
+
+namespace pomelotray {
+namespace {
+
+constexpr char kJsonType[] = "application/json";
+constexpr char kTimeHeader[] = "Pomelotray-Time";
+// Longer than the adapters keep idle connections; it also bounds the time that Stop takes.
+constexpr time_t kKeepAliveSeconds = 2;
+// A value of 1 MB in base64, with room for the other fields.
+constexpr size_t kMaxRequestBytes = 4'000'000;
+
+// Passes connections to ConnectionThreads, which outlives the queue that cpp-httplib owns.
+class ThreadQueue : public httplib::TaskQueue {
+ public:
+  explicit ThreadQueue(ConnectionThreads* threads) : threads_(threads) {}
+  void enqueue(std::function<void()> fn) override { threads_->Run(std::move(fn)); }
+  void shutdown() override { threads_->Join(); }
+
+ private:
+  ConnectionThreads* const threads_;
+};
+
+// The default options share the port between processes (SO_REUSEPORT), which would hide a port that
+// is already taken.
+void ReuseAddressOnly(socket_t socket) {
+  int yes = 1;
+  setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+}
+
+// Announces the whole answer, sends the first `sent` bytes and closes the connection.
+void SendPart(const std::string& text, size_t sent, httplib::Response* response) {
+  const std::string part = text.substr(0, sent);
+  response->set_content_provider(text.size(), kJsonType,
+                                 [part](size_t offset, size_t, httplib::DataSink& sink) {
+                                   if (offset == 0 && !part.empty()) {
+                                     sink.write(part.data(), part.size());
+                                   }
+                                   return false;
+                                 });
+}
+
+}  // namespace
+
+StandinResponse Refuse(int status, const char* error, const std::string& message) {
+  return StandinResponse{status, {{"error", error}, {"message", message}}};
+}
+
+struct StandinServer::Impl {
+  Impl(const Clock* the_clock, HybridClock* the_hybrid_clock)
+      : clock(the_clock), hybrid_clock(the_hybrid_clock), faults(the_clock) {}
+
+  void Serve(const Handler& handler, bool faulty, const httplib::Request& request,
+             httplib::Response* response);
+  void ObserveTime(const httplib::Request& request, httplib::Response* response);
+
+  const Clock* const clock;
+  HybridClock* const hybrid_clock;
+  FaultInjector faults;
+  ConnectionThreads threads;
+  httplib::Server server;
+  std::thread listener;
+  int port = 0;
+};
+
+void StandinServer::Impl::ObserveTime(const httplib::Request& request,
+                                      httplib::Response* response) {
+  int64_t remote = 0;
+  if (absl::SimpleAtoi(request.get_header_value(kTimeHeader), &remote)) {
+    hybrid_clock->Observe(HybridTime(remote));
+  }
+  response->set_header(kTimeHeader, std::to_string(hybrid_clock->Tick().value()));
+}
+
+void StandinServer::Impl::Serve(const Handler& handler, bool faulty,
+                                const httplib::Request& request, httplib::Response* response) {
+  const FaultPlan fault = faulty ? faults.Draw() : FaultPlan{};
+  if (fault.mode == FaultMode::kSlow) {
+    clock->SleepFor(fault.delay);
+  }
+  StandinRequest call;
+  call.match = request.matches.size() > 1 ? request.matches[1].str() : "";
+  call.misdirect = fault.mode == FaultMode::kMisdirect;
+  if (!request.body.empty()) {
+    call.body = nlohmann::json::parse(request.body, nullptr, /*allow_exceptions=*/false);
+  }
+  ObserveTime(request, response);
+  StandinResponse answer;
+  if (fault.mode == FaultMode::kDown) {
+    answer = Refuse(503, "unavailable", "The stand-in is set to be down.");
+  } else if (call.body.is_discarded()) {
+    answer = Refuse(400, "invalid_argument", "The body is not JSON.");
+  } else {
+    answer = handler(call);
+  }
+  if (fault.mode == FaultMode::kDelay) {
+    clock->SleepFor(fault.delay);
+  }
+  ObserveTime(request, response);
+  const std::string text =
+      answer.body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  response->status = answer.status;
+  if (fault.mode == FaultMode::kLoseAnswers) {
+    SendPart(text, 0, response);
+  } else if (fault.mode == FaultMode::kTruncate) {
+    SendPart(text, text.size() / 2, response);
+  } else {
+    response->set_content(text, kJsonType);
+  }
+}
+
+StandinServer::StandinServer(const Clock* clock, HybridClock* hybrid_clock)
+    : impl_(std::make_unique<Impl>(clock, hybrid_clock)) {
+  httplib::Server& server = impl_->server;
+  ConnectionThreads* const threads = &impl_->threads;
+  server.new_task_queue = [threads] { return new ThreadQueue(threads); };
+  server.set_socket_options(ReuseAddressOnly);
+  server.set_tcp_nodelay(true);
+  server.set_keep_alive_max_count(1'000'000'000);
+  server.set_keep_alive_timeout(kKeepAliveSeconds);
+  server.set_payload_max_length(kMaxRequestBytes);
+  HandleControl("GET", "/healthz", [](const StandinRequest&) { return StandinResponse{}; });
+  HandleControl("POST", "/fault", [this](const StandinRequest& request) {
+    const std::string problem = impl_->faults.Set(request.body);
+    return problem.empty() ? StandinResponse{} : Refuse(400, "invalid_argument", problem);
+  });
+}
+
+StandinServer::~StandinServer() { Stop(); }
+
+void StandinServer::Handle(const std::string& method, const std::string& pattern, Handler handler) {
+  Add(method, pattern, std::move(handler), /*faulty=*/true);
+}
+
+void StandinServer::HandleControl(const std::string& method, const std::string& pattern,
+                                  Handler handler) {
+  Add(method, pattern, std::move(handler), /*faulty=*/false);
+}
+
+void StandinServer::Add(const std::string& method, const std::string& pattern, Handler handler,
+                        bool faulty) {
+  const httplib::Server::Handler serve = [this, handler = std::move(handler), faulty](
+                                             const httplib::Request& request,
+                                             httplib::Response& response) {
+    impl_->Serve(handler, faulty, request, &response);
+  };
+  if (method == "GET") {
+    impl_->server.Get(pattern, serve);
+  } else if (method == "PUT") {
+    impl_->server.Put(pattern, serve);
+  } else if (method == "PATCH") {
+    impl_->server.Patch(pattern, serve);
+  } else {
+    impl_->server.Post(pattern, serve);
+  }
+}
+
+bool StandinServer::Start(int port) {
+  if (port == 0) {
+    impl_->port = impl_->server.bind_to_any_port("127.0.0.1");
+  } else {
+    impl_->port = impl_->server.bind_to_port("127.0.0.1", port) ? port : -1;
+  }
+  if (impl_->port < 0) {
+    return false;
+  }
+  impl_->listener = std::thread([this] { impl_->server.listen_after_bind(); });
+  // Stop has no effect before the listener runs.
+  while (!impl_->server.is_running()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return true;
+}
+
+void StandinServer::Stop() {
+  if (impl_->listener.joinable()) {
+    impl_->server.stop();
+    impl_->listener.join();
+  }
+}
+
+int StandinServer::port() const { return impl_->port; }
+
+int StandinServer::connections() const { return impl_->threads.active(); }
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/standins/worker_state.h
@@ -0,0 +1,87 @@
+#ifndef POMELOTRAY_STANDINS_WORKER_STATE_H_
+#define POMELOTRAY_STANDINS_WORKER_STATE_H_
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "ports/worker_port.h"
+#include "standins/worker_task.h"
+
+namespace pomelotray {
+
+struct WorkerOptions {
+  WorkerId id;
+  BootId boot;
+  Resources capacity;
+  // Measured use is reported this long after a task's start.
+  absl::Duration usage_lag = absl::Seconds(5);
+  // The worker is faulty: every task that it starts fails at once.
+  bool fail_all_starts = false;
+};
+
+enum class WorkerVerdict {
+  kOk,
+  // The worker has seen a higher epoch, or the epoch belongs to another owner that is alive.
+  kFenced,
+  kNotFenced,
+  kWrongBoot,
+  kKnownAttempt,
+  kNoRoom,
+  kUnknownAttempt,
+};
+
+// Epochs, tasks and leases of the worker stand-in. Records what really runs as events: the ground
+// truth of the history checker. Thread-safe.
+class WorkerState {
+ public:
+  // A higher round of the same term is accepted only when the present owner has been silent for
+  // this long.
+  static constexpr absl::Duration kOwnerLease = absl::Seconds(5);
+
+  WorkerState(WorkerOptions options, const Clock* clock, EventLog* events);
+
+  WorkerVerdict Fence(const InstanceId& owner, const Epoch& epoch);
+  WorkerVerdict Start(const TaskStart& start);
+  WorkerVerdict Heartbeat(const WorkerHeartbeat& heartbeat);
+  WorkerVerdict Stop(const AttemptId& attempt, const Epoch& epoch, StopMode mode);
+  WorkerInventory Inventory();
+  void Leave();
+
+  // Ends the tasks that are due, then waits for the next end, until Shutdown.
+  void RunTimers();
+  // Ends all tasks and RunTimers.
+  void Shutdown();
+
+ private:
+  void EndDueTasks() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void End(WorkerTask* task, AttemptState state) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void RecordTask(EventCode code, const WorkerTask& task);
+  void RecordReservation() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  WorkerVerdict Admit(const TaskStart& start) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+  const WorkerOptions options_;
+  const Clock* const clock_;
+  EventLog* const events_;
+  absl::Mutex mutex_;
+  absl::CondVar changed_;
+  bool shutdown_ ABSL_GUARDED_BY(mutex_) = false;
+  bool leaving_ ABSL_GUARDED_BY(mutex_) = false;
+  Epoch epoch_ ABSL_GUARDED_BY(mutex_);
+  InstanceId owner_ ABSL_GUARDED_BY(mutex_);
+  absl::Time last_contact_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  Resources reserved_ ABSL_GUARDED_BY(mutex_);
+  // Running tasks and ended ones that are not yet acknowledged.
+  std::map<AttemptId, WorkerTask> tasks_ ABSL_GUARDED_BY(mutex_);
+  // All attempts of this boot, acknowledged ones included.
+  std::set<AttemptId> known_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_STANDINS_WORKER_STATE_H_
