ports: Bound the time in which a worker command may take effect

A start or renewal that is delayed on its way could otherwise take effect after the owner has given up on it and started the task elsewhere. The bound is in the worker's clock, so that no clocks need to agree.

--- a/packages/ports/worker_port.h
+++ b/packages/ports/worker_port.h
@@ -36,6 +36,8 @@
   Epoch epoch;
   bool leaving = false;
   Resources capacity;
+  // The worker's monotonic clock, counted from its boot, when it answered.
+  absl::Duration worker_clock;
   // Running attempts and ended ones that are not yet acknowledged.
   std::vector<AttemptReport> attempts;
 };
@@ -49,6 +51,9 @@
   BootId boot;
   Resources demand;
   absl::Duration lease;
+  // The worker refuses the start when its own clock is past this time, so that a start delayed on
+  // its way cannot take effect after the owner has given up on it.
+  absl::Duration valid_before = absl::InfiniteDuration();
   std::string payload;
   bool repeatable = true;
 };
@@ -59,7 +64,10 @@
   // Attempts whose lease is renewed to `lease` from now.
   std::vector<AttemptId> renew;
   absl::Duration lease;
-  // Ended attempts that the worker may forget, because their end is durable.
+  // Renewals are ignored when the worker's clock is past this time.
+  absl::Duration valid_before = absl::InfiniteDuration();
+  // Ended attempts whose end is durable. The worker stops reporting them, but refuses their ids
+  // until its next boot.
   std::vector<AttemptId> acknowledge;
 };
 
