state: Add the store budget, instance lease, shard claims and configuration cache

Writes whose answer was lost are settled by reading the key back, since a repeated compare-and-swap alone would report a conflict with itself.

--- a/packages/state/budgeted_store.h
+++ b/packages/state/budgeted_store.h
@@ -67,8 +67,8 @@
     int64_t refused = 0;
   };
 
-  template <typename R>
-  R Run(StoreCallKind kind, const std::function<R()>& call);
+  template <typename T>
+  Result<T> Run(StoreCallKind kind, const std::function<Result<T>(bool probe)>& call);
   // Waits for a token; sets `probe` when the call is the one that probes a failed store.
   Result<void> Admit(StoreCallKind kind, bool* probe);
   Result<void> AdmitDuringOutage(StoreCallKind kind, bool* probe)
--- /dev/null
+++ b/packages/state/configuration_cache.cc
@@ -0,0 +1,313 @@
+#include "state/configuration_cache.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "model/contract_codec.h"
+#include "state/nonce.h"
+#include "state/swap.h"
+
+namespace pomelotray {
+namespace {
+
+constexpr char kPrefix[] = "contracts/";
+constexpr char kNonceField[] = "nonce";
+// Stop() waits for a running watch at most this long.
+constexpr absl::Duration kWatchWait = absl::Seconds(3);
+constexpr absl::Duration kRetryInterval = absl::Milliseconds(500);
+// How soon an instance that became its domain's watcher begins.
+constexpr absl::Duration kIdleInterval = absl::Milliseconds(250);
+
+std::string KeyOf(const CustomerId& customer) { return kPrefix + customer.value(); }
+
+CustomerId CustomerOf(const std::string& key) {
+  return CustomerId(key.substr(sizeof(kPrefix) - 1));
+}
+
+Result<Contract> ParseValue(const CustomerId& customer, Revision revision,
+                            const std::string& value) {
+  nlohmann::json json = nlohmann::json::parse(value, nullptr, false);
+  if (!json.is_object()) {
+    return Fail(ErrorKind::kInvalidArgument,
+                "The stored contract is no JSON object; apply it again.");
+  }
+  json.erase(kNonceField);
+  BOOST_LEAF_AUTO(contract, ContractFromJson(json));
+  if (contract.customer != customer) {
+    return Fail(ErrorKind::kInvalidArgument,
+                absl::StrCat("The contract names customer ", contract.customer.value(),
+                             "; store it under that customer's key."));
+  }
+  contract.revision = revision;
+  return contract;
+}
+
+bool IsEntry(const nlohmann::json& json) {
+  return json.is_object() && json.contains("customer") && json["customer"].is_string() &&
+         json.contains("revision") && json["revision"].is_number_integer() &&
+         json.contains("deleted") && json["deleted"].is_boolean() && json.contains("value") &&
+         json["value"].is_string();
+}
+
+bool IsEntryList(const nlohmann::json& json) {
+  return json.is_object() && json.contains("after") && json["after"].is_number_integer() &&
+         json.contains("revision") && json["revision"].is_number_integer() &&
+         json.contains("ready") && json["ready"].is_boolean() && json.contains("entries") &&
+         json["entries"].is_array() &&
+         std::all_of(json["entries"].begin(), json["entries"].end(), IsEntry);
+}
+
+}  // namespace
+
+ConfigurationCache::ConfigurationCache(const StateContext& context,
+                                       std::function<bool()> should_watch, ChangeCallback on_change)
+    : context_(context), should_watch_(std::move(should_watch)), on_change_(std::move(on_change)) {}
+
+ConfigurationCache::~ConfigurationCache() { Stop(); }
+
+void ConfigurationCache::Start() {
+  thread_ = std::thread([this] { Run(); });
+}
+
+void ConfigurationCache::Stop() {
+  {
+    absl::MutexLock lock(&mutex_);
+    stopping_ = true;
+    wake_.SignalAll();
+  }
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+bool ConfigurationCache::Ready() const {
+  absl::MutexLock lock(&mutex_);
+  return ready_;
+}
+
+Revision ConfigurationCache::revision() const {
+  absl::MutexLock lock(&mutex_);
+  return revision_;
+}
+
+std::optional<Contract> ConfigurationCache::Find(const CustomerId& customer) const {
+  absl::MutexLock lock(&mutex_);
+  const auto it = entries_.find(customer);
+  return it != entries_.end() ? it->second.contract : std::nullopt;
+}
+
+std::vector<Contract> ConfigurationCache::All() const {
+  std::vector<Contract> contracts;
+  absl::MutexLock lock(&mutex_);
+  for (const auto& [customer, entry] : entries_) {
+    if (entry.contract.has_value()) {
+      contracts.push_back(*entry.contract);
+    }
+  }
+  return contracts;
+}
+
+nlohmann::json ConfigurationCache::EntriesAfter(Revision revision) const {
+  nlohmann::json entries = nlohmann::json::array();
+  absl::MutexLock lock(&mutex_);
+  for (const auto& [customer, entry] : entries_) {
+    if (entry.revision > revision) {
+      entries.push_back({{"customer", customer.value()},
+                         {"revision", entry.revision.value()},
+                         {"deleted", entry.deleted},
+                         {"value", entry.value}});
+    }
+  }
+  return {{"after", revision.value()},
+          {"revision", revision_.value()},
+          {"ready", ready_},
+          {"entries", std::move(entries)}};
+}
+
+Result<void> ConfigurationCache::MergeEntries(const nlohmann::json& entries) {
+  if (!IsEntryList(entries)) {
+    return Fail(ErrorKind::kInvalidArgument,
+                "A peer's configuration entries are malformed; run the same release everywhere.");
+  }
+  for (const nlohmann::json& entry : entries["entries"]) {
+    Take(CustomerId(entry["customer"].get<std::string>()),
+         Revision(entry["revision"].get<int64_t>()), entry["deleted"].get<bool>(),
+         entry["value"].get<std::string>());
+  }
+  absl::MutexLock lock(&mutex_);
+  // Only a peer that has everything up to its revision, asked for all that this cache lacks, makes
+  // this cache complete up to that revision.
+  if (entries["ready"].get<bool>() && Revision(entries["after"].get<int64_t>()) <= revision_) {
+    revision_ = std::max(revision_, Revision(entries["revision"].get<int64_t>()));
+    ready_ = true;
+  }
+  return {};
+}
+
+Result<void> ConfigurationCache::Load() {
+  // A watch from revision 0 returns all keys and the revision at which they were read.
+  BOOST_LEAF_AUTO(batch, context_.store->Watch(kPrefix, Revision(0), absl::ZeroDuration()));
+  std::set<CustomerId> present;
+  for (const StoreEntry& entry : batch.changed) {
+    present.insert(CustomerOf(entry.key));
+  }
+  std::vector<CustomerId> deleted;
+  {
+    absl::MutexLock lock(&mutex_);
+    for (const auto& [customer, entry] : entries_) {
+      if (!entry.deleted && entry.revision <= batch.next && present.count(customer) == 0) {
+        deleted.push_back(customer);
+      }
+    }
+  }
+  TakeBatch(batch);
+  for (const CustomerId& customer : deleted) {
+    Take(customer, batch.next, true, "");
+  }
+  return {};
+}
+
+void ConfigurationCache::TakeBatch(const WatchBatch& batch) {
+  for (const StoreEntry& entry : batch.changed) {
+    Take(CustomerOf(entry.key), entry.revision, false, entry.value);
+  }
+  for (const std::string& key : batch.deleted) {
+    // The key did not exist at revision `next`: had it been written again before, it would be among
+    // the changed ones.
+    Take(CustomerOf(key), batch.next, true, "");
+  }
+  absl::MutexLock lock(&mutex_);
+  revision_ = std::max(revision_, batch.next);
+  ready_ = true;
+}
+
+Result<void> ConfigurationCache::WatchOnce() {
+  BOOST_LEAF_AUTO(batch, context_.store->Watch(kPrefix, revision(), kWatchWait));
+  TakeBatch(batch);
+  return {};
+}
+
+void ConfigurationCache::Run() {
+  while (!Stopping()) {
+    if (Ready() && !should_watch_()) {
+      PauseFor(kIdleInterval);
+      continue;
+    }
+    const Outcome<void> outcome = Capture([&] { return Ready() ? WatchOnce() : Load(); });
+    if (!outcome.ok()) {
+      PauseFor(outcome.error().retry_after.value_or(kRetryInterval));
+    }
+  }
+}
+
+bool ConfigurationCache::Stopping() const {
+  absl::MutexLock lock(&mutex_);
+  return stopping_;
+}
+
+void ConfigurationCache::PauseFor(absl::Duration duration) {
+  absl::MutexLock lock(&mutex_);
+  const absl::Time end = context_.clock->Now() + duration;
+  while (!stopping_ && context_.clock->Now() < end) {
+    context_.clock->WaitUntil(&wake_, &mutex_, end);
+  }
+}
+
+bool ConfigurationCache::Take(const CustomerId& customer, Revision revision, bool deleted,
+                              const std::string& value) {
+  Outcome<Contract> parsed = Error{};
+  if (!deleted) {
+    parsed = Capture([&] { return ParseValue(customer, revision, value); });
+  }
+  absl::MutexLock announce_lock(&announce_mutex_);
+  std::optional<Contract> contract;
+  {
+    absl::MutexLock lock(&mutex_);
+    Entry& entry = entries_[customer];
+    if (revision <= entry.revision) {
+      const bool stale = revision < entry.revision;
+      if (stale) {
+        ReportStale(customer, revision, entry.revision);
+      }
+      return false;
+    }
+    entry.revision = revision;
+    entry.deleted = deleted;
+    entry.value = value;
+    if (deleted || parsed.ok()) {
+      entry.contract = parsed.ok() ? std::optional<Contract>(parsed.value()) : std::nullopt;
+      contract = entry.contract;
+    }
+  }
+  if (!deleted && !parsed.ok()) {
+    context_.events->Record(EventCode::kInvalidInputRefused)
+        .Customer(customer)
+        .With(event_field::kRevision, revision.value())
+        .With(event_field::kReason, parsed.error().message)
+        .Emit();
+    return true;
+  }
+  context_.events->Record(EventCode::kContractInForce)
+      .Customer(customer)
+      .With(event_field::kRevision, revision.value())
+      .With(event_field::kState, deleted ? "deleted" : "present")
+      .Emit();
+  if (on_change_) {
+    on_change_(customer, contract);
+  }
+  return true;
+}
+
+void ConfigurationCache::ReportStale(const CustomerId& customer, Revision offered,
+                                     Revision known) const {
+  context_.events->Record(EventCode::kStaleConfigurationIgnored)
+      .Customer(customer)
+      .With(event_field::kRevision, offered.value())
+      .With(event_field::kReason, absl::StrCat("revision ", known.value(), " is known"))
+      .Emit();
+}
+
+Result<Contract> ConfigurationCache::Apply(const Contract& contract, Revision expected) {
+  nlohmann::json json = ContractToJson(contract);
+  // Checks the contract as its readers will.
+  BOOST_LEAF_AUTO(checked, ContractFromJson(json));
+  json[kNonceField] = MakeNonceText();
+  const std::string value = json.dump();
+  BOOST_LEAF_AUTO(swap, SwapReadingBack(context_, KeyOf(contract.customer), expected, value));
+  if (swap.state == SwapOutcome::State::kRefused) {
+    return Conflict(contract.customer, expected);
+  }
+  if (swap.state == SwapOutcome::State::kReplaced) {
+    return Fail(ErrorKind::kOutcomeUnknown,
+                absl::StrCat("The answer to the write of contract ", contract.customer.value(),
+                             " was lost and the contract has changed since; read it and decide "
+                             "whether to apply the change again."));
+  }
+  context_.events->Record(EventCode::kContractApplied)
+      .Customer(contract.customer)
+      .With(event_field::kRevision, swap.revision.value())
+      .Emit();
+  Take(contract.customer, swap.revision, false, value);
+  checked.revision = swap.revision;
+  return checked;
+}
+
+boost::leaf::error_id ConfigurationCache::Conflict(const CustomerId& customer, Revision expected) {
+  const Outcome<std::optional<StoreEntry>> read =
+      Capture([&] { return context_.store->Get(KeyOf(customer)); });
+  std::string present = "unknown";
+  if (read.ok()) {
+    present = absl::StrCat(read.value().has_value() ? read.value()->revision.value() : 0);
+  }
+  context_.events->Record(EventCode::kContractConflict)
+      .Customer(customer)
+      .With(event_field::kRevision, present)
+      .Emit();
+  return Fail(ErrorKind::kConflict,
+              absl::StrCat("Contract ", customer.value(), " has revision ", present, ", not ",
+                           expected.value(), "; read it and apply the change again."));
+}
+
+}  // namespace pomelotray
--- a/packages/state/configuration_cache.h
+++ b/packages/state/configuration_cache.h
@@ -5,6 +5,8 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -18,8 +20,8 @@
 // nothing ever goes back to an older one. Thread-safe.
 class ConfigurationCache {
  public:
-  // Called after a change with the contract in force, or with nullopt when it was deleted. Must not
-  // call back into this cache's Start or Stop.
+  // Called after a change with the contract in force, or with nullopt when it was deleted. Runs
+  // under a lock: it must not change this cache.
   using ChangeCallback = std::function<void(const CustomerId&, const std::optional<Contract>&)>;
 
   // `should_watch` tells whether this instance is the one of its domain that watches the store.
@@ -57,21 +59,15 @@
     std::string value;
     std::optional<Contract> contract;
   };
-  struct Change {
-    CustomerId customer;
-    std::optional<Contract> contract;
-    Revision revision;
-  };
-
   void Run();
   bool Stopping() const;
   void PauseFor(absl::Duration duration);
   Result<void> WatchOnce();
   // Takes one version of a key over; returns false when a newer one is known.
   bool Take(const CustomerId& customer, Revision revision, bool deleted, const std::string& value);
-  void TakeDeletion(const std::string& key, Revision revision);
-  void AdvanceTo(Revision revision);
-  void Announce(const Change& change);
+  void TakeBatch(const WatchBatch& batch);
+  void ReportStale(const CustomerId& customer, Revision offered, Revision known) const;
+  boost::leaf::error_id Conflict(const CustomerId& customer, Revision expected);
 
   const StateContext context_;
   const std::function<bool()> should_watch_;
--- a/packages/state/instance_lease.h
+++ b/packages/state/instance_lease.h
@@ -1,7 +1,9 @@
 #ifndef POMELOTRAY_STATE_INSTANCE_LEASE_H_
 #define POMELOTRAY_STATE_INSTANCE_LEASE_H_
 
+#include <optional>
 #include <set>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -48,14 +50,13 @@
 
  private:
   void Run();
-  // One renewal, or a new lease when there is none.
-  void RenewOnce();
+  // Renews the lease, or grants a new one when there is none; returns whether it succeeded.
+  bool RenewOnce();
   Result<void> Renew(const StoreLeaseId& lease);
   Result<void> Grant();
   Result<void> Publish(const StoreLeaseId& lease);
   void SetHeld(const StoreLeaseId& lease, absl::Time sent);
-  void DropLease(const Error& error);
-  void ReportExpiry();
+  void ReportExpiry(const Error& error);
 
   const StateContext context_;
   const InstanceRecord self_;
--- /dev/null
+++ b/packages/state/shard_claims.cc
@@ -0,0 +1,130 @@
+#include "state/shard_claims.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "state/nonce.h"
+#include "state/swap.h"
+
+namespace pomelotray {
+namespace {
+
+constexpr char kPrefix[] = "shards/";
+
+std::string KeyOf(const ShardId& shard) { return kPrefix + shard.ToString(); }
+
+std::string ToValue(const ShardClaim& claim) {
+  return nlohmann::json{{"owner", claim.owner.value()},
+                        {"address", claim.address},
+                        {"term", claim.term},
+                        {"nonce", MakeNonceText()}}
+      .dump();
+}
+
+Result<ShardClaim> ParseClaim(const StoreEntry& entry) {
+  const std::optional<ShardId> shard = ShardId::Parse(entry.key.substr(sizeof(kPrefix) - 1));
+  const nlohmann::json json = nlohmann::json::parse(entry.value, nullptr, false);
+  const bool valid = shard.has_value() && json.is_object() && json.contains("owner") &&
+                     json["owner"].is_string() && json.contains("address") &&
+                     json["address"].is_string() && json.contains("term") &&
+                     json["term"].is_number_integer();
+  if (!valid) {
+    return Fail(ErrorKind::kInternal,
+                absl::StrCat("The store's key ", entry.key,
+                             " holds no valid shard claim; correct its value."));
+  }
+  return ShardClaim{*shard, InstanceId(json["owner"].get<std::string>()),
+                    json["address"].get<std::string>(), json["term"].get<int64_t>(),
+                    entry.revision};
+}
+
+boost::leaf::error_id OwnedByOther(const ShardId& shard, const std::optional<ShardClaim>& claim) {
+  const std::string owner =
+      claim.has_value() && !claim->owner.empty() ? claim->owner.value() : "another instance";
+  return Fail(
+      ErrorKind::kConflict,
+      absl::StrCat("Shard ", shard.ToString(), " is owned by ", owner, "; send work to its owner."),
+      absl::Seconds(1));
+}
+
+}  // namespace
+
+ShardClaims::ShardClaims(const StateContext& context, InstanceId self, std::string address)
+    : context_(context), self_(std::move(self)), address_(std::move(address)) {}
+
+Result<std::vector<ShardClaim>> ShardClaims::List() {
+  BOOST_LEAF_AUTO(entries, context_.store->List(kPrefix));
+  std::vector<ShardClaim> claims;
+  for (const StoreEntry& entry : entries) {
+    const Outcome<ShardClaim> claim = Capture([&] { return ParseClaim(entry); });
+    if (claim.ok()) {
+      claims.push_back(claim.value());
+    } else {
+      context_.events->Record(EventCode::kInvalidInputRefused)
+          .With(event_field::kReason, claim.error().message)
+          .Emit();
+    }
+  }
+  return claims;
+}
+
+Result<std::optional<ShardClaim>> ShardClaims::Find(const ShardId& shard) {
+  BOOST_LEAF_AUTO(entry, context_.store->Get(KeyOf(shard)));
+  if (!entry.has_value()) {
+    return std::optional<ShardClaim>();
+  }
+  BOOST_LEAF_AUTO(claim, ParseClaim(*entry));
+  return std::optional<ShardClaim>(claim);
+}
+
+Result<bool> ShardClaims::MayReplace(const ShardClaim& claim) {
+  if (claim.owner.empty() || claim.owner == self_) {
+    return true;
+  }
+  BOOST_LEAF_AUTO(instance, context_.store->Get("instances/" + claim.owner.value()));
+  return !instance.has_value();
+}
+
+Result<ShardClaim> ShardClaims::TryClaim(const ShardId& shard) {
+  BOOST_LEAF_AUTO(present, Find(shard));
+  if (present.has_value()) {
+    BOOST_LEAF_AUTO(replaceable, MayReplace(*present));
+    if (!replaceable) {
+      return OwnedByOther(shard, present);
+    }
+  }
+  ShardClaim claim{shard, self_, address_, present.has_value() ? present->term + 1 : 1,
+                   present.has_value() ? present->revision : Revision(0)};
+  BOOST_LEAF_AUTO(swap, SwapReadingBack(context_, KeyOf(shard), claim.revision, ToValue(claim)));
+  if (swap.state != SwapOutcome::State::kWritten) {
+    BOOST_LEAF_AUTO(winner, Find(shard));
+    return OwnedByOther(shard, winner);
+  }
+  claim.revision = swap.revision;
+  context_.events->Record(EventCode::kShardClaimed)
+      .Shard(shard)
+      .Peer(self_)
+      .At(Epoch{claim.term, 0})
+      .Emit();
+  return claim;
+}
+
+Result<void> ShardClaims::Release(const ShardClaim& claim) {
+  ShardClaim released = claim;
+  released.owner = InstanceId();
+  released.address.clear();
+  BOOST_LEAF_AUTO(swap,
+                  SwapReadingBack(context_, KeyOf(claim.shard), claim.revision, ToValue(released)));
+  if (swap.state == SwapOutcome::State::kWritten) {
+    context_.events->Record(EventCode::kShardReleased)
+        .Shard(claim.shard)
+        .Peer(self_)
+        .At(Epoch{claim.term, 0})
+        .Emit();
+  }
+  return {};
+}
+
+}  // namespace pomelotray
