--- /dev/null
+++ b/packages/shard/lease_keeper.cc
@@ -0,0 +1,70 @@
+#include "shard/lease_keeper.h"
+
+namespace pomelotray {
+
+LeaseKeeper::LeaseKeeper(WorkerPort* port, const Clock* clock, EventLog* events,
+                         const WorkerLinkOptions& options)
+    : port_(port), clock_(clock), events_(events), options_(options) {}
+
+LeaseKeeper::~LeaseKeeper() { Stop(); }
+
+void LeaseKeeper::UpdateWorkers(const std::vector<VmEntry>& vms) {
+  for (const VmEntry& vm : vms) {
+    if (links_.count(vm.id) == 0) {
+      links_[vm.id] =
+          std::make_unique<WorkerLink>(vm.id, vm.address, port_, clock_, this, options_);
+      links_[vm.id]->Start();
+    }
+  }
+}
+
+void LeaseKeeper::Stop() {
+  for (auto& [worker, link] : links_) {
+    link->Stop();
+  }
+  links_.clear();
+}
+
+bool LeaseKeeper::deposed() const {
+  absl::MutexLock lock(&mutex_);
+  return deposed_;
+}
+
+void LeaseKeeper::OnFenced(const WorkerId& worker, const WorkerInventory& inventory) {
+  events_->Record(EventCode::kWorkerFenced).Worker(worker).At(options_.epoch).Emit();
+  OnInventory(worker, inventory);
+}
+
+void LeaseKeeper::OnInventory(const WorkerId& worker, const WorkerInventory& inventory) {
+  std::vector<AttemptId> running;
+  for (const AttemptReport& report : inventory.attempts) {
+    if (report.state == AttemptState::kRunning) {
+      running.push_back(report.attempt);
+    }
+  }
+  absl::MutexLock lock(&mutex_);
+  running_[worker] = std::move(running);
+}
+
+void LeaseKeeper::OnStartOutcome(const WorkerId& /*worker*/, const TaskStart& /*start*/,
+                                 StartOutcome /*outcome*/) {}
+
+void LeaseKeeper::OnUnreachable(const WorkerId& worker) {
+  events_->Record(EventCode::kWorkerUnreachable).Worker(worker).Emit();
+}
+
+void LeaseKeeper::OnLeasesOver(const WorkerId& /*worker*/) {}
+
+void LeaseKeeper::OnDeposed() {
+  absl::MutexLock lock(&mutex_);
+  deposed_ = true;
+}
+
+HeartbeatPlan LeaseKeeper::PlanHeartbeat(const WorkerId& worker) {
+  absl::MutexLock lock(&mutex_);
+  HeartbeatPlan plan;
+  plan.renew = running_[worker];
+  return plan;
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/shard/shard_owner.cc
@@ -0,0 +1,617 @@
+#include "shard/shard_owner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "model/job_codec.h"
+#include "scheduler/shard_scheduler_builder.h"
+
+namespace pomelotray {
+namespace {
+
+// Longest time between two rounds; a change starts one at once.
+constexpr absl::Duration kRoundInterval = absl::Milliseconds(50);
+constexpr absl::Duration kReportInterval = absl::Milliseconds(500);
+constexpr int kMaxPlacementsPerRound = 512;
+// When a caller may try again after a refusal because of the store.
+constexpr absl::Duration kStoreRetryAfter = absl::Seconds(2);
+constexpr absl::Duration kFlushTimeout = absl::Seconds(2);
+
+JobRecord NewRecord(const ShardId& shard, const JobSpec& spec, absl::Time now) {
+  JobRecord record;
+  record.id = MakeJobId(shard, spec.customer, spec.key);
+  record.spec = spec;
+  record.accepted_at = now;
+  for (int64_t index = 0; index < spec.task_count; ++index) {
+    TaskStatus task;
+    task.task = MakeTaskId(record.id, index);
+    record.tasks.push_back(task);
+  }
+  return record;
+}
+
+// A caller that repeats a submission may compute its deadline anew, so deadlines are not compared.
+bool SameWork(JobSpec a, JobSpec b) {
+  a.deadline.reset();
+  b.deadline.reset();
+  return JobSpecToJson(a) == JobSpecToJson(b);
+}
+
+Error StoreRefusal() {
+  return Error{
+      ErrorKind::kStoreUnavailable,
+      "The store does not accept writes now and the job was not run; submit it again later.",
+      kStoreRetryAfter};
+}
+
+}  // namespace
+
+ShardOwner::ShardOwner(const ShardOwnerContext& context, const ShardOwnerOptions& options,
+                       std::unique_ptr<Journal> journal)
+    : context_(context),
+      options_(options),
+      journal_(std::move(journal)),
+      roster_(options.task_lease * (1 + kMaxClockDrift)),
+      scheduler_(ShardSchedulerBuilder()
+                     .SetClock(context.clock)
+                     .SetLimits(context.limits)
+                     .SetSeed(static_cast<uint64_t>(options.epoch.term))
+                     .Build()),
+      limiter_(context.clock, static_cast<uint64_t>(options.epoch.term)),
+      lifecycle_(TaskLifecycle::Context{context.clock, context.events, journal_.get(),
+                                        scheduler_.get(), this, &jobs_}),
+      intents_(journal_.get(), context.clock,
+               [this](const WorkerId& worker, const TaskStart& start) {
+                 SendDurableIntent(worker, start);
+               }) {}
+
+ShardOwner::~ShardOwner() { Stop(); }
+
+Result<void> ShardOwner::Start() {
+  BOOST_LEAF_AUTO(records, journal_->Recover());
+  absl::MutexLock lock(&mutex_);
+  for (JobRecord& record : records) {
+    for (const TaskStatus& task : record.tasks) {
+      if (!IsFinal(record.state) && !task.worker.empty()) {
+        roster_.AddFromJournal(task.worker, context_.clock->Now());
+      }
+    }
+    lifecycle_.Inherit(std::move(record));
+  }
+  running_ = true;
+  intents_.Start();
+  thread_ = std::thread(&ShardOwner::Run, this);
+  return {};
+}
+
+void ShardOwner::Stop() {
+  std::map<WorkerId, std::unique_ptr<WorkerLink>> links;
+  {
+    absl::MutexLock lock(&mutex_);
+    stopping_ = true;
+    Wake();
+    links.swap(links_);
+  }
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+  intents_.Stop();
+  for (auto& [worker, link] : links) {
+    link->Stop();
+  }
+  JoinRetiredLinks();
+  uint64_t last_sequence = 0;
+  {
+    absl::MutexLock lock(&mutex_);
+    for (const auto& [id, job] : jobs_.jobs()) {
+      last_sequence = std::max({last_sequence, job->last_sequence, job->accepted_sequence});
+    }
+  }
+  if (last_sequence > 0) {
+    (void)journal_->AwaitDurable(last_sequence, context_.clock->Now() + kFlushTimeout);
+  }
+  journal_->Stop();
+}
+
+Result<JobRecord> ShardOwner::Submit(const JobSpec& spec) {
+  const JobId id = MakeJobId(options_.shard, spec.customer, spec.key);
+  uint64_t sequence = 0;
+  bool submitter = false;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (!running_ || stopping_) {
+      return Fail(ErrorKind::kOwnerUnavailable,
+                  absl::StrCat("Shard ", options_.shard.ToString(),
+                               " changes its owner; the job was not run. Submit it again."),
+                  absl::Seconds(1));
+    }
+    const TrackedJob* job = jobs_.Find(id);
+    if (job != nullptr && !SameWork(job->record.spec, spec)) {
+      return Fail(ErrorKind::kIdempotencyMismatch,
+                  absl::StrCat("Idempotency key ", spec.key.value(),
+                               " was used for another job; use a new key for new work."));
+    }
+    if (job != nullptr && job->accepted) {
+      return Visible(*job);
+    }
+    if (job == nullptr) {
+      BOOST_LEAF_CHECK(CheckSubmission(spec));
+      JobRecord record = NewRecord(options_.shard, spec, context_.clock->Now());
+      sequence = journal_->Append(JobUpsert{record});
+      TrackedJob* const inserted = jobs_.Insert(std::move(record));
+      inserted->accepted_sequence = sequence;
+      pending_jobs_.insert(id);
+      submitter = true;
+    } else {
+      sequence = job->accepted_sequence;
+    }
+  }
+  return AwaitAcceptance(id, sequence, submitter);
+}
+
+Result<void> ShardOwner::CheckSubmission(const JobSpec& spec) {
+  if (journal_->Full() || !context_.store_available()) {
+    return Fail(StoreRefusal());
+  }
+  const SliceLimits limits = context_.limits->Limits(spec.customer);
+  if (jobs_.LiveJobs(spec.customer) >= limits.max_jobs) {
+    return Fail(ErrorKind::kOverLimit,
+                absl::StrCat("Customer ", spec.customer.value(), " has ", limits.max_jobs,
+                             " jobs here, as many as its share of the contract allows; wait for "
+                             "one to finish."),
+                absl::Seconds(2));
+  }
+  limiter_.SetLimit(spec.customer, limits.rate_per_second, limits.burst);
+  BOOST_LEAF_CHECK(limiter_.Admit(spec.customer));
+  if (!roster_.entries().empty()) {
+    BOOST_LEAF_CHECK(scheduler_->CheckPlaceable(spec));
+  }
+  return scheduler_->Admit(spec);
+}
+
+Result<JobRecord> ShardOwner::AwaitAcceptance(const JobId& job, uint64_t sequence, bool submitter) {
+  const Outcome<void> durable =
+      journal_->AwaitDurable(sequence, context_.clock->Now() + options_.commit_timeout);
+  absl::MutexLock lock(&mutex_);
+  TrackedJob* const tracked = jobs_.Find(job);
+  if (tracked == nullptr) {
+    return Fail(StoreRefusal());
+  }
+  if (durable.ok()) {
+    AcceptDurableJobs();
+    return Visible(*tracked);
+  }
+  const bool refused = durable.error().kind == ErrorKind::kFenced ||
+                       (submitter && durable.error().kind == ErrorKind::kStoreUnavailable &&
+                        (journal_->Withdraw(sequence) || journal_->Full()));
+  if (refused) {
+    pending_jobs_.erase(job);
+    jobs_.Remove(job);
+    context_.events->Record(EventCode::kJobRefused).Job(job).Emit();
+    return Fail(StoreRefusal());
+  }
+  return Fail(ErrorKind::kOutcomeUnknown,
+              absl::StrCat("It is not known yet whether job ", job.value(),
+                           " was accepted; submit it again with the same idempotency key."),
+              kStoreRetryAfter);
+}
+
+Result<JobRecord> ShardOwner::GetJob(const JobId& job) {
+  absl::MutexLock lock(&mutex_);
+  const TrackedJob* const tracked = jobs_.Find(job);
+  if (tracked == nullptr || !tracked->accepted) {
+    return Fail(
+        ErrorKind::kNotFound,
+        absl::StrCat("Job ", job.value(),
+                     " does not exist or ended longer ago than jobs are kept; check the id."));
+  }
+  return Visible(*tracked);
+}
+
+Result<JobRecord> ShardOwner::CancelJob(const JobId& job) {
+  uint64_t sequence = 0;
+  {
+    absl::MutexLock lock(&mutex_);
+    TrackedJob* const tracked = jobs_.Find(job);
+    if (tracked == nullptr || !tracked->accepted) {
+      return Fail(ErrorKind::kNotFound,
+                  absl::StrCat("Job ", job.value(), " does not exist; check the id."));
+    }
+    lifecycle_.Cancel(tracked);
+    sequence = tracked->last_sequence;
+    Wake();
+  }
+  const Outcome<void> durable =
+      journal_->AwaitDurable(sequence, context_.clock->Now() + options_.commit_timeout);
+  if (!durable.ok()) {
+    return Fail(ErrorKind::kOutcomeUnknown,
+                absl::StrCat("The cancellation of job ", job.value(),
+                             " is not durable yet; ask for its status or cancel it again."),
+                kStoreRetryAfter);
+  }
+  return GetJob(job);
+}
+
+Result<JobRecord> ShardOwner::WaitForJob(const JobId& job, absl::Duration timeout) {
+  const absl::Time deadline = context_.clock->Now() + timeout;
+  while (true) {
+    BOOST_LEAF_AUTO(record, GetJob(job));
+    const absl::Time now = context_.clock->Now();
+    if (IsFinal(record.state) || now >= deadline) {
+      return record;
+    }
+    absl::MutexLock lock(&mutex_);
+    if (stopping_) {
+      return record;
+    }
+    context_.clock->WaitUntil(&changed_, &mutex_, std::min(deadline, now + kRoundInterval));
+  }
+}
+
+std::vector<JobRecord> ShardOwner::ListJobs(const std::optional<CustomerId>& customer) {
+  std::vector<JobRecord> records;
+  absl::MutexLock lock(&mutex_);
+  for (const auto& [id, job] : jobs_.jobs()) {
+    if (job->accepted && !IsFinal(job->record.state) &&
+        (!customer.has_value() || job->record.spec.customer == *customer)) {
+      records.push_back(Visible(*job));
+    }
+  }
+  return records;
+}
+
+std::vector<WorkerStatus> ShardOwner::ListWorkers() {
+  std::vector<WorkerStatus> workers;
+  absl::MutexLock lock(&mutex_);
+  for (const auto& [id, entry] : roster_.entries()) {
+    WorkerStatus status;
+    status.id = id;
+    status.shard = options_.shard;
+    status.rack = entry.vm.rack;
+    status.state = entry.StateName();
+    status.capacity = entry.vm.capacity;
+    status.reserved = scheduler_->Reserved(id);
+    status.running_attempts = static_cast<int64_t>(jobs_.TasksOn(id).size());
+    workers.push_back(status);
+  }
+  return workers;
+}
+
+void ShardOwner::UpdateWorkers(const std::vector<VmEntry>& vms) {
+  WorkerLinkOptions link_options;
+  link_options.owner = options_.self;
+  link_options.epoch = options_.epoch;
+  link_options.heartbeat_interval = options_.heartbeat_interval;
+  link_options.task_lease = options_.task_lease;
+  link_options.command_validity = options_.command_validity;
+  absl::MutexLock lock(&mutex_);
+  if (!running_ || stopping_) {
+    return;
+  }
+  for (const VmEntry& vm : roster_.Update(vms, context_.clock->Now())) {
+    scheduler_->UpsertWorker({vm.id, vm.rack, vm.capacity});
+    scheduler_->SetAvailable(vm.id, false);
+    std::unique_ptr<WorkerLink> link = std::make_unique<WorkerLink>(
+        vm.id, vm.address, context_.workers, context_.clock, this, link_options);
+    link->Start();
+    links_[vm.id] = std::move(link);
+  }
+  for (const auto& [id, entry] : roster_.entries()) {
+    FollowWorker(id);
+  }
+}
+
+void ShardOwner::SetDrained(const std::set<VmId>& drained) {
+  absl::MutexLock lock(&mutex_);
+  roster_.SetDrained(drained);
+  for (const auto& [id, entry] : roster_.entries()) {
+    FollowWorker(id);
+  }
+}
+
+bool ShardOwner::deposed() const {
+  absl::MutexLock lock(&mutex_);
+  return fenced_by_worker_ || journal_->deposed();
+}
+
+void ShardOwner::OnFenced(const WorkerId& worker, const WorkerInventory& inventory) {
+  context_.events->Record(EventCode::kWorkerFenced)
+      .Worker(worker)
+      .Shard(options_.shard)
+      .At(options_.epoch)
+      .With(event_field::kBoot, inventory.boot.value())
+      .Emit();
+  absl::MutexLock lock(&mutex_);
+  roster_.NoteFenced(worker, inventory);
+  lifecycle_.Reconcile(worker, inventory, /*after_fence=*/true);
+  FollowWorker(worker);
+  Wake();
+}
+
+void ShardOwner::OnInventory(const WorkerId& worker, const WorkerInventory& inventory) {
+  absl::MutexLock lock(&mutex_);
+  roster_.NoteAnswer(worker, inventory);
+  lifecycle_.Reconcile(worker, inventory, /*after_fence=*/false);
+  FollowWorker(worker);
+  Wake();
+}
+
+void ShardOwner::OnStartOutcome(const WorkerId& worker, const TaskStart& start,
+                                StartOutcome outcome) {
+  absl::MutexLock lock(&mutex_);
+  if (outcome == StartOutcome::kStarted) {
+    lifecycle_.StartConfirmed(start);
+  } else {
+    lifecycle_.StartFailed(start);
+  }
+  FollowWorker(worker);
+  Wake();
+}
+
+void ShardOwner::OnUnreachable(const WorkerId& worker) {
+  context_.events->Record(EventCode::kWorkerUnreachable)
+      .Worker(worker)
+      .Shard(options_.shard)
+      .Emit();
+  absl::MutexLock lock(&mutex_);
+  roster_.NoteUnreachable(worker);
+  FollowWorker(worker);
+}
+
+void ShardOwner::OnLeasesOver(const WorkerId& worker) {
+  absl::MutexLock lock(&mutex_);
+  lifecycle_.LeasesOver(worker);
+  Wake();
+}
+
+void ShardOwner::OnDeposed() {
+  absl::MutexLock lock(&mutex_);
+  fenced_by_worker_ = true;
+}
+
+HeartbeatPlan ShardOwner::PlanHeartbeat(const WorkerId& worker) {
+  absl::MutexLock lock(&mutex_);
+  return lifecycle_.PlanHeartbeat(worker);
+}
+
+void ShardOwner::SendStart(const WorkerId& worker, const TaskStart& start) {
+  QueueStart(worker, start);
+}
+
+void ShardOwner::SendStartWhenDurable(const WorkerId& worker, const TaskStart& start,
+                                      uint64_t sequence) {
+  intents_.Queue(worker, start, sequence);
+}
+
+void ShardOwner::SendStop(const WorkerId& worker, const AttemptId& attempt, StopMode mode) {
+  const auto link = links_.find(worker);
+  if (link != links_.end()) {
+    link->second->QueueStop(attempt, mode);
+  }
+}
+
+void ShardOwner::SendDurableIntent(const WorkerId& worker, const TaskStart& start) {
+  context_.events->Record(EventCode::kTaskIntent)
+      .Job(start.job)
+      .Task(start.task)
+      .Attempt(start.attempt)
+      .Worker(worker)
+      .Emit();
+  absl::MutexLock lock(&mutex_);
+  QueueStart(worker, start);
+}
+
+void ShardOwner::QueueStart(const WorkerId& worker, const TaskStart& start) {
+  const TrackedJob* const job = jobs_.Find(start.job);
+  const auto link = links_.find(worker);
+  if (link == links_.end() || job == nullptr || job->cancel_requested) {
+    // It has not been sent to the worker, so it cannot run.
+    lifecycle_.StartFailed(start);
+    return;
+  }
+  context_.events->Record(EventCode::kTaskStartSent)
+      .Job(start.job)
+      .Task(start.task)
+      .Attempt(start.attempt)
+      .Worker(worker)
+      .At(options_.epoch)
+      .Emit();
+  link->second->QueueStart(start);
+}
+
+void ShardOwner::FollowWorker(const WorkerId& worker) {
+  const RosterEntry* const entry = roster_.Find(worker);
+  if (entry != nullptr) {
+    scheduler_->SetAvailable(worker, entry->Usable());
+  }
+}
+
+void ShardOwner::Run() {
+  while (true) {
+    {
+      absl::MutexLock lock(&mutex_);
+      const absl::Time deadline = context_.clock->Now() + kRoundInterval;
+      while (!stopping_ && !work_pending_) {
+        if (context_.clock->WaitUntil(&changed_, &mutex_, deadline)) {
+          break;
+        }
+      }
+      if (stopping_) {
+        return;
+      }
+      work_pending_ = false;
+    }
+    RunRound();
+    JoinRetiredLinks();
+  }
+}
+
+void ShardOwner::RunRound() {
+  absl::MutexLock lock(&mutex_);
+  if (fenced_by_worker_ || journal_->deposed()) {
+    return;
+  }
+  AcceptDurableJobs();
+  RemoveGoneWorkers();
+  CompleteTakeover();
+  FollowStoreState();
+  for (const JobId& id : scheduler_->ExpiredJobs(context_.clock->Now())) {
+    TrackedJob* const job = jobs_.Find(id);
+    if (job != nullptr) {
+      lifecycle_.Expire(job);
+    }
+  }
+  ApplyRound(scheduler_->Schedule(kMaxPlacementsPerRound));
+  if (context_.clock->Now() >= next_report_) {
+    next_report_ = context_.clock->Now() + kReportInterval;
+    ReportDemand();
+    ForgetOldJobs();
+  }
+  changed_.SignalAll();
+}
+
+void ShardOwner::AcceptDurableJobs() {
+  const uint64_t durable = journal_->durable_sequence();
+  for (auto it = pending_jobs_.begin(); it != pending_jobs_.end();) {
+    TrackedJob* const job = jobs_.Find(*it);
+    if (job != nullptr && job->accepted_sequence > durable) {
+      ++it;
+      continue;
+    }
+    if (job != nullptr) {
+      lifecycle_.Accept(job);
+      work_pending_ = true;
+    }
+    it = pending_jobs_.erase(it);
+  }
+}
+
+void ShardOwner::CompleteTakeover() {
+  if (!takeover_complete_ && roster_.AllFenced()) {
+    takeover_complete_ = true;
+    lifecycle_.ReleaseInherited();
+  }
+}
+
+void ShardOwner::RemoveGoneWorkers() {
+  for (const WorkerId& worker : roster_.RemoveGone(context_.clock->Now())) {
+    context_.events->Record(EventCode::kWorkerGone).Worker(worker).Shard(options_.shard).Emit();
+    lifecycle_.WorkerLost(worker, "The worker is gone.");
+    scheduler_->RemoveWorker(worker);
+    const auto link = links_.find(worker);
+    if (link != links_.end()) {
+      retired_links_.push_back(std::move(link->second));
+      links_.erase(link);
+    }
+  }
+}
+
+void ShardOwner::FollowStoreState() {
+  const bool available = context_.store_available();
+  if (available && !store_was_available_) {
+    for (const TaskId& task : held_for_store_) {
+      scheduler_->Unhold(task);
+    }
+    held_for_store_.clear();
+  }
+  store_was_available_ = available;
+}
+
+void ShardOwner::ApplyRound(const ScheduleRound& round) {
+  for (const Placement& placement : round.placements) {
+    const TrackedJob* const job = jobs_.Find(placement.job);
+    const RosterEntry* const worker = roster_.Find(placement.worker);
+    if (job == nullptr || worker == nullptr) {
+      scheduler_->Requeue(placement.task);
+      continue;
+    }
+    if (!job->record.spec.repeatable && !store_was_available_) {
+      scheduler_->Requeue(placement.task);
+      scheduler_->Hold(placement.task);
+      held_for_store_.insert(placement.task);
+      continue;
+    }
+    lifecycle_.Place(placement, worker->boot);
+  }
+  for (const Preemption& preemption : round.preemptions) {
+    lifecycle_.Preempt(preemption);
+  }
+}
+
+void ShardOwner::ForgetOldJobs() {
+  const absl::Time limit = context_.clock->Now() - options_.job_retention;
+  const uint64_t durable = journal_->durable_sequence();
+  std::vector<JobId> old;
+  for (const auto& [id, job] : jobs_.jobs()) {
+    if (IsFinal(job->record.state) && job->last_sequence <= durable &&
+        job->record.finished_at.has_value() && *job->record.finished_at < limit) {
+      old.push_back(id);
+    }
+  }
+  for (const JobId& id : old) {
+    journal_->Append(JobForget{id});
+    jobs_.Remove(id);
+  }
+}
+
+void ShardOwner::ReportDemand() {
+  std::map<CustomerId, int64_t> live_jobs;
+  for (const auto& [id, job] : jobs_.jobs()) {
+    live_jobs[job->record.spec.customer] += IsFinal(job->record.state) ? 0 : 1;
+  }
+  for (const auto& [customer, jobs] : live_jobs) {
+    SliceDemand in_use;
+    in_use.hold = scheduler_->CustomerUse(customer);
+    in_use.jobs = jobs;
+    SliceDemand wanted = in_use;
+    wanted.hold += scheduler_->CustomerWanted(customer);
+    context_.limits->ReportDemand(customer, in_use, wanted);
+  }
+}
+
+void ShardOwner::JoinRetiredLinks() {
+  std::vector<std::unique_ptr<WorkerLink>> retired;
+  {
+    absl::MutexLock lock(&mutex_);
+    retired.swap(retired_links_);
+  }
+  for (const std::unique_ptr<WorkerLink>& link : retired) {
+    link->Stop();
+  }
+}
+
+JobRecord ShardOwner::Visible(const TrackedJob& job) const {
+  JobRecord record = job.record;
+  if (IsFinal(record.state) && job.last_sequence > journal_->durable_sequence()) {
+    record.state = JobState::kRunning;
+    record.reason = "The job has ended, but its end is not durable yet.";
+    record.finished_at.reset();
+  } else if (record.state == JobState::kQueued) {
+    record.reason = WaitReason(record);
+  }
+  return record;
+}
+
+std::string ShardOwner::WaitReason(const JobRecord& record) const {
+  const bool held_for_store =
+      std::any_of(record.tasks.begin(), record.tasks.end(),
+                  [this](const TaskStatus& task) { return held_for_store_.count(task.task) > 0; });
+  if (held_for_store) {
+    return "store_unavailable: the start cannot be recorded until the store answers again.";
+  }
+  const TrackedJob* const job = jobs_.Find(record.id);
+  const std::optional<WorkerId> unfenced = roster_.FirstUnfenced();
+  if (job != nullptr && job->inherited && !takeover_complete_ && unfenced.has_value()) {
+    return absl::StrCat("worker_unreachable: the job may still run on ", unfenced->value(),
+                        ", which does not answer.");
+  }
+  return scheduler_->WaitReason(record.id);
+}
+
+void ShardOwner::Wake() {
+  work_pending_ = true;
+  changed_.SignalAll();
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/shard/shard_owner.h
@@ -0,0 +1,155 @@
+#ifndef POMELOTRAY_SHARD_SHARD_OWNER_H_
+#define POMELOTRAY_SHARD_SHARD_OWNER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "model/contract.h"
+#include "model/vm.h"
+#include "ports/admin_service.h"
+#include "ports/worker_port.h"
+#include "scheduler/contract_limiter.h"
+#include "scheduler/limit_source.h"
+#include "scheduler/shard_scheduler.h"
+#include "shard/command_sink.h"
+#include "shard/intent_sender.h"
+#include "shard/job_table.h"
+#include "shard/shard_limits.h"
+#include "shard/task_lifecycle.h"
+#include "shard/worker_link.h"
+#include "shard/worker_roster.h"
+#include "state/journal.h"
+
+namespace pomelotray {
+
+struct ShardOwnerOptions {
+  ShardId shard;
+  InstanceId self;
+  Epoch epoch;
+  absl::Duration heartbeat_interval = absl::Seconds(1);
+  absl::Duration task_lease = absl::Seconds(10);
+  absl::Duration command_validity = absl::Seconds(2);
+  // How long a final job can still be asked for.
+  absl::Duration job_retention = absl::Hours(1);
+  // Longest time a submission waits to become durable.
+  absl::Duration commit_timeout = absl::Seconds(2);
+};
+
+// What a ShardOwner works with. All of it outlives the owner.
+struct ShardOwnerContext {
+  const Clock* clock = nullptr;
+  EventLog* events = nullptr;
+  WorkerPort* workers = nullptr;
+  ShardLimits* limits = nullptr;
+  std::function<bool()> store_available;
+};
+
+// The owner of one shard of workers: accepts jobs into the journal, places their tasks, starts them
+// on the workers and follows them to their end. Thread-safe.
+class ShardOwner : public WorkerLinkListener, public CommandSink {
+ public:
+  ShardOwner(const ShardOwnerContext& context, const ShardOwnerOptions& options,
+             std::unique_ptr<Journal> journal);
+  ~ShardOwner() override;
+
+  // Reads the journal and starts working. May be repeated after a failure.
+  Result<void> Start();
+  // Stops placing work, makes what has happened durable as far as possible and leaves the tasks
+  // running.
+  void Stop();
+
+  Result<JobRecord> Submit(const JobSpec& spec);
+  Result<JobRecord> GetJob(const JobId& job);
+  Result<JobRecord> CancelJob(const JobId& job);
+  Result<JobRecord> WaitForJob(const JobId& job, absl::Duration timeout);
+  std::vector<JobRecord> ListJobs(const std::optional<CustomerId>& customer);
+  std::vector<WorkerStatus> ListWorkers();
+
+  // A fresh list of the shard's workers.
+  void UpdateWorkers(const std::vector<VmEntry>& vms);
+  // All workers that operators have drained.
+  void SetDrained(const std::set<VmId>& drained);
+
+  bool deposed() const;
+  const ShardId& shard() const { return options_.shard; }
+  const Epoch& epoch() const { return options_.epoch; }
+
+ private:
+  // WorkerLinkListener:
+  void OnFenced(const WorkerId& worker, const WorkerInventory& inventory) override;
+  void OnInventory(const WorkerId& worker, const WorkerInventory& inventory) override;
+  void OnStartOutcome(const WorkerId& worker, const TaskStart& start,
+                      StartOutcome outcome) override;
+  void OnUnreachable(const WorkerId& worker) override;
+  void OnLeasesOver(const WorkerId& worker) override;
+  void OnDeposed() override;
+  HeartbeatPlan PlanHeartbeat(const WorkerId& worker) override;
+
+  // CommandSink, called with the lock held:
+  void SendStart(const WorkerId& worker, const TaskStart& start) override;
+  void SendStartWhenDurable(const WorkerId& worker, const TaskStart& start,
+                            uint64_t sequence) override;
+  void SendStop(const WorkerId& worker, const AttemptId& attempt, StopMode mode) override;
+
+  void Run();
+  void RunRound();
+  void AcceptDurableJobs() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void CompleteTakeover() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void RemoveGoneWorkers() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void FollowStoreState() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void ApplyRound(const ScheduleRound& round) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void ForgetOldJobs() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void ReportDemand() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void JoinRetiredLinks();
+  void SendDurableIntent(const WorkerId& worker, const TaskStart& start);
+  void QueueStart(const WorkerId& worker, const TaskStart& start)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void FollowWorker(const WorkerId& worker) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+  Result<void> CheckSubmission(const JobSpec& spec) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  Result<JobRecord> AwaitAcceptance(const JobId& job, uint64_t sequence, bool submitter);
+  JobRecord Visible(const TrackedJob& job) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  std::string WaitReason(const JobRecord& record) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void Wake() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+  const ShardOwnerContext context_;
+  const ShardOwnerOptions options_;
+  const std::unique_ptr<Journal> journal_;
+
+  mutable absl::Mutex mutex_;
+  absl::CondVar changed_;
+  bool running_ ABSL_GUARDED_BY(mutex_) = false;
+  bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+  bool work_pending_ ABSL_GUARDED_BY(mutex_) = false;
+  bool fenced_by_worker_ ABSL_GUARDED_BY(mutex_) = false;
+  bool takeover_complete_ ABSL_GUARDED_BY(mutex_) = false;
+  bool store_was_available_ ABSL_GUARDED_BY(mutex_) = true;
+  absl::Time next_report_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  JobTable jobs_ ABSL_GUARDED_BY(mutex_);
+  std::set<JobId> pending_jobs_ ABSL_GUARDED_BY(mutex_);
+  // Tasks that may not be repeated, held because their intent cannot become durable now.
+  std::set<TaskId> held_for_store_ ABSL_GUARDED_BY(mutex_);
+  WorkerRoster roster_ ABSL_GUARDED_BY(mutex_);
+  std::unique_ptr<ShardScheduler> scheduler_ ABSL_GUARDED_BY(mutex_);
+  ContractLimiter limiter_ ABSL_GUARDED_BY(mutex_);
+  TaskLifecycle lifecycle_ ABSL_GUARDED_BY(mutex_);
+  std::map<WorkerId, std::unique_ptr<WorkerLink>> links_ ABSL_GUARDED_BY(mutex_);
+  // Links of gone workers; their threads are joined without the lock.
+  std::vector<std::unique_ptr<WorkerLink>> retired_links_ ABSL_GUARDED_BY(mutex_);
+  IntentSender intents_;
+  std::thread thread_;
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_SHARD_SHARD_OWNER_H_
--- /dev/null
+++ b/packages/shard/task_lifecycle.cc
@@ -0,0 +1,520 @@
+#include "shard/task_lifecycle.h"
+
+#include <algorithm>
+#include <set>
+
+#include "absl/strings/numbers.h"
+
+namespace pomelotray {
+namespace {
+
+// Attempts of one repeatable batch or gang task that may fail before its job fails. Services are
+// restarted without a bound.
+constexpr int64_t kMaxFailedAttempts = 3;
+
+// Gap left in the attempt numbers by a takeover, so that attempts that the earlier owner started
+// without a durable record do not share their ids with later ones.
+constexpr int64_t kTakeoverAttemptGap = 100;
+
+// Marks a job in the journal whose cancellation is not complete.
+constexpr char kStoppingReason[] = "The job is being stopped.";
+
+int64_t AttemptNumber(const AttemptId& attempt) {
+  const size_t mark = attempt.value().rfind('#');
+  int64_t number = 0;
+  if (mark == std::string::npos || !absl::SimpleAtoi(attempt.value().substr(mark + 1), &number)) {
+    return 0;
+  }
+  return number;
+}
+
+bool OccupiesWorker(const TaskStatus& task) {
+  return task.state == TaskState::kStarting || task.state == TaskState::kRunning;
+}
+
+}  // namespace
+
+TaskLifecycle::TaskLifecycle(const Context& context) : context_(context) {}
+
+void TaskLifecycle::Accept(TrackedJob* job) {
+  job->accepted = true;
+  context_.scheduler->Enqueue(job->record);
+  context_.events->Record(EventCode::kJobAccepted)
+      .Job(job->record.id)
+      .Customer(job->record.spec.customer)
+      .With(event_field::kKind, JobKindName(job->record.spec.kind))
+      .With(event_field::kRepeatable, job->record.spec.repeatable ? "true" : "false")
+      .Emit();
+}
+
+void TaskLifecycle::Inherit(JobRecord record) {
+  TrackedJob* const job = context_.jobs->Insert(std::move(record));
+  job->accepted = true;
+  if (IsFinal(job->record.state)) {
+    return;
+  }
+  context_.scheduler->Enqueue(job->record);
+  job->inherited = true;
+  for (const TaskStatus& task : job->record.tasks) {
+    if (OccupiesWorker(task)) {
+      context_.jobs->Occupy(task);
+      context_.scheduler->Adopt(job->record, task.task, task.worker);
+    } else if (task.state == TaskState::kQueued && job->record.spec.repeatable) {
+      // The earlier owner may have started it without the record having become durable.
+      context_.scheduler->Hold(task.task);
+      held_.insert(task.task);
+    }
+  }
+  if (job->record.reason == kStoppingReason) {
+    Cancel(job);
+  }
+}
+
+void TaskLifecycle::ReleaseInherited() {
+  takeover_complete_ = true;
+  for (const TaskId& task : held_) {
+    const std::optional<TaskRef> ref = context_.jobs->FindTask(task);
+    if (ref.has_value() && ref->task->state == TaskState::kQueued) {
+      ref->task->attempt_number += kTakeoverAttemptGap;
+      context_.scheduler->Unhold(task);
+    }
+  }
+  held_.clear();
+}
+
+void TaskLifecycle::Place(const Placement& placement, const BootId& boot) {
+  const std::optional<TaskRef> ref = context_.jobs->FindTask(placement.task);
+  if (!ref.has_value() || ref->task->state != TaskState::kQueued) {
+    context_.scheduler->Release(placement.task);
+    return;
+  }
+  TaskStatus& task = *ref->task;
+  const JobSpec& spec = ref->job->record.spec;
+  ++task.attempt_number;
+  task.state = TaskState::kStarting;
+  task.worker = placement.worker;
+  task.boot = boot;
+  context_.jobs->Occupy(task);
+  UpdateJob(ref->job);
+
+  TaskStart start;
+  start.attempt = MakeAttemptId(task.task, task.attempt_number);
+  start.task = task.task;
+  start.job = ref->job->record.id;
+  start.boot = boot;
+  start.demand = spec.demand;
+  start.payload = spec.payload;
+  start.repeatable = spec.repeatable;
+  const uint64_t sequence = JournalTask(*ref);
+  if (spec.repeatable) {
+    context_.commands->SendStart(placement.worker, start);
+  } else {
+    context_.commands->SendStartWhenDurable(placement.worker, start, sequence);
+  }
+}
+
+void TaskLifecycle::Preempt(const Preemption& preemption) {
+  const std::optional<TaskRef> ref = context_.jobs->FindTask(preemption.task);
+  if (!ref.has_value() || !OccupiesWorker(*ref->task) || !ref->job->record.spec.repeatable) {
+    return;
+  }
+  TaskEvent(EventCode::kTaskPreempted, *ref).With(event_field::kReason, preemption.reason).Emit();
+  StopTask(*ref, preemption.mode);
+}
+
+void TaskLifecycle::Cancel(TrackedJob* job) {
+  if (IsFinal(job->record.state) || job->cancel_requested) {
+    return;
+  }
+  job->cancel_requested = true;
+  context_.scheduler->Remove(job->record.id);
+  for (TaskStatus& task : job->record.tasks) {
+    const TaskRef ref{job, &task};
+    if (task.state == TaskState::kQueued) {
+      task.state = TaskState::kCancelled;
+    } else if (OccupiesWorker(task)) {
+      StopTask(ref, StopMode::kStop);
+    }
+  }
+  UpdateJob(job);
+  JournalTask(TaskRef{job, &job->record.tasks.front()});
+}
+
+void TaskLifecycle::Expire(TrackedJob* job) {
+  context_.scheduler->Remove(job->record.id);
+  for (TaskStatus& task : job->record.tasks) {
+    task.state = TaskState::kCancelled;
+  }
+  FinishJob(job, JobState::kExpired, "The deadline passed before a start; the job was not run.");
+  JournalTask(TaskRef{job, &job->record.tasks.front()});
+}
+
+void TaskLifecycle::StartConfirmed(const TaskStart& start) {
+  const std::optional<TaskRef> ref = context_.jobs->FindTask(start.task);
+  if (!ref.has_value() || !IsCurrent(*ref, start.attempt) ||
+      ref->task->state != TaskState::kStarting) {
+    return;
+  }
+  NoteRunning(*ref);
+}
+
+void TaskLifecycle::StartFailed(const TaskStart& start) {
+  const std::optional<TaskRef> ref = context_.jobs->FindTask(start.task);
+  if (!ref.has_value() || !IsCurrent(*ref, start.attempt) ||
+      ref->task->state != TaskState::kStarting) {
+    return;
+  }
+  TaskEvent(EventCode::kTaskStartRefused, *ref).Emit();
+  context_.scheduler->RecordStart(ref->task->worker, ref->job->record.id, false);
+  AttemptLost(*ref, /*certainly_not_run=*/true, "The worker did not take the start.");
+}
+
+void TaskLifecycle::Reconcile(const WorkerId& worker, const WorkerInventory& inventory,
+                              bool after_fence) {
+  std::set<AttemptId> reported;
+  for (const AttemptReport& report : inventory.attempts) {
+    reported.insert(report.attempt);
+    TakeReport(worker, inventory, report);
+  }
+  for (const TaskId& task : context_.jobs->TasksOn(worker)) {
+    const std::optional<TaskRef> ref = context_.jobs->FindTask(task);
+    if (ref.has_value() && reported.count(MakeAttemptId(task, ref->task->attempt_number)) == 0) {
+      HandleMissing(*ref, inventory, after_fence);
+    }
+  }
+  // Attempts that the worker no longer reports have been acknowledged.
+  std::vector<std::pair<AttemptId, uint64_t>>& ended = ended_[worker];
+  ended.erase(std::remove_if(ended.begin(), ended.end(),
+                             [&reported](const std::pair<AttemptId, uint64_t>& entry) {
+                               return reported.count(entry.first) == 0;
+                             }),
+              ended.end());
+}
+
+void TaskLifecycle::WorkerLost(const WorkerId& worker, const std::string& reason) {
+  for (const TaskId& task : context_.jobs->TasksOn(worker)) {
+    const std::optional<TaskRef> ref = context_.jobs->FindTask(task);
+    if (ref.has_value()) {
+      AttemptLost(*ref, /*certainly_not_run=*/false, reason);
+    }
+  }
+}
+
+void TaskLifecycle::LeasesOver(const WorkerId& worker) {
+  for (const TaskId& task : context_.jobs->TasksOn(worker)) {
+    const std::optional<TaskRef> ref = context_.jobs->FindTask(task);
+    if (ref.has_value() && ref->job->record.spec.repeatable) {
+      AttemptLost(*ref, /*certainly_not_run=*/false,
+                  "The worker is unreachable and its lease over.");
+    }
+  }
+}
+
+HeartbeatPlan TaskLifecycle::PlanHeartbeat(const WorkerId& worker) {
+  HeartbeatPlan plan;
+  for (const TaskId& task : context_.jobs->TasksOn(worker)) {
+    const std::optional<TaskRef> ref = context_.jobs->FindTask(task);
+    if (ref.has_value()) {
+      plan.renew.push_back(MakeAttemptId(task, ref->task->attempt_number));
+    }
+  }
+  const uint64_t durable = context_.journal->durable_sequence();
+  const auto ended = ended_.find(worker);
+  if (ended != ended_.end()) {
+    for (const auto& [attempt, sequence] : ended->second) {
+      if (sequence <= durable) {
+        plan.acknowledge.push_back(attempt);
+      }
+    }
+  }
+  return plan;
+}
+
+bool TaskLifecycle::IsCurrent(const TaskRef& ref, const AttemptId& attempt) const {
+  return MakeAttemptId(ref.task->task, ref.task->attempt_number) == attempt;
+}
+
+bool TaskLifecycle::IsUnrecordedStart(const TaskRef& ref, const AttemptId& attempt) const {
+  return !takeover_complete_ && ref.job->inherited && ref.job->record.spec.repeatable &&
+         !IsFinal(ref.task->state) && AttemptNumber(attempt) > ref.task->attempt_number;
+}
+
+void TaskLifecycle::TakeReport(const WorkerId& worker, const WorkerInventory& inventory,
+                               const AttemptReport& report) {
+  const bool running = report.state == AttemptState::kRunning;
+  const std::optional<TaskRef> ref = context_.jobs->FindTask(report.task);
+  if (ref.has_value() && IsUnrecordedStart(*ref, report.attempt)) {
+    Adopt(*ref, worker, inventory, report);
+  }
+  if (!ref.has_value() || !IsCurrent(*ref, report.attempt) || !OccupiesWorker(*ref->task) ||
+      ref->task->worker != worker) {
+    if (running) {
+      context_.commands->SendStop(worker, report.attempt, StopMode::kStop);
+    } else {
+      std::vector<std::pair<AttemptId, uint64_t>>& ended = ended_[worker];
+      const bool known = std::any_of(ended.begin(), ended.end(), [&report](const auto& entry) {
+        return entry.first == report.attempt;
+      });
+      if (!known) {
+        ended.emplace_back(report.attempt, 0);
+      }
+    }
+    return;
+  }
+  if (!running) {
+    NoteEnded(*ref, report);
+    return;
+  }
+  if (ref->task->state == TaskState::kStarting) {
+    NoteRunning(*ref);
+  }
+  if (ref->job->stopping.count(report.task) > 0) {
+    // The stop may have been lost.
+    context_.commands->SendStop(worker, report.attempt, StopMode::kStop);
+  }
+}
+
+void TaskLifecycle::Adopt(const TaskRef& ref, const WorkerId& worker,
+                          const WorkerInventory& inventory, const AttemptReport& report) {
+  if (OccupiesWorker(*ref.task)) {
+    context_.jobs->Vacate(*ref.task);
+    context_.scheduler->Release(ref.task->task);
+  } else {
+    context_.scheduler->Unhold(ref.task->task);
+  }
+  held_.erase(ref.task->task);
+  ref.task->attempt_number = AttemptNumber(report.attempt);
+  ref.task->state = TaskState::kStarting;
+  ref.task->worker = worker;
+  ref.task->boot = inventory.boot;
+  context_.scheduler->Adopt(ref.job->record, ref.task->task, worker);
+  context_.jobs->Occupy(*ref.task);
+  TaskEvent(EventCode::kTaskAdopted, ref).Emit();
+}
+
+void TaskLifecycle::NoteRunning(const TaskRef& ref) {
+  ref.task->state = TaskState::kRunning;
+  if (!ref.job->record.started_at.has_value()) {
+    ref.job->record.started_at = context_.clock->Now();
+  }
+  UpdateJob(ref.job);
+  JournalTask(ref);
+}
+
+void TaskLifecycle::NoteEnded(const TaskRef& ref, const AttemptReport& report) {
+  const WorkerId worker = ref.task->worker;
+  const JobSpec& spec = ref.job->record.spec;
+  const bool stopped_by_owner = ref.job->stopping.count(ref.task->task) > 0;
+  ref.task->state = TaskState::kRunning;
+  if (!ref.job->record.started_at.has_value()) {
+    ref.job->record.started_at = context_.clock->Now();
+  }
+  if (report.state == AttemptState::kFailed || report.state == AttemptState::kSucceeded) {
+    context_.scheduler->RecordStart(worker, ref.job->record.id,
+                                    report.state == AttemptState::kSucceeded);
+  }
+  if (report.state == AttemptState::kSucceeded) {
+    context_.scheduler->ObserveRun(spec.customer, spec.pool, report.run_time, report.used);
+  }
+  if (report.state == AttemptState::kSucceeded && spec.kind != JobKind::kService) {
+    Finish(ref, TaskState::kSucceeded, report.result);
+  } else if (stopped_by_owner) {
+    AttemptLost(ref, /*certainly_not_run=*/false, "The attempt was stopped.");
+  } else if (report.state == AttemptState::kFailed && spec.kind != JobKind::kService) {
+    if (spec.repeatable && ref.task->attempt_number < kMaxFailedAttempts) {
+      AttemptLost(ref, /*certainly_not_run=*/false, "The attempt failed.");
+    } else {
+      Finish(ref, TaskState::kFailed, report.result);
+    }
+  } else {
+    AttemptLost(ref, /*certainly_not_run=*/false, "The worker stopped the attempt.");
+  }
+  ended_[worker].emplace_back(report.attempt, last_sequence_);
+}
+
+void TaskLifecycle::HandleMissing(const TaskRef& ref, const WorkerInventory& inventory,
+                                  bool after_fence) {
+  const bool same_boot = ref.task->boot == inventory.boot;
+  if (ref.task->state == TaskState::kStarting) {
+    // Without a fence the link reports the outcome of its own starts.
+    if (after_fence) {
+      AttemptLost(ref, /*certainly_not_run=*/same_boot, "The worker does not know the attempt.");
+    }
+    return;
+  }
+  AttemptLost(ref, /*certainly_not_run=*/false, "The worker no longer knows the attempt.");
+}
+
+void TaskLifecycle::AttemptLost(const TaskRef& ref, bool certainly_not_run,
+                                const std::string& reason) {
+  TrackedJob* const job = ref.job;
+  const bool repeatable = job->record.spec.repeatable;
+  if (job->cancel_requested) {
+    const bool may_have_run = !certainly_not_run && ref.task->state == TaskState::kStarting;
+    Finish(ref, may_have_run ? TaskState::kUnknown : TaskState::kCancelled, reason);
+    return;
+  }
+  if (!repeatable && !certainly_not_run) {
+    TaskEvent(EventCode::kTaskOutcomeUnknown, ref).With(event_field::kReason, reason).Emit();
+    Finish(ref, TaskState::kUnknown, reason);
+    return;
+  }
+  Requeue(ref, reason);
+  if (job->record.spec.kind == JobKind::kGang) {
+    AbandonGang(job);
+  }
+}
+
+void TaskLifecycle::Requeue(const TaskRef& ref, const std::string& reason) {
+  TaskEvent(EventCode::kTaskRequeued, ref).With(event_field::kReason, reason).Emit();
+  context_.jobs->Vacate(*ref.task);
+  ref.job->stopping.erase(ref.task->task);
+  ref.task->state = TaskState::kQueued;
+  ref.task->worker = WorkerId();
+  ref.task->boot = BootId();
+  if (ref.job->record.spec.kind == JobKind::kGang) {
+    context_.scheduler->Release(ref.task->task);
+  } else {
+    context_.scheduler->Requeue(ref.task->task);
+    if (ref.job->inherited && !takeover_complete_) {
+      // A later attempt than the recorded one may run on a worker that has not been fenced yet.
+      context_.scheduler->Hold(ref.task->task);
+      held_.insert(ref.task->task);
+    }
+  }
+  UpdateJob(ref.job);
+  JournalTask(ref);
+}
+
+void TaskLifecycle::Finish(const TaskRef& ref, TaskState state, const std::string& result) {
+  context_.jobs->Vacate(*ref.task);
+  context_.scheduler->Release(ref.task->task);
+  ref.job->stopping.erase(ref.task->task);
+  ref.task->state = state;
+  ref.task->result = result;
+  TaskEvent(EventCode::kTaskEnded, ref).Emit();
+  if (ref.job->record.spec.kind == JobKind::kGang) {
+    if (state == TaskState::kSucceeded) {
+      FinishGangRestart(ref.job);
+    } else {
+      AbandonGang(ref.job);
+    }
+  }
+  UpdateJob(ref.job);
+  JournalTask(ref);
+}
+
+void TaskLifecycle::AbandonGang(TrackedJob* job) {
+  if (job->cancel_requested) {
+    return;
+  }
+  const bool any_failed =
+      std::any_of(job->record.tasks.begin(), job->record.tasks.end(), [](const TaskStatus& task) {
+        return IsFinal(task.state) && task.state != TaskState::kSucceeded;
+      });
+  const bool restart = !any_failed && job->record.spec.repeatable;
+  if (!restart || !job->restarting) {
+    context_.scheduler->Remove(job->record.id);
+    for (TaskStatus& task : job->record.tasks) {
+      if (OccupiesWorker(task)) {
+        StopTask(TaskRef{job, &task}, StopMode::kStop);
+      } else if (!restart && task.state == TaskState::kQueued) {
+        task.state = TaskState::kCancelled;
+      }
+    }
+  }
+  job->restarting = restart;
+  job->cancel_requested = !restart;
+  FinishGangRestart(job);
+}
+
+void TaskLifecycle::FinishGangRestart(TrackedJob* job) {
+  const bool occupied =
+      std::any_of(job->record.tasks.begin(), job->record.tasks.end(), OccupiesWorker);
+  if (!job->restarting || occupied) {
+    return;
+  }
+  job->restarting = false;
+  for (TaskStatus& task : job->record.tasks) {
+    task.state = TaskState::kQueued;
+  }
+  context_.scheduler->Enqueue(job->record);
+  if (job->inherited && !takeover_complete_) {
+    for (const TaskStatus& task : job->record.tasks) {
+      context_.scheduler->Hold(task.task);
+      held_.insert(task.task);
+    }
+  }
+}
+
+void TaskLifecycle::StopTask(const TaskRef& ref, StopMode mode) {
+  ref.job->stopping.insert(ref.task->task);
+  context_.commands->SendStop(ref.task->worker,
+                              MakeAttemptId(ref.task->task, ref.task->attempt_number), mode);
+}
+
+void TaskLifecycle::UpdateJob(TrackedJob* job) {
+  JobRecord& record = job->record;
+  if (IsFinal(record.state)) {
+    return;
+  }
+  bool all_final = true;
+  bool any_active = false;
+  std::set<TaskState> states;
+  for (const TaskStatus& task : record.tasks) {
+    all_final = all_final && IsFinal(task.state);
+    any_active = any_active || OccupiesWorker(task);
+    states.insert(task.state);
+  }
+  if (!all_final) {
+    record.state = any_active ? JobState::kRunning : JobState::kQueued;
+    record.reason = job->cancel_requested ? kStoppingReason : "";
+    return;
+  }
+  if (states.count(TaskState::kUnknown) > 0) {
+    FinishJob(job, JobState::kUnknown,
+              "The job may have run; it is not run again. Check its effect before submitting it "
+              "with another idempotency key.");
+  } else if (states.count(TaskState::kFailed) > 0) {
+    FinishJob(job, JobState::kFailed, "A task failed; its result tells why.");
+  } else if (states.count(TaskState::kCancelled) > 0) {
+    FinishJob(job, JobState::kCancelled,
+              record.started_at.has_value() ? "The job was cancelled after it had started."
+                                            : "The job was cancelled; it was not run.");
+  } else {
+    FinishJob(job, JobState::kSucceeded, "");
+  }
+}
+
+void TaskLifecycle::FinishJob(TrackedJob* job, JobState state, std::string reason) {
+  job->record.state = state;
+  job->record.reason = std::move(reason);
+  job->record.finished_at = context_.clock->Now();
+  context_.events
+      ->Record(state == JobState::kCancelled ? EventCode::kJobCancelled : EventCode::kJobFinished)
+      .Job(job->record.id)
+      .Customer(job->record.spec.customer)
+      .With(event_field::kState, JobStateName(state))
+      .With(event_field::kReason, job->record.reason)
+      .Emit();
+}
+
+uint64_t TaskLifecycle::JournalTask(const TaskRef& ref) {
+  const JobRecord& record = ref.job->record;
+  last_sequence_ = context_.journal->Append(TaskUpdate{
+      record.id, *ref.task, record.state, record.reason, record.started_at, record.finished_at});
+  ref.job->last_sequence = last_sequence_;
+  return last_sequence_;
+}
+
+EventBuilder TaskLifecycle::TaskEvent(EventCode code, const TaskRef& ref) {
+  EventBuilder builder = context_.events->Record(code);
+  builder.Job(ref.job->record.id)
+      .Task(ref.task->task)
+      .Attempt(MakeAttemptId(ref.task->task, ref.task->attempt_number))
+      .Worker(ref.task->worker)
+      .With(event_field::kState, TaskStateName(ref.task->state));
+  return builder;
+}
+
+}  // namespace pomelotray
