--- a/packages/state/journal.h
+++ b/packages/state/journal.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <memory>
 #include <set>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -29,6 +30,9 @@
   size_t max_batch_bytes = 256'000;
 };
 
+// Sequence number of a record that Append refused and that is never written.
+inline constexpr uint64_t kRefusedRecord = 0;
+
 // The durable record of a shard's jobs, written by the shard's owner. One store write carries all
 // records that have arrived since the previous one. Thread-safe.
 class Journal {
@@ -41,17 +45,20 @@
   // Append; may be repeated after a failure. kFenced: a later term has written to the journal.
   Result<std::vector<JobRecord>> Recover();
 
-  // Queues a record and returns its sequence number; never blocks.
+  // Queues a record and returns its sequence number, or kRefusedRecord when the journal is full or
+  // the record is too large for a store value. Never blocks.
   uint64_t Append(JournalRecord record);
   // Waits until the record is durable. kStoreUnavailable: it was in no batch by the deadline, but
   // may be later unless Withdraw succeeds; or it was refused because the journal is full, and will
   // never be written. kOutcomeUnknown: it is in a batch whose outcome is not known yet. kFenced:
-  // another owner has deposed this one; the record was not durable when it did.
+  // another owner has deposed this one; the record was not known to be durable by then, and the new
+  // owner may know it.
   Outcome<void> AwaitDurable(uint64_t sequence, absl::Time deadline);
-  // Takes back a record that no batch contains yet. False: it has been or may be written.
+  // Takes back a record that no batch contains yet; true means that it is never written. False: it
+  // has been written or may be.
   bool Withdraw(uint64_t sequence);
 
-  // All records up to this number are durable, were withdrawn or were refused.
+  // All records up to this number are durable or were withdrawn.
   uint64_t durable_sequence() const;
   bool deposed() const;
   // True when Append refuses records until earlier ones are durable.
@@ -67,18 +74,20 @@
     uint64_t sequence = 0;
     JournalRecord record;
     std::string encoded;
-    bool withdrawn = false;
   };
 
   void Run();
   bool WaitForWork() ABSL_LOCKS_EXCLUDED(mutex_);
   void PauseUntil(absl::Time time) ABSL_LOCKS_EXCLUDED(mutex_);
-  // Moves pending records into the batch in flight.
-  void FillBatch() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  bool CommitBatch() ABSL_LOCKS_EXCLUDED(mutex_);
+  // Moves pending records into the batch in flight and returns its encoded records.
+  std::vector<std::string> FillBatch() ABSL_LOCKS_EXCLUDED(mutex_);
+  Result<void> CommitBatch() ABSL_LOCKS_EXCLUDED(mutex_);
+  // Makes the records of a batch that was not written pending again.
+  void ReturnBatch() ABSL_LOCKS_EXCLUDED(mutex_);
   void MarkDurable() ABSL_LOCKS_EXCLUDED(mutex_);
   void MarkDeposed() ABSL_LOCKS_EXCLUDED(mutex_);
-  bool IsDurable(uint64_t sequence) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  bool FullLocked() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  uint64_t DurableSequenceLocked() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   Error TimeoutError(uint64_t sequence) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   const StateContext context_;
@@ -88,15 +97,17 @@
   // Used by Recover before the writer thread starts, and by that thread afterwards.
   const std::unique_ptr<JournalStorage> storage_;
   mutable absl::Mutex mutex_;
+  // Signalled when records become durable, are withdrawn or can no longer become durable.
   absl::CondVar changed_;
+  // Wakes the writer thread.
+  absl::CondVar work_;
   uint64_t next_sequence_ ABSL_GUARDED_BY(mutex_) = 1;
-  uint64_t durable_sequence_ ABSL_GUARDED_BY(mutex_) = 0;
   std::deque<Pending> pending_ ABSL_GUARDED_BY(mutex_);
+  // Of the pending records and those in flight.
   size_t pending_bytes_ ABSL_GUARDED_BY(mutex_) = 0;
   // The batch being written; only the writer thread changes it.
   std::vector<Pending> in_flight_ ABSL_GUARDED_BY(mutex_);
-  size_t in_flight_bytes_ ABSL_GUARDED_BY(mutex_) = 0;
-  std::set<uint64_t> refused_ ABSL_GUARDED_BY(mutex_);
+  std::set<uint64_t> withdrawn_ ABSL_GUARDED_BY(mutex_);
   bool deposed_ ABSL_GUARDED_BY(mutex_) = false;
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
   std::thread thread_;
--- /dev/null
+++ b/packages/state/packed_reader.cc
@@ -0,0 +1,123 @@
+#include "state/packed_reader.h"
+
+namespace pomelotray {
+namespace {
+
+const nlohmann::json& NullJson() {
+  static const nlohmann::json* const kNull = new nlohmann::json();
+  return *kNull;
+}
+
+const nlohmann::json& EmptyArray() {
+  static const nlohmann::json* const kEmpty = new nlohmann::json(nlohmann::json::array());
+  return *kEmpty;
+}
+
+}  // namespace
+
+PackedReader::PackedReader(const nlohmann::json& array)
+    : array_(array), size_(array.is_array() ? array.size() : 0), ok_(array.is_array()) {}
+
+const nlohmann::json& PackedReader::Next() {
+  if (!ok_ || next_ >= size_) {
+    ok_ = false;
+    return NullJson();
+  }
+  return array_[next_++];
+}
+
+bool PackedReader::NextIsText() const { return ok_ && next_ < size_ && array_[next_].is_string(); }
+
+int64_t PackedReader::Integer() {
+  const nlohmann::json& element = Next();
+  if (!element.is_number_integer()) {
+    ok_ = false;
+    return 0;
+  }
+  return element.get<int64_t>();
+}
+
+uint64_t PackedReader::Unsigned() {
+  const nlohmann::json& element = Next();
+  if (!element.is_number_integer()) {
+    ok_ = false;
+    return 0;
+  }
+  return element.get<uint64_t>();
+}
+
+bool PackedReader::Bool() {
+  const nlohmann::json& element = Next();
+  if (!element.is_boolean()) {
+    ok_ = false;
+    return false;
+  }
+  return element.get<bool>();
+}
+
+std::string PackedReader::Text() {
+  const nlohmann::json& element = Next();
+  if (!element.is_string()) {
+    ok_ = false;
+    return "";
+  }
+  return element.get<std::string>();
+}
+
+std::string PackedReader::Bytes() {
+  const nlohmann::json& element = Next();
+  if (element.is_string()) {
+    return element.get<std::string>();
+  }
+  if (!element.is_binary()) {
+    ok_ = false;
+    return "";
+  }
+  const nlohmann::json::binary_t& bytes = element.get_binary();
+  return std::string(bytes.begin(), bytes.end());
+}
+
+const nlohmann::json& PackedReader::Array() {
+  const nlohmann::json& element = Next();
+  if (!element.is_array()) {
+    ok_ = false;
+    return EmptyArray();
+  }
+  return element;
+}
+
+absl::Time PackedReader::Time() { return absl::FromUnixNanos(Integer()); }
+
+std::optional<absl::Time> PackedReader::OptionalTime() {
+  if (ok_ && next_ < size_ && array_[next_].is_null()) {
+    ++next_;
+    return std::nullopt;
+  }
+  return Time();
+}
+
+absl::Duration PackedReader::Duration() { return absl::Nanoseconds(Integer()); }
+
+nlohmann::json PackTime(absl::Time time) { return absl::ToUnixNanos(time); }
+
+nlohmann::json PackTime(const std::optional<absl::Time>& time) {
+  return time.has_value() ? PackTime(*time) : nlohmann::json();
+}
+
+nlohmann::json PackDuration(absl::Duration duration) { return absl::ToInt64Nanoseconds(duration); }
+
+nlohmann::json PackBytes(const std::string& bytes) {
+  return nlohmann::json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+std::string ToPackedBytes(const nlohmann::json& json) {
+  std::string bytes;
+  nlohmann::json::to_msgpack(json, bytes);
+  return bytes;
+}
+
+nlohmann::json FromPackedBytes(const std::string& bytes) {
+  return nlohmann::json::from_msgpack(bytes, true, false);
+}
+
+}  // namespace pomelotray
