--- a/packages/adapters/wire_json.cc
+++ b/packages/adapters/wire_json.cc
@@ -105,6 +105,10 @@
   return absl::ToInt64Milliseconds(absl::Ceil(duration, absl::Milliseconds(1)));
 }
 
+int64_t ToMillisFloor(absl::Duration duration) {
+  return absl::ToInt64Milliseconds(absl::Floor(duration, absl::Milliseconds(1)));
+}
+
 nlohmann::json ToJson(const Resources& resources) {
   return {{"cpu_milli", resources.cpu.value()},
           {"memory_mib", resources.memory.value()},
--- a/packages/adapters/wire_json.h
+++ b/packages/adapters/wire_json.h
@@ -31,6 +31,8 @@
 std::string ToBase64(const std::string& bytes);
 // Rounds up, so that a positive duration never becomes 0.
 int64_t ToMillis(absl::Duration duration);
+// Rounds down, for points in time that must not be moved later.
+int64_t ToMillisFloor(absl::Duration duration);
 nlohmann::json ToJson(const Resources& resources);
 nlohmann::json ToJson(const Epoch& epoch);
 
--- a/packages/adapters/worker_codec.cc
+++ b/packages/adapters/worker_codec.cc
@@ -1,5 +1,6 @@
 #include "adapters/worker_codec.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "adapters/wire_json.h"
@@ -39,6 +40,13 @@
           {"result", wire::ToBase64(report.result)}};
 }
 
+// Without the field there is no bound.
+void EncodeBound(absl::Duration valid_before, nlohmann::json* json) {
+  if (valid_before != absl::InfiniteDuration()) {
+    (*json)["valid_before_ms"] = std::max<int64_t>(0, wire::ToMillisFloor(valid_before));
+  }
+}
+
 template <typename Id>
 nlohmann::json EncodeIds(const std::vector<Id>& ids) {
   nlohmann::json array = nlohmann::json::array();
@@ -56,12 +64,19 @@
   const std::optional<Epoch> epoch = wire::ReadEpoch(json, "epoch");
   const std::optional<bool> leaving = wire::ReadBool(json, "leaving");
   const std::optional<Resources> capacity = wire::ReadResources(json, "capacity");
+  const std::optional<absl::Duration> worker_clock = wire::ReadMillis(json, "clock_ms");
   const nlohmann::json* attempts = wire::FindArray(json, "attempts");
-  if (!worker || !boot || boot->empty() || !epoch || !leaving || !capacity || attempts == nullptr ||
-      capacity->AnyNegative()) {
+  if (!worker || !boot || boot->empty() || !epoch || !leaving || !capacity || !worker_clock ||
+      attempts == nullptr || capacity->AnyNegative()) {
     return std::nullopt;
   }
-  WorkerInventory inventory{WorkerId(*worker), BootId(*boot), *epoch, *leaving, *capacity, {}};
+  WorkerInventory inventory;
+  inventory.worker = WorkerId(*worker);
+  inventory.boot = BootId(*boot);
+  inventory.epoch = *epoch;
+  inventory.leaving = *leaving;
+  inventory.worker_clock = *worker_clock;
+  inventory.capacity = *capacity;
   for (const nlohmann::json& item : *attempts) {
     std::optional<AttemptReport> report = DecodeAttempt(item);
     if (!report) {
@@ -83,23 +98,27 @@
 }
 
 nlohmann::json EncodeTaskStart(const TaskStart& start) {
-  return {{"attempt", start.attempt.value()},
-          {"task", start.task.value()},
-          {"job", start.job.value()},
-          {"epoch", wire::ToJson(start.epoch)},
-          {"boot", start.boot.value()},
-          {"demand", wire::ToJson(start.demand)},
-          {"lease_ms", wire::ToMillis(start.lease)},
-          {"payload", wire::ToBase64(start.payload)},
-          {"repeatable", start.repeatable}};
+  nlohmann::json json = {{"attempt", start.attempt.value()},
+                         {"task", start.task.value()},
+                         {"job", start.job.value()},
+                         {"epoch", wire::ToJson(start.epoch)},
+                         {"boot", start.boot.value()},
+                         {"demand", wire::ToJson(start.demand)},
+                         {"lease_ms", wire::ToMillis(start.lease)},
+                         {"payload", wire::ToBase64(start.payload)},
+                         {"repeatable", start.repeatable}};
+  EncodeBound(start.valid_before, &json);
+  return json;
 }
 
 nlohmann::json EncodeHeartbeat(const WorkerHeartbeat& heartbeat) {
-  return {{"owner", heartbeat.owner.value()},
-          {"epoch", wire::ToJson(heartbeat.epoch)},
-          {"renew", EncodeIds(heartbeat.renew)},
-          {"lease_ms", wire::ToMillis(heartbeat.lease)},
-          {"acknowledge", EncodeIds(heartbeat.acknowledge)}};
+  nlohmann::json json = {{"owner", heartbeat.owner.value()},
+                         {"epoch", wire::ToJson(heartbeat.epoch)},
+                         {"renew", EncodeIds(heartbeat.renew)},
+                         {"lease_ms", wire::ToMillis(heartbeat.lease)},
+                         {"acknowledge", EncodeIds(heartbeat.acknowledge)}};
+  EncodeBound(heartbeat.valid_before, &json);
+  return json;
 }
 
 }  // namespace pomelotray
--- a/packages/standins/worker_standin.cc
+++ b/packages/standins/worker_standin.cc
@@ -34,6 +34,8 @@
                       "The attempt is already known; read its state from the inventory.");
     case WorkerVerdict::kNoRoom:
       return Conflict("no_room", "The demand exceeds the free resources of the worker.");
+    case WorkerVerdict::kTooLate:
+      return Conflict("too_late", "The start arrived after its bound on the worker's clock.");
     case WorkerVerdict::kUnknownAttempt:
       return Refuse(404, "not_found", "The attempt is not on this worker.");
   }
@@ -55,6 +57,14 @@
   return attempts;
 }
 
+absl::Duration ReadBound(const nlohmann::json& body) {
+  if (!body.contains("valid_before_ms")) {
+    return absl::InfiniteDuration();
+  }
+  // A malformed bound counts as passed.
+  return wire::ReadMillis(body, "valid_before_ms").value_or(-absl::InfiniteDuration());
+}
+
 std::optional<TaskStart> ReadTaskStart(const nlohmann::json& body) {
   const std::optional<std::string> attempt = wire::ReadString(body, "attempt");
   const std::optional<std::string> task = wire::ReadString(body, "task");
@@ -69,9 +79,18 @@
       !payload || !repeatable) {
     return std::nullopt;
   }
-  return TaskStart{AttemptId(*attempt), TaskId(*task), JobId(*job), *epoch,
-                   BootId(*boot),       *demand,       *lease,      *payload,
-                   *repeatable};
+  TaskStart start;
+  start.attempt = AttemptId(*attempt);
+  start.task = TaskId(*task);
+  start.job = JobId(*job);
+  start.epoch = *epoch;
+  start.boot = BootId(*boot);
+  start.demand = *demand;
+  start.lease = *lease;
+  start.valid_before = ReadBound(body);
+  start.payload = std::move(*payload);
+  start.repeatable = *repeatable;
+  return start;
 }
 
 // Echoes the attempt, so that an answer can be matched to its call.
@@ -143,8 +162,14 @@
   if (!owner || !epoch || !renew || !lease || !acknowledge) {
     return BadRequest();
   }
-  const WorkerVerdict verdict =
-      state_.Heartbeat(WorkerHeartbeat{InstanceId(*owner), *epoch, *renew, *lease, *acknowledge});
+  WorkerHeartbeat heartbeat;
+  heartbeat.owner = InstanceId(*owner);
+  heartbeat.epoch = *epoch;
+  heartbeat.renew = *renew;
+  heartbeat.lease = *lease;
+  heartbeat.valid_before = ReadBound(request.body);
+  heartbeat.acknowledge = *acknowledge;
+  const WorkerVerdict verdict = state_.Heartbeat(heartbeat);
   return verdict == WorkerVerdict::kOk ? StandinResponse{200, EncodeInventory(state_.Inventory())}
                                        : FromVerdict(verdict);
 }
--- a/packages/standins/worker_state.cc
+++ b/packages/standins/worker_state.cc
@@ -18,7 +18,7 @@
 }  // namespace
 
 WorkerState::WorkerState(WorkerOptions options, const Clock* clock, EventLog* events)
-    : options_(std::move(options)), clock_(clock), events_(events) {
+    : options_(std::move(options)), clock_(clock), booted_at_(clock->Now()), events_(events) {
   events_->Record(EventCode::kProcessStarted)
       .Worker(options_.id)
       .With(event_field::kBoot, options_.boot.value())
@@ -58,6 +58,9 @@
   if (start.epoch != epoch_) {
     return WorkerVerdict::kNotFenced;
   }
+  if (WorkerClock() > start.valid_before) {
+    return WorkerVerdict::kTooLate;
+  }
   if (start.demand.AnyNegative() || !(reserved_ + start.demand).FitsInto(options_.capacity)) {
     return WorkerVerdict::kNoRoom;
   }
@@ -97,9 +100,10 @@
   }
   const absl::Time now = clock_->Now();
   last_contact_ = now;
+  const bool in_time = WorkerClock() <= heartbeat.valid_before;
   for (const AttemptId& attempt : heartbeat.renew) {
     const auto it = tasks_.find(attempt);
-    if (it != tasks_.end() && it->second.running()) {
+    if (in_time && it != tasks_.end() && it->second.running()) {
       it->second.Renew(now + heartbeat.lease);
     }
   }
@@ -141,7 +145,13 @@
   absl::MutexLock lock(&mutex_);
   EndDueTasks();
   const absl::Time now = clock_->Now();
-  WorkerInventory inventory{options_.id, options_.boot, epoch_, leaving_, options_.capacity, {}};
+  WorkerInventory inventory;
+  inventory.worker = options_.id;
+  inventory.boot = options_.boot;
+  inventory.epoch = epoch_;
+  inventory.leaving = leaving_;
+  inventory.worker_clock = WorkerClock();
+  inventory.capacity = options_.capacity;
   for (const auto& [attempt, task] : tasks_) {
     inventory.attempts.push_back(task.Report(now, options_.usage_lag));
   }
--- a/packages/standins/worker_state.h
+++ b/packages/standins/worker_state.h
@@ -33,6 +33,8 @@
   kWrongBoot,
   kKnownAttempt,
   kNoRoom,
+  // The bound on the worker's clock has passed.
+  kTooLate,
   kUnknownAttempt,
 };
 
@@ -59,6 +61,7 @@
   void Shutdown();
 
  private:
+  absl::Duration WorkerClock() const { return clock_->Now() - booted_at_; }
   void EndDueTasks() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void End(WorkerTask* task, AttemptState state) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void RecordTask(EventCode code, const WorkerTask& task);
@@ -67,6 +70,7 @@
 
   const WorkerOptions options_;
   const Clock* const clock_;
+  const absl::Time booted_at_;
   EventLog* const events_;
   absl::Mutex mutex_;
   absl::CondVar changed_;
