scheduler: Decide placements, preemptions and request dispatch of one shard

Queue order and placement are policies; the worker index keeps free room in cells, and shapes that found no room are remembered, so that a full pool costs little. One waiting job at a time, the oldest gang or aged job, drains workers; backfill must be expected to end before its start. Urgent work earmarks the room that it preempts. The dispatcher admits interactive requests against expected wait and drops those that cannot be answered in time.

--- /dev/null
+++ b/packages/scheduler/preemption_planner.cc
@@ -0,0 +1,241 @@
+#include "scheduler/preemption_planner.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "absl/strings/str_cat.h"
+
+namespace pomelotray {
+namespace {
+
+// Workers compared per plan; the best of a few is close to the best of all.
+constexpr int kMaxCandidateWorkers = 16;
+
+// Batch tasks go before services, then those that lose the least work.
+bool CheaperVictim(const Reservation* a, const Reservation* b) {
+  const bool a_service = a->kind == JobKind::kService;
+  const bool b_service = b->kind == JobKind::kService;
+  return a_service != b_service ? b_service : a->since > b->since;
+}
+
+}  // namespace
+
+Resources PreemptionPlanner::ExpectedFree(WorkerSlot slot) const {
+  Resources free = index_->At(slot).Free();
+  const auto it = slots_.find(slot);
+  if (it != slots_.end()) {
+    free += it->second.freeing;
+    free -= it->second.earmarked;
+  }
+  return free;
+}
+
+std::optional<PreemptionPlanner::Choice> PreemptionPlanner::ChooseVictims(
+    WorkerSlot slot, const Resources& demand) const {
+  Choice candidates;
+  for (const Reservation* reservation : ledger_->OnWorker(slot)) {
+    if (reservation->Preemptible() && !victims_.contains(reservation->task)) {
+      candidates.push_back(reservation);
+    }
+  }
+  std::sort(candidates.begin(), candidates.end(), CheaperVictim);
+  Resources free = ExpectedFree(slot);
+  Choice chosen;
+  for (const Reservation* candidate : candidates) {
+    if (demand.FitsInto(free)) {
+      break;
+    }
+    free += candidate->demand;
+    chosen.push_back(candidate);
+  }
+  if (!demand.FitsInto(free)) {
+    return std::nullopt;
+  }
+  // Spares those that a later, larger victim made unnecessary.
+  for (size_t i = 0; i < chosen.size();) {
+    if (demand.FitsInto(free - chosen[i]->demand)) {
+      free -= chosen[i]->demand;
+      chosen.erase(chosen.begin() + static_cast<Choice::difference_type>(i));
+    } else {
+      ++i;
+    }
+  }
+  return chosen;
+}
+
+bool PreemptionPlanner::PlanOne(const JobId& job, const Resources& demand, absl::Time now,
+                                absl::FunctionRef<bool(WorkerSlot)> usable,
+                                std::vector<Preemption>* preemptions) {
+  std::optional<Choice> best;
+  WorkerSlot best_slot = 0;
+  int candidates = 0;
+  for (WorkerSlot slot = 0; slot < index_->slot_count() && candidates < kMaxCandidateWorkers;
+       ++slot) {
+    const WorkerIndex::Worker& worker = index_->At(slot);
+    const bool may_fit = worker.Usable() &&
+                         demand.FitsInto(worker.Free() + ledger_->PreemptibleOn(slot)) &&
+                         usable(slot);
+    if (!may_fit) {
+      continue;
+    }
+    std::optional<Choice> choice = ChooseVictims(slot, demand);
+    if (!choice.has_value()) {
+      continue;
+    }
+    ++candidates;
+    if (!best.has_value() || choice->size() < best->size()) {
+      best = std::move(choice);
+      best_slot = slot;
+    }
+  }
+  if (!best.has_value()) {
+    return false;
+  }
+  AddEarmark(job, demand, best_slot, *best, now, preemptions);
+  return true;
+}
+
+bool PreemptionPlanner::Plan(const JobId& job, const Resources& demand, int64_t count,
+                             absl::Time now, absl::FunctionRef<bool(WorkerSlot)> usable,
+                             std::vector<Preemption>* preemptions) {
+  const size_t earmarks_before = earmarks_.size();
+  const size_t preemptions_before = preemptions->size();
+  for (int64_t i = 0; i < count; ++i) {
+    if (PlanOne(job, demand, now, usable, preemptions)) {
+      continue;
+    }
+    for (size_t added = preemptions_before; added < preemptions->size(); ++added) {
+      RecordRelease((*preemptions)[added].task);
+    }
+    while (earmarks_.size() > earmarks_before) {
+      DropEarmark(earmarks_.size() - 1);
+    }
+    preemptions->resize(preemptions_before);
+    return false;
+  }
+  return true;
+}
+
+void PreemptionPlanner::AddEarmark(const JobId& job, const Resources& demand, WorkerSlot slot,
+                                   const Choice& victims, absl::Time now,
+                                   std::vector<Preemption>* preemptions) {
+  Earmark earmark{job, slot, demand, now, false, {}};
+  SlotPlan& plan = slots_[slot];
+  ++plan.earmarks;
+  plan.earmarked += demand;
+  for (const Reservation* reservation : victims) {
+    const Victim victim{reservation->task, reservation->job, slot, reservation->demand, false};
+    plan.freeing += victim.demand;
+    victims_.emplace(victim.task, victim);
+    preemptions->push_back(Order(victim, StopMode::kCheckpoint, job));
+  }
+  // Includes victims of earlier earmarks, whose stop this earmark counts on as well.
+  for (const auto& [task, victim] : victims_) {
+    if (victim.slot == slot) {
+      earmark.victims.push_back(task);
+    }
+  }
+  earmarks_.push_back(std::move(earmark));
+}
+
+Preemption PreemptionPlanner::Order(const Victim& victim, StopMode mode,
+                                    const JobId& urgent_job) const {
+  return Preemption{
+      victim.job, victim.task, index_->At(victim.slot).id, mode,
+      absl::StrCat("Stopped to make room for the urgent job ", urgent_job.value(), ".")};
+}
+
+void PreemptionPlanner::Escalate(absl::Time now, std::vector<Preemption>* preemptions) {
+  for (Earmark& earmark : earmarks_) {
+    if (earmark.escalated || now - earmark.ordered_at < kCheckpointGrace) {
+      continue;
+    }
+    earmark.escalated = true;
+    for (const TaskId& task : earmark.victims) {
+      const auto it = victims_.find(task);
+      if (it != victims_.end() && !it->second.stop_ordered) {
+        it->second.stop_ordered = true;
+        preemptions->push_back(Order(it->second, StopMode::kStop, earmark.job));
+      }
+    }
+  }
+}
+
+bool PreemptionPlanner::ExpireEarmarks(absl::Time now) {
+  const size_t before = earmarks_.size();
+  for (size_t i = earmarks_.size(); i-- > 0;) {
+    if (now - earmarks_[i].ordered_at >= kEarmarkLifetime) {
+      // The next earmark repeats stops that had no effect.
+      for (const TaskId& task : earmarks_[i].victims) {
+        const auto victim = victims_.find(task);
+        if (victim != victims_.end()) {
+          victim->second.stop_ordered = false;
+        }
+      }
+      DropEarmark(i);
+    }
+  }
+  return earmarks_.size() < before;
+}
+
+void PreemptionPlanner::DropEarmark(size_t position) {
+  const Earmark& earmark = earmarks_[position];
+  const auto it = slots_.find(earmark.slot);
+  it->second.earmarked -= earmark.demand;
+  --it->second.earmarks;
+  if (it->second.earmarks == 0 && it->second.freeing.IsZero()) {
+    slots_.erase(it);
+  }
+  earmarks_.erase(earmarks_.begin() + static_cast<std::ptrdiff_t>(position));
+}
+
+int64_t PreemptionPlanner::EarmarksOf(const JobId& job) const {
+  return std::count_if(earmarks_.begin(), earmarks_.end(),
+                       [&job](const Earmark& earmark) { return earmark.job == job; });
+}
+
+bool PreemptionPlanner::AllowsPlacement(WorkerSlot slot, const JobId& job) const {
+  const auto it = slots_.find(slot);
+  if (it == slots_.end() || it->second.earmarks == 0) {
+    return true;
+  }
+  return std::any_of(earmarks_.begin(), earmarks_.end(), [slot, &job](const Earmark& earmark) {
+    return earmark.slot == slot && earmark.job == job;
+  });
+}
+
+void PreemptionPlanner::RecordPlacement(const JobId& job, WorkerSlot slot) {
+  for (size_t i = 0; i < earmarks_.size(); ++i) {
+    if (earmarks_[i].slot == slot && earmarks_[i].job == job) {
+      DropEarmark(i);
+      return;
+    }
+  }
+}
+
+bool PreemptionPlanner::Trim(const JobId& job, int64_t count) {
+  int64_t excess = EarmarksOf(job) - count;
+  const bool any = excess > 0;
+  for (size_t i = earmarks_.size(); i-- > 0 && excess > 0;) {
+    if (earmarks_[i].job == job) {
+      DropEarmark(i);
+      --excess;
+    }
+  }
+  return any;
+}
+
+void PreemptionPlanner::RecordRelease(const TaskId& victim) {
+  const auto it = victims_.find(victim);
+  if (it == victims_.end()) {
+    return;
+  }
+  const auto slot = slots_.find(it->second.slot);
+  slot->second.freeing -= it->second.demand;
+  if (slot->second.earmarks == 0 && slot->second.freeing.IsZero()) {
+    slots_.erase(slot);
+  }
+  victims_.erase(it);
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/scheduler/request_dispatcher.cc
@@ -0,0 +1,221 @@
+#include "scheduler/request_dispatcher.h"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace pomelotray {
+namespace {
+
+constexpr double kMinWeight = 1e-6;
+constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(100);
+constexpr absl::Duration kMaxRetryAfter = absl::Seconds(30);
+// Bounds the queue until service times are learned: a few seconds of work for fast executors.
+constexpr int64_t kMaxQueuedPerSlot = 64;
+
+}  // namespace
+
+RequestDispatcher::RequestDispatcher(const Clock* clock, const LimitSource* limits, uint64_t seed)
+    : clock_(clock), limits_(limits), jitter_(seed) {}
+
+void RequestDispatcher::UpsertExecutor(const ExecutorId& executor, const Resources& capacity,
+                                       int64_t max_connections) {
+  executors_.Upsert(executor, capacity.slots.value(), max_connections);
+}
+
+void RequestDispatcher::SetAvailable(const ExecutorId& executor, bool available) {
+  executors_.SetAvailable(executor, available);
+}
+
+void RequestDispatcher::RemoveExecutor(const ExecutorId& executor) { executors_.Remove(executor); }
+
+void RequestDispatcher::SetBusy(const ExecutorId& executor, int64_t busy_slots) {
+  executors_.SetBusy(executor, busy_slots);
+}
+
+double RequestDispatcher::WeightOf(const CustomerId& customer) const {
+  return std::max(limits_->Weight(customer), kMinWeight);
+}
+
+int64_t RequestDispatcher::SlotLimit(const CustomerId& customer) const {
+  return limits_->HoldLimit(customer).slots.value();
+}
+
+Result<void> RequestDispatcher::Enqueue(const RequestId& request, const CustomerId& customer,
+                                        absl::Time deadline) {
+  if (requests_.contains(request)) {
+    return Fail(ErrorKind::kConflict,
+                absl::StrCat("Request ", request.value(),
+                             " is already queued or assigned; use a new request id."));
+  }
+  retries_.RecordRequest(customer);
+  if (executors_.usable_slots() == 0) {
+    return Fail(ErrorKind::kOverloaded,
+                "No executor of this pool takes requests at the moment; retry later.",
+                RetryAfter(customer));
+  }
+  if (static_cast<int64_t>(queue_.size()) >= kMaxQueuedPerSlot * executors_.usable_slots()) {
+    return Fail(ErrorKind::kOverloaded, "The queue of this pool is full; retry later.",
+                RetryAfter(customer));
+  }
+  const absl::Duration needed = ExpectedWait(customer) + executors_.UpperServiceTime();
+  const absl::Duration left = deadline - clock_->Now();
+  if (needed > left) {
+    return Fail(ErrorKind::kDeadlineUnmeetable,
+                absl::StrCat("The answer would take about ", absl::FormatDuration(needed),
+                             " but its deadline is in ", absl::FormatDuration(left),
+                             "; retry later or set a later deadline."),
+                RetryAfter(customer));
+  }
+  requests_.emplace(request, Entry{customer, deadline, ExecutorId()});
+  queue_.Insert(customer, deadline, request);
+  return {};
+}
+
+bool RequestDispatcher::IsHopeless(absl::Time deadline) const {
+  return clock_->Now() + executors_.MeanServiceTime() > deadline;
+}
+
+void RequestDispatcher::SetAsideHopeless(const CustomerId& customer) {
+  for (;;) {
+    const CustomerRequests* entry = queue_.Find(customer);
+    if (entry == nullptr || entry->waiting.empty()) {
+      return;
+    }
+    const auto [deadline, request] = *entry->waiting.begin();
+    if (!IsHopeless(deadline)) {
+      return;
+    }
+    queue_.Erase(customer, deadline, request);
+    requests_.erase(request);
+    hopeless_.push_back(request);
+  }
+}
+
+const CustomerRequests* RequestDispatcher::NextCustomer() const {
+  const CustomerRequests* best = nullptr;
+  std::pair<double, absl::Time> best_rank;
+  for (const auto& [id, entry] : queue_.customers()) {
+    if (entry.waiting.empty() || entry.slots_in_use >= SlotLimit(id)) {
+      continue;
+    }
+    const std::pair<double, absl::Time> rank(static_cast<double>(entry.slots_in_use) / WeightOf(id),
+                                             entry.waiting.begin()->first);
+    if (best == nullptr || rank < best_rank) {
+      best = &entry;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+std::vector<Assignment> RequestDispatcher::Dispatch() {
+  std::vector<Assignment> assignments;
+  while (executors_.free_slots() > 0) {
+    const CustomerRequests* next = NextCustomer();
+    if (next == nullptr) {
+      break;
+    }
+    const CustomerId customer = next->customer;
+    const auto [deadline, request] = *next->waiting.begin();
+    if (IsHopeless(deadline)) {
+      SetAsideHopeless(customer);
+      continue;
+    }
+    const ExecutorId executor = *executors_.Choose();
+    queue_.TakeSlot(customer);
+    queue_.Erase(customer, deadline, request);
+    executors_.Assign(executor);
+    requests_[request].executor = executor;
+    assignments.push_back(Assignment{request, executor});
+  }
+  return assignments;
+}
+
+void RequestDispatcher::Finish(const RequestId& request) {
+  const auto it = requests_.find(request);
+  executors_.Free(it->second.executor);
+  queue_.FreeSlot(it->second.customer);
+  requests_.erase(it);
+}
+
+void RequestDispatcher::Complete(const RequestId& request, absl::Duration service_time, bool ok) {
+  const auto it = requests_.find(request);
+  if (it == requests_.end() || it->second.executor.empty()) {
+    return;
+  }
+  executors_.Observe(it->second.executor, service_time, ok);
+  Finish(request);
+}
+
+void RequestDispatcher::Abandon(const RequestId& request) {
+  const auto it = requests_.find(request);
+  if (it == requests_.end()) {
+    return;
+  }
+  if (!it->second.executor.empty()) {
+    Finish(request);
+    return;
+  }
+  queue_.Erase(it->second.customer, it->second.deadline, request);
+  requests_.erase(it);
+}
+
+std::vector<RequestId> RequestDispatcher::DropHopeless() {
+  std::vector<CustomerId> customers;
+  for (const auto& [id, entry] : queue_.customers()) {
+    customers.push_back(id);
+  }
+  for (const CustomerId& customer : customers) {
+    SetAsideHopeless(customer);
+  }
+  return std::exchange(hopeless_, {});
+}
+
+absl::Duration RequestDispatcher::ExpectedWait(const CustomerId& customer) const {
+  const CustomerRequests* own = queue_.Find(customer);
+  const int64_t in_use = own != nullptr ? own->slots_in_use : 0;
+  const int64_t limit = SlotLimit(customer);
+  const int64_t slots = executors_.usable_slots();
+  if (slots == 0 || limit <= 0) {
+    return absl::InfiniteDuration();
+  }
+  if (executors_.free_slots() > static_cast<int64_t>(queue_.size()) && in_use < limit) {
+    return absl::ZeroDuration();
+  }
+  const double own_weight = WeightOf(customer);
+  double total_weight = own_weight;
+  for (const auto& [id, entry] : queue_.customers()) {
+    if (id != customer && entry.IsActive()) {
+      total_weight += WeightOf(id);
+    }
+  }
+  const double ahead_of_own = own != nullptr ? static_cast<double>(own->waiting.size()) : 0;
+  const double ahead_by_share = ahead_of_own * total_weight / own_weight;
+  const double ahead = std::min(static_cast<double>(queue_.size()), ahead_by_share);
+  const double by_capacity = (ahead + 1) / static_cast<double>(slots);
+  const double by_limit = in_use + static_cast<int64_t>(ahead_of_own) >= limit
+                              ? (ahead_of_own + 1) / static_cast<double>(limit)
+                              : 0;
+  return executors_.MeanServiceTime() * std::max(by_capacity, by_limit);
+}
+
+absl::Duration RequestDispatcher::RetryAfter(const CustomerId& customer) const {
+  const absl::Duration base = std::clamp(ExpectedWait(customer), kMinRetryAfter, kMaxRetryAfter);
+  return base * std::uniform_real_distribution<double>(0.5, 1.5)(jitter_);
+}
+
+bool RequestDispatcher::AllowRetry(const CustomerId& customer) {
+  return retries_.TryRetry(customer);
+}
+
+size_t RequestDispatcher::QueuedRequests() const { return queue_.size(); }
+
+int64_t RequestDispatcher::SlotsInUse(const ExecutorId& executor) const {
+  return executors_.SlotsInUse(executor);
+}
+
+}  // namespace pomelotray
--- a/packages/scheduler/request_dispatcher.h
+++ b/packages/scheduler/request_dispatcher.h
@@ -3,15 +3,19 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <memory>
+#include <random>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/resources.h"
 #include "base/strong_id.h"
+#include "scheduler/executor_pool.h"
 #include "scheduler/limit_source.h"
+#include "scheduler/request_queue.h"
+#include "scheduler/retry_budget.h"
 
 namespace pomelotray {
 
@@ -20,8 +24,6 @@
   ExecutorId executor;
 };
 
-class DispatcherCore;
-
 // Queues the interactive requests of one shard and assigns them to executors. Thread-compatible;
 // does no I/O. A request is queued, assigned or unknown; Complete and Abandon make it unknown.
 // Slots in use never exceed an executor's slot capacity, requests in flight never its connections.
@@ -30,7 +32,6 @@
   // `clock` and `limits` must outlive the dispatcher. HoldLimit().slots bounds a customer's
   // assigned requests.
   RequestDispatcher(const Clock* clock, const LimitSource* limits, uint64_t seed);
-  ~RequestDispatcher();
   RequestDispatcher(const RequestDispatcher&) = delete;
   RequestDispatcher& operator=(const RequestDispatcher&) = delete;
 
@@ -48,7 +49,8 @@
   Result<void> Enqueue(const RequestId& request, const CustomerId& customer, absl::Time deadline);
   std::vector<Assignment> Dispatch();
   void Complete(const RequestId& request, absl::Duration service_time, bool ok);
-  // Forgets a queued request, or frees the slot of an assigned one.
+  // Forgets a queued request, or frees the slot of an assigned one, which the executor must no
+  // longer work on.
   void Abandon(const RequestId& request);
   // Removes queued requests that can no longer be answered by their deadline. The caller refuses
   // them at once.
@@ -64,7 +66,32 @@
   int64_t SlotsInUse(const ExecutorId& executor) const;
 
  private:
-  std::unique_ptr<DispatcherCore> core_;
+  // Where a request is.
+  struct Entry {
+    CustomerId customer;
+    absl::Time deadline;
+    // Empty while the request is queued.
+    ExecutorId executor;
+  };
+
+  // The weight that counts in divisions; at least a small positive number.
+  double WeightOf(const CustomerId& customer) const;
+  int64_t SlotLimit(const CustomerId& customer) const;
+  // The customer to serve next, or null when none may have another slot.
+  const CustomerRequests* NextCustomer() const;
+  bool IsHopeless(absl::Time deadline) const;
+  // Moves queued requests that cannot be answered in time to the hopeless ones.
+  void SetAsideHopeless(const CustomerId& customer);
+  void Finish(const RequestId& request);
+
+  const Clock* clock_;
+  const LimitSource* limits_;
+  ExecutorPool executors_;
+  RequestQueue queue_;
+  RetryBudget retries_;
+  absl::flat_hash_map<RequestId, Entry> requests_;
+  std::vector<RequestId> hopeless_;
+  mutable std::mt19937_64 jitter_;
 };
 
 }  // namespace pomelotray
--- /dev/null
+++ b/packages/scheduler/schedule_pass.cc
@@ -0,0 +1,302 @@
+#include "scheduler/schedule_pass.h"
+
+#include <algorithm>
+#include <queue>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "scheduler/task_fit.h"
+
+namespace pomelotray {
+namespace {
+
+// Bounds the cost of one call when thousands of jobs wait.
+constexpr size_t kMaxUrgentJobsPerRound = 1024;
+constexpr int kMaxDrainCandidates = 256;
+constexpr int kMaxDrainPlans = 4;
+constexpr int64_t kMaxPreemptionsPerRound = 256;
+// A reservation that is this late is planned anew: tasks outlived their estimates, or urgent work
+// took the room.
+constexpr absl::Duration kDrainPatience = absl::Seconds(30);
+// Aged jobs get a reservation at most this often. Otherwise a long overload, in which all jobs are
+// aged, would turn the order into first come first served.
+constexpr absl::Duration kAgedDrainInterval = absl::Seconds(1);
+
+}  // namespace
+
+SchedulePass::SchedulePass(SchedulerState* state, int max_placements)
+    : state_(state), now_(state->clock->Now()), budget_(max_placements) {}
+
+ScheduleRound SchedulePass::Run() {
+  ++state_->round;
+  state_->queue.ParkExpired(now_);
+  state_->failed_shapes.ClearIfOld(now_);
+  if (state_->preemptions.ExpireEarmarks(now_)) {
+    state_->RoomChanged();
+  }
+  state_->preemptions.Escalate(now_, &result_.preemptions);
+  PlaceUrgent();
+  UpdateDrain();
+  PlaceDrainHolder();
+  PlaceByCustomer();
+  return std::move(result_);
+}
+
+const SchedulePass::Terms& SchedulePass::TermsOf(const CustomerId& customer) {
+  const auto [it, inserted] = terms_.try_emplace(customer);
+  if (inserted) {
+    // A weight of zero would make the share infinite.
+    constexpr double kMinWeight = 1e-6;
+    it->second = Terms{state_->limits->HoldLimit(customer),
+                       std::max(state_->limits->Weight(customer), kMinWeight)};
+  }
+  return it->second;
+}
+
+bool SchedulePass::WithinLimit(const QueuedJob& job, int64_t tasks) {
+  const CustomerId& customer = job.spec.customer;
+  const Resources use = state_->ledger.CustomerUse(customer) + job.spec.demand * tasks;
+  return use.FitsInto(TermsOf(customer).hold_limit);
+}
+
+bool SchedulePass::ServedAsUrgent(const QueuedJob& job) const {
+  return job.IsUrgent() && state_->queue_policy->PrefersUrgent();
+}
+
+TaskShape SchedulePass::ShapeOf(const QueuedJob& job) const {
+  const JobSpec& spec = job.spec;
+  TaskShape shape;
+  shape.demand = spec.demand;
+  shape.count = job.TasksPerPlacement();
+  shape.urgent = ServedAsUrgent(job);
+  // A gang is no probe of a quarantined worker.
+  shape.repeatable = spec.repeatable && !job.IsGang();
+  shape.run_time = spec.kind == JobKind::kService
+                       ? absl::InfiniteDuration()
+                       : state_->estimator.Upper(spec.customer, spec.pool, spec.expected_run);
+  return shape;
+}
+
+bool SchedulePass::MayUse(const QueuedJob& job, WorkerSlot slot, absl::Time expected_end) const {
+  if (!state_->preemptions.AllowsPlacement(slot, job.id)) {
+    return false;
+  }
+  const WorkerHealth& health = state_->health;
+  if (health.quarantined_count() > 0 &&
+      !health.MayPlace(state_->index.At(slot).id, job.spec.repeatable && !job.IsGang(), now_)) {
+    return false;
+  }
+  const DrainReservation& drain = state_->drain;
+  return !drain.active() || drain.job() == job.id || ServedAsUrgent(job) ||
+         drain.AllowsBackfill(slot, expected_end);
+}
+
+bool SchedulePass::HasRoomFor(const QueuedJob& job, int64_t count, absl::Time expected_end) const {
+  int64_t missing = count;
+  state_->index.VisitFitting(job.spec.demand, state_->index.slot_count(), [&](WorkerSlot slot) {
+    if (MayUse(job, slot, expected_end)) {
+      missing -= TasksThatFit(state_->index.At(slot).Free(), job.spec.demand, missing);
+    }
+    return missing > 0;
+  });
+  return missing <= 0;
+}
+
+bool SchedulePass::PlaceTogether(QueuedJob* job, int64_t count, absl::Time expected_end) {
+  // Tasks of one job are alike, so when the counts per worker suffice, any order of choices
+  // places all of them.
+  if (count > 1 && !HasRoomFor(*job, count, expected_end)) {
+    return false;
+  }
+  const auto allowed = [&](WorkerSlot slot) { return MayUse(*job, slot, expected_end); };
+  const auto tasks_in_rack = [job](const RackId& rack) {
+    const auto it = job->tasks_in_rack.find(rack);
+    return it != job->tasks_in_rack.end() ? it->second : 0;
+  };
+  const auto tasks_on_worker = [job](WorkerSlot slot) {
+    const auto it = job->tasks_on_worker.find(slot);
+    return it != job->tasks_on_worker.end() ? it->second : 0;
+  };
+  const PlacementQuery query{job->spec.demand, job->spec.kind, allowed, tasks_in_rack,
+                             tasks_on_worker};
+  for (int64_t i = 0; i < count; ++i) {
+    const std::optional<WorkerSlot> slot = state_->placement_policy->Choose(state_->index, query);
+    if (!slot.has_value()) {
+      return false;
+    }
+    const TaskId task = *job->ready.begin();
+    const WorkerId worker = state_->index.At(*slot).id;
+    state_->Reserve(job, task, *slot, now_);
+    state_->preemptions.RecordPlacement(job->id, *slot);
+    state_->health.RecordPlacement(worker, now_);
+    result_.placements.push_back(Placement{job->id, task, worker, job->spec.demand});
+  }
+  return true;
+}
+
+SchedulePass::Attempt SchedulePass::Place(QueuedJob* job) {
+  const int64_t count = job->TasksPerPlacement();
+  const bool first_of_round = result_.placements.empty();
+  if (budget_ <= 0 || (count > budget_ && !first_of_round)) {
+    return Attempt::kNoBudget;
+  }
+  if (!WithinLimit(*job, count)) {
+    return Attempt::kOverLimit;
+  }
+  const TaskShape shape = ShapeOf(*job);
+  // The drained workers and the earmarked room are open to this job only, so other jobs' failures
+  // say nothing about it.
+  const bool has_own_room =
+      state_->drain.job() == job->id || state_->preemptions.EarmarksOf(job->id) > 0;
+  if (!has_own_room && state_->failed_shapes.Covers(shape)) {
+    return Attempt::kNoRoom;
+  }
+  if (!PlaceTogether(job, count, now_ + shape.run_time)) {
+    if (!has_own_room) {
+      state_->failed_shapes.Add(shape);
+    }
+    return Attempt::kNoRoom;
+  }
+  budget_ -= count;
+  return Attempt::kPlaced;
+}
+
+void SchedulePass::PlaceUrgent() {
+  std::vector<QueuedJob*> jobs;
+  for (const JobOrder& order : state_->queue.urgent()) {
+    if (jobs.size() >= kMaxUrgentJobsPerRound) {
+      break;
+    }
+    jobs.push_back(order.job);
+  }
+  for (QueuedJob* job : jobs) {
+    Attempt attempt = Attempt::kPlaced;
+    while (attempt == Attempt::kPlaced && job->CanBePlaced()) {
+      attempt = Place(job);
+    }
+    if (attempt == Attempt::kNoRoom) {
+      PreemptFor(*job);
+    } else if (state_->preemptions.Trim(job->id, job->QueuedCount())) {
+      state_->RoomChanged();
+    }
+  }
+}
+
+void SchedulePass::PreemptFor(const QueuedJob& job) {
+  const TaskShape shape = ShapeOf(job);
+  const int64_t waiting = static_cast<int64_t>(job.ready.size());
+  const auto usable = [this, &job](WorkerSlot slot) {
+    return !state_->health.IsQuarantined(state_->index.At(slot).id) &&
+           state_->index.At(slot).Usable() && job.CanBePlaced();
+  };
+  int64_t earmarks = state_->preemptions.EarmarksOf(job.id);
+  while (earmarks < waiting && WithinLimit(job, earmarks + shape.count) &&
+         static_cast<int64_t>(result_.preemptions.size()) < kMaxPreemptionsPerRound &&
+         !failed_preemptions_.Covers(shape)) {
+    if (!state_->preemptions.Plan(job.id, job.spec.demand, shape.count, now_, usable,
+                                  &result_.preemptions)) {
+      failed_preemptions_.Add(shape);
+      return;
+    }
+    earmarks += shape.count;
+  }
+}
+
+bool SchedulePass::TryDrainFor(const QueuedJob& job) {
+  const auto usable = [this, &job](WorkerSlot slot) {
+    return !state_->health.IsQuarantined(state_->index.At(slot).id) &&
+           state_->preemptions.AllowsPlacement(slot, job.id);
+  };
+  const DrainReservation::Request request{job.id, job.spec.demand, job.TasksPerPlacement(), now_,
+                                          usable};
+  const bool planned = state_->drain.Plan(request, state_->index, state_->ledger);
+  if (planned) {
+    state_->RoomChanged();
+  }
+  return planned;
+}
+
+void SchedulePass::UpdateDrain() {
+  if (state_->drain.active()) {
+    const QueuedJob* holder = state_->queue.Find(state_->drain.job());
+    const bool late = now_ - state_->drain.start() > kDrainPatience;
+    if (holder != nullptr && holder->listed && !late &&
+        WithinLimit(*holder, holder->TasksPerPlacement())) {
+      return;
+    }
+    state_->drain.Clear();
+    state_->RoomChanged();
+  }
+  int seen = 0;
+  int plans = 0;
+  for (const JobOrder& order : state_->queue.drain_candidates()) {
+    const QueuedJob& job = *order.job;
+    if (order.time > now_ || ++seen > kMaxDrainCandidates || plans >= kMaxDrainPlans) {
+      return;
+    }
+    const bool aged = !job.IsGang() && !ServedAsUrgent(job);
+    const bool too_soon = now_ - state_->last_aged_drain < kAgedDrainInterval ||
+                          !state_->queue_policy->PrefersUrgent();
+    if ((aged && too_soon) || !WithinLimit(job, job.TasksPerPlacement())) {
+      continue;
+    }
+    ++plans;
+    if (TryDrainFor(job)) {
+      if (aged) {
+        state_->last_aged_drain = now_;
+      }
+      return;
+    }
+  }
+}
+
+void SchedulePass::PlaceDrainHolder() {
+  if (!state_->drain.active()) {
+    return;
+  }
+  QueuedJob* job = state_->queue.Find(state_->drain.job());
+  if (Place(job) == Attempt::kPlaced) {
+    state_->drain.Clear();
+    state_->RoomChanged();
+  }
+}
+
+double SchedulePass::RankOf(const CustomerId& customer, const QueuedJob& head) {
+  CustomerStanding standing;
+  standing.dominant_share =
+      DominantShare(state_->ledger.CustomerUse(customer), state_->index.usable_capacity());
+  standing.weight = TermsOf(customer).weight;
+  standing.oldest_arrival = head.arrival;
+  return state_->queue_policy->CustomerRank(standing);
+}
+
+void SchedulePass::PlaceByCustomer() {
+  // Rank, key and sequence of the customer's first job; the lowest is served first.
+  using Turn = std::tuple<double, absl::Time, uint64_t, CustomerQueue*>;
+  std::priority_queue<Turn, std::vector<Turn>, std::greater<>> turns;
+  const auto push = [this, &turns](CustomerQueue* customer) {
+    const QueuedJob* head = customer->Head(state_->round);
+    if (head != nullptr) {
+      turns.emplace(RankOf(customer->id(), *head), head->key, head->sequence, customer);
+    }
+  };
+  for (const auto& [id, customer] : state_->queue.customers()) {
+    push(customer.get());
+  }
+  while (!turns.empty() && budget_ > 0) {
+    CustomerQueue* customer = std::get<CustomerQueue*>(turns.top());
+    turns.pop();
+    QueuedJob* job = customer->Head(state_->round);
+    const Attempt attempt = Place(job);
+    if (attempt == Attempt::kNoBudget) {
+      return;
+    }
+    if (attempt != Attempt::kPlaced) {
+      customer->Block(*job, state_->round);
+    }
+    push(customer);
+  }
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/scheduler/schedule_pass.h
@@ -0,0 +1,62 @@
+#ifndef POMELOTRAY_SCHEDULER_SCHEDULE_PASS_H_
+#define POMELOTRAY_SCHEDULER_SCHEDULE_PASS_H_
+
+#include <cstdint>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "base/resources.h"
+#include "base/strong_id.h"
+#include "scheduler/failed_shapes.h"
+#include "scheduler/schedule_types.h"
+#include "scheduler/scheduler_state.h"
+
+namespace pomelotray {
+
+// One call of ShardScheduler::Schedule: urgent jobs first, then the job for which workers are
+// drained, then the customers in the order of the queue policy.
+class SchedulePass {
+ public:
+  SchedulePass(SchedulerState* state, int max_placements);
+
+  ScheduleRound Run();
+
+ private:
+  enum class Attempt { kPlaced, kNoRoom, kOverLimit, kNoBudget };
+  struct Terms {
+    Resources hold_limit;
+    double weight = 1;
+  };
+
+  const Terms& TermsOf(const CustomerId& customer);
+  bool WithinLimit(const QueuedJob& job, int64_t tasks);
+  TaskShape ShapeOf(const QueuedJob& job) const;
+  bool ServedAsUrgent(const QueuedJob& job) const;
+  bool MayUse(const QueuedJob& job, WorkerSlot slot, absl::Time expected_end) const;
+
+  // Places one task, or all queued tasks of a gang.
+  Attempt Place(QueuedJob* job);
+  bool PlaceTogether(QueuedJob* job, int64_t count, absl::Time expected_end);
+  bool HasRoomFor(const QueuedJob& job, int64_t count, absl::Time expected_end) const;
+
+  void PlaceUrgent();
+  void PreemptFor(const QueuedJob& job);
+  // Chooses the job for which workers are drained.
+  void UpdateDrain();
+  bool TryDrainFor(const QueuedJob& job);
+  void PlaceDrainHolder();
+  void PlaceByCustomer();
+  double RankOf(const CustomerId& customer, const QueuedJob& head);
+
+  SchedulerState* state_;
+  absl::Time now_;
+  int64_t budget_;
+  ScheduleRound result_;
+  absl::flat_hash_map<CustomerId, Terms> terms_;
+  // Shapes for which nothing can be preempted.
+  FailedShapes failed_preemptions_;
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_SCHEDULER_SCHEDULE_PASS_H_
--- a/packages/scheduler/shard_scheduler.h
+++ b/packages/scheduler/shard_scheduler.h
@@ -16,7 +16,7 @@
 
 namespace pomelotray {
 
-class SchedulerCore;
+class SchedulerState;
 
 // Decides which queued task of one shard starts on which worker. Thread-compatible; does no I/O.
 // Built by ShardSchedulerBuilder.
@@ -29,7 +29,7 @@
 // - Urgent work precedes all other work. Its customers' HoldLimits bound what it can take.
 class ShardScheduler {
  public:
-  explicit ShardScheduler(std::unique_ptr<SchedulerCore> core);
+  explicit ShardScheduler(std::unique_ptr<SchedulerState> state);
   ~ShardScheduler();
   ShardScheduler(const ShardScheduler&) = delete;
   ShardScheduler& operator=(const ShardScheduler&) = delete;
@@ -81,7 +81,7 @@
   absl::Duration ExpectedWait(const JobSpec& spec) const;
 
  private:
-  std::unique_ptr<SchedulerCore> core_;
+  std::unique_ptr<SchedulerState> state_;
 };
 
 }  // namespace pomelotray
--- /dev/null
+++ b/packages/scheduler/task_fit.h
@@ -0,0 +1,15 @@
+#ifndef POMELOTRAY_SCHEDULER_TASK_FIT_H_
+#define POMELOTRAY_SCHEDULER_TASK_FIT_H_
+
+#include <cstdint>
+
+#include "base/resources.h"
+
+namespace pomelotray {
+
+// How many tasks of `demand` fit into `free`, at most `limit`.
+int64_t TasksThatFit(const Resources& free, const Resources& demand, int64_t limit);
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_SCHEDULER_TASK_FIT_H_
