--- a/packages/model/fault_list.cc
+++ b/packages/base/fault_list.cc
@@ -1,4 +1,4 @@
-#include "model/fault_list.h"
+#include "base/fault_list.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
--- a/packages/model/fault_list.h
+++ b/packages/base/fault_list.h
@@ -1,5 +1,5 @@
-#ifndef POMELOTRAY_MODEL_FAULT_LIST_H_
-#define POMELOTRAY_MODEL_FAULT_LIST_H_
+#ifndef POMELOTRAY_BASE_FAULT_LIST_H_
+#define POMELOTRAY_BASE_FAULT_LIST_H_
 
 #include <string>
 #include <string_view>
@@ -26,4 +26,4 @@
 
 }  // namespace pomelotray
 
-#endif  // POMELOTRAY_MODEL_FAULT_LIST_H_
+#endif  // POMELOTRAY_BASE_FAULT_LIST_H_
--- a/packages/model/field_reader.h
+++ b/packages/model/field_reader.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "base/fault_list.h"
 #include "base/resources.h"
-#include "model/fault_list.h"
 
 namespace pomelotray {
 
