--- a/packages/peer/http2_session.cc
+++ b/packages/peer/http2_session.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstring>
 #include <utility>
 #include <vector>
 
@@ -305,7 +304,7 @@
     return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
   }
   const size_t size = std::min(length, stream->outgoing.size() - stream->outgoing_position);
-  std::memcpy(buffer, stream->outgoing.data() + stream->outgoing_position, size);
+  stream->outgoing.copy(reinterpret_cast<char*>(buffer), size, stream->outgoing_position);
   stream->outgoing_position += size;
   if (stream->outgoing_position == stream->outgoing.size()) {
     if (!options_.listener->OnMessageLeaving(id)) {
--- a/packages/peer/server_connection.cc
+++ b/packages/peer/server_connection.cc
@@ -192,7 +192,7 @@
   session_.SendResponse(stream, kStatusUnauthenticated, "");
 }
 
-void ServerConnection::Dispatch(int32_t stream, std::shared_ptr<const Http2Message> message,
+void ServerConnection::Dispatch(int32_t stream, const std::shared_ptr<const Http2Message>& message,
                                 const CallEnvelope& envelope) {
   PeerCall call;
   call.from = InstanceId(message->from);
@@ -218,7 +218,7 @@
 
 void ServerConnection::Handle(int32_t stream, const std::string& nonce, PeerCall call,
                               const Http2Message& message, size_t payload_size) {
-  const Outcome<std::string> outcome = Capture([&]() -> Result<std::string> {
+  const Outcome<std::string> outcome = Capture([&]() -> Result<std::string> {  // NOLINT
     if (context_->peer.clock->Now() >= call.deadline) {
       return Fail(ErrorKind::kDeadlineExceeded,
                   "The call waited longer than its timeout and was not processed; retry with a "
@@ -254,7 +254,7 @@
 }
 
 void ServerConnection::Answer(int32_t stream, const std::string& nonce, ReplyKind kind,
-                              std::string payload) {
+                              std::string_view payload) {
   session_.SendResponse(stream, kStatusOk, Seal(nonce, kind, payload));
 }
 
--- a/packages/peer/server_connection.h
+++ b/packages/peer/server_connection.h
@@ -55,9 +55,9 @@
   bool MayContinue(absl::Time now);
   void BeginGoAway(absl::Time deadline);
   void RefuseUnproven(int32_t stream, const std::string& from);
-  void Dispatch(int32_t stream, std::shared_ptr<const Http2Message> message,
+  void Dispatch(int32_t stream, const std::shared_ptr<const Http2Message>& message,
                 const CallEnvelope& envelope);
-  void Answer(int32_t stream, const std::string& nonce, ReplyKind kind, std::string payload);
+  void Answer(int32_t stream, const std::string& nonce, ReplyKind kind, std::string_view payload);
   void AnswerError(int32_t stream, const std::string& nonce, const Error& error);
   // Runs on a worker thread.
   void Handle(int32_t stream, const std::string& nonce, PeerCall call, const Http2Message& message,
--- a/packages/peer/worker_pool.cc
+++ b/packages/peer/worker_pool.cc
@@ -3,6 +3,12 @@
 #include <utility>
 
 namespace pomelotray {
+namespace {
+
+// Bounds a thread's wait for work.
+constexpr absl::Duration kIdleWait = absl::Seconds(10);
+
+}  // namespace
 
 WorkerPool::WorkerPool(size_t threads, size_t max_queued) : max_queued_(max_queued) {
   for (size_t i = 0; i < threads; ++i) {
@@ -37,10 +43,16 @@
     std::function<void()> job;
     {
       absl::MutexLock lock(&mutex_);
-      mutex_.Await(absl::Condition(
-          +[](WorkerPool* pool)
-               ABSL_NO_THREAD_SAFETY_ANALYSIS { return pool->stopping_ || !pool->queue_.empty(); },
-          this));
+      const bool awake =
+          mutex_.AwaitWithTimeout(absl::Condition(
+                                      +[](WorkerPool* pool) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+                                        return pool->stopping_ || !pool->queue_.empty();
+                                      },
+                                      this),
+                                  kIdleWait);
+      if (!awake) {
+        continue;
+      }
       if (queue_.empty()) {
         return;
       }
--- a/tests/peer/transport_test.cc
+++ b/tests/peer/transport_test.cc
@@ -74,6 +74,7 @@
   const std::unique_ptr<PeerClient> client = Connect();
   std::atomic<int> matched{0};
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&, caller] {
       for (int i = 0; i < kCallsPerCaller; ++i) {
@@ -160,6 +161,7 @@
   const std::unique_ptr<PeerClient> client = Connect();
   std::atomic<int> answered{0};
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i] {
       const Outcome<nlohmann::json> outcome = Call(client.get(), AddressOf(*server), i);
