base: Keep hybrid time stamps within 64 bits

Microseconds since the Unix epoch shifted by 16 bits need 67 bits: the shift overflowed, which is undefined and wraps every 4.5 years. A stamp is now microseconds times 4096, which lasts until 2041, and stamps can be read back as wall time.

--- a/packages/base/hybrid_clock.h
+++ b/packages/base/hybrid_clock.h
@@ -9,10 +9,16 @@
 
 namespace pomelotray {
 
-// Hybrid logical time: microseconds since the Unix epoch in the upper 48 bits and a counter in the
-// lower 16. An event that could have caused another always has the smaller stamp.
+// Hybrid logical time: microseconds since the Unix epoch, times 4096, plus a counter. 51 bits of
+// microseconds last until 2041. An event that could have caused another always has the smaller
+// stamp.
 using HybridTime = StrongNumber<struct HybridTimeTag>;
 
+// The wall time of a stamp, without the counter.
+absl::Time WallTime(HybridTime time);
+// The smallest stamp of a wall time.
+HybridTime EarliestStamp(absl::Time time);
+
 // Issues hybrid logical time stamps for one process. Every message between processes carries a
 // stamp, which the receiver passes to Observe().
 class HybridClock {
