--- a/packages/adapters/http_channel.cc
+++ b/packages/adapters/http_channel.cc
@@ -56,14 +56,20 @@
       return ErrorKind::kNotFound;
     case 409:
       return ErrorKind::kConflict;
+    case 410:
+      return ErrorKind::kDeadlineExceeded;
     case 412:
       return ErrorKind::kFenced;
+    case 421:
+      return ErrorKind::kNotReady;
     case 429:
       return ErrorKind::kOverloaded;
     case 503:
       return call.no_effect;
     case 504:
       return ErrorKind::kDeadlineExceeded;
+    case 507:
+      return ErrorKind::kOverLimit;
     default:
       return call.no_answer;
   }
--- /dev/null
+++ b/packages/daemon/main.cc
@@ -0,0 +1,76 @@
+#include <docopt.h>
+
+#include <csignal>
+#include <iostream>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "daemon/daemon.h"
+#include "daemon/daemon_settings.h"
+
+namespace pomelotray {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+SettingTable::Flags GivenFlags(const std::map<std::string, docopt::value>& arguments) {
+  SettingTable::Flags flags;
+  for (const std::string& name : DaemonSettingTable().FlagNames()) {
+    const auto it = arguments.find("--" + name);
+    if (it != arguments.end() && it->second.isString()) {
+      flags[name] = it->second.asString();
+    }
+  }
+  return flags;
+}
+
+// Blocks the stop signals in this thread and in all that it starts later.
+sigset_t BlockStopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+int Run(const DaemonSettings& settings) {
+  const sigset_t signals = BlockStopSignals();
+  Daemon daemon(settings);
+  const Outcome<void> started = Capture([&] { return daemon.Start(); });
+  if (!started.ok()) {
+    std::cerr << "pomelotrayd: " << started.error().message << "\n";
+    return kExitFailed;
+  }
+  int signal_number = 0;
+  sigwait(&signals, &signal_number);
+  daemon.Stop();
+  return kExitOk;
+}
+
+int Main(const std::vector<std::string>& arguments) {
+  const std::map<std::string, docopt::value> parsed =
+      docopt::docopt(DaemonUsage(), arguments, /*help=*/true, "pomelotrayd 0.1.0");
+  const Outcome<DaemonSettings> settings =
+      Capture([&] { return ReadDaemonSettings(GivenFlags(parsed), &EnvironmentVariable); });
+  if (!settings.ok()) {
+    std::cerr << "pomelotrayd: " << settings.error().message << "\n";
+    return kExitUsage;
+  }
+  if (parsed.at("--check-settings").asBool()) {
+    std::cout << "The settings are valid.\n";
+    return kExitOk;
+  }
+  return Run(settings.value());
+}
+
+}  // namespace
+}  // namespace pomelotray
+
+int main(int argc, char** argv) {
+  return pomelotray::Main(std::vector<std::string>(argv + 1, argv + argc));
+}
--- a/packages/daemon/shard_host.cc
+++ b/packages/daemon/shard_host.cc
@@ -173,7 +173,7 @@
 
 void ShardHost::RefreshClaims() {
   const Outcome<std::vector<ShardClaim>> claims =
-      Capture([this] { return context_.claims->List(options_.domain); });
+      Capture([this] { return context_.claims->List(); });
   if (claims.ok()) {
     context_.directory->NoteClaims(claims.value());
   }
@@ -236,10 +236,6 @@
   }
   StopShard(shard, /*hand_over=*/false);
   context_.directory->NoteClaims({claim.value()});
-  context_.events->Record(EventCode::kShardClaimed)
-      .Shard(shard)
-      .At(Epoch{claim.value().term, 0})
-      .Emit();
   std::shared_ptr<Hosted> hosted = NewHosted(shard, Epoch{claim.value().term, 0});
   hosted->claim = claim.value();
   {
@@ -435,7 +431,6 @@
   }
   if (hand_over && hosted->claim.has_value()) {
     (void)Capture([&] { return context_.claims->Release(*hosted->claim); });
-    context_.events->Record(EventCode::kShardReleased).Shard(shard).At(hosted->epoch).Emit();
     next_claim_refresh_ = context_.clock->Now() + kVmRefreshInterval;
   }
 }
--- a/packages/shard/worker_link.cc
+++ b/packages/shard/worker_link.cc
@@ -14,7 +14,7 @@
 // True when the worker certainly did not and will not run the attempt because of this answer.
 bool IsRefusal(ErrorKind kind) {
   return kind == ErrorKind::kUnavailable || kind == ErrorKind::kOverLimit ||
-         kind == ErrorKind::kDeadlineExceeded || kind == ErrorKind::kNotFound ||
+         kind == ErrorKind::kDeadlineExceeded || kind == ErrorKind::kNotReady ||
          kind == ErrorKind::kInvalidArgument || kind == ErrorKind::kFenced;
 }
 
--- a/packages/standins/worker_standin.cc
+++ b/packages/standins/worker_standin.cc
@@ -12,13 +12,6 @@
   return Refuse(400, "invalid_argument", "A field is missing or has the wrong type.");
 }
 
-// Refusals of starts name their reason, so that a known attempt differs from one that does not fit.
-StandinResponse Conflict(const char* reason, const std::string& message) {
-  StandinResponse response = Refuse(409, "conflict", message);
-  response.body["reason"] = reason;
-  return response;
-}
-
 StandinResponse FromVerdict(WorkerVerdict verdict) {
   switch (verdict) {
     case WorkerVerdict::kOk:
@@ -26,16 +19,18 @@
     case WorkerVerdict::kFenced:
       return Refuse(412, "fenced", "The worker obeys another epoch; give up the shard.");
     case WorkerVerdict::kNotFenced:
-      return Conflict("not_fenced", "The worker has not seen this epoch; fence it first.");
+      return Refuse(421, "not_ready", "The worker has not seen this epoch; fence it first.");
     case WorkerVerdict::kWrongBoot:
-      return Conflict("wrong_boot", "The worker has restarted; fence it and read its inventory.");
+      return Refuse(421, "not_ready",
+                    "The worker has restarted; fence it and read its inventory.");
     case WorkerVerdict::kKnownAttempt:
-      return Conflict("known_attempt",
-                      "The attempt is already known; read its state from the inventory.");
+      return Refuse(409, "conflict",
+                    "The attempt is already known; read its state from the inventory.");
     case WorkerVerdict::kNoRoom:
-      return Conflict("no_room", "The demand exceeds the free resources of the worker.");
+      return Refuse(507, "over_limit", "The demand exceeds the free resources of the worker.");
     case WorkerVerdict::kTooLate:
-      return Conflict("too_late", "The start arrived after its bound on the worker's clock.");
+      return Refuse(410, "deadline_exceeded",
+                    "The start arrived after its bound on the worker's clock.");
     case WorkerVerdict::kUnknownAttempt:
       return Refuse(404, "not_found", "The attempt is not on this worker.");
   }
