--- a/packages/ports/worker_port.h
+++ b/packages/ports/worker_port.h
@@ -73,9 +73,10 @@
 
 enum class StopMode { kCheckpoint, kThrottle, kStop };
 
-// One worker's interface, by address. Errors: kFenced when the worker has seen a higher epoch,
-// kConflict when the attempt already exists or does not fit, kUnavailable when the call had no
-// effect, kOutcomeUnknown when it may have.
+// One worker's interface, by address. Errors without effect: kFenced (the worker has seen a higher
+// epoch), kOverLimit (no room), kDeadlineExceeded (past valid_before), kNotReady (another boot or an
+// unknown epoch), kUnavailable (not reached). kConflict: the attempt is known and runs or ran.
+// kOutcomeUnknown: the command may have taken effect.
 class WorkerPort {
  public:
   virtual ~WorkerPort() = default;
