--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -101,17 +101,19 @@
                                         return Classify(address);
                                       })
                                       .Build());
-  membership_ = Membership::Builder()
-                    .Identity(settings_.instance, settings_.region, settings_.domain)
-                    .Addresses(settings_.peer_address.ToString(), settings_.api_address.ToString())
-                    .Incarnation(absl::ToUnixMicros(clock_.Now()))
-                    .Port(peer_client_.get())
-                    .Time(&clock_)
-                    .Events(&events_)
-                    .ConfigurationRevision([this] { return contracts_->revision(); })
-                    .OwnedShards([this] { return host_->OwnedShards(); })
-                    .OnHigherRevision([this](const Member&) { configuration_sync_->Wake(); })
-                    .Build();
+    BOOST_LEAF_ASSIGN(
+      membership_,
+      Membership::Builder()
+          .Identity(settings_.instance, settings_.region, settings_.domain)
+          .Addresses(settings_.peer_address.ToString(), settings_.api_address.ToString())
+          .Incarnation(absl::ToUnixMicros(clock_.Now()))
+          .Port(peer_client_.get())
+          .Time(&clock_)
+          .Events(&events_)
+          .ConfigurationRevision([this] { return contracts_->revision(); })
+          .OwnedShards([this] { return host_->OwnedShards(); })
+          .OnHigherRevision([this](const Member&) { configuration_sync_->Wake(); })
+          .Build());
   return {};
 }
 
