--- a/packages/adapters/worker_codec.cc
+++ b/packages/adapters/worker_codec.cc
@@ -92,9 +92,13 @@
   for (const AttemptReport& report : inventory.attempts) {
     attempts.push_back(EncodeAttempt(report));
   }
-  return {{"worker", inventory.worker.value()},           {"boot", inventory.boot.value()},
-          {"epoch", wire::ToJson(inventory.epoch)},       {"leaving", inventory.leaving},
-          {"capacity", wire::ToJson(inventory.capacity)}, {"attempts", std::move(attempts)}};
+  return {{"worker", inventory.worker.value()},
+          {"boot", inventory.boot.value()},
+          {"epoch", wire::ToJson(inventory.epoch)},
+          {"leaving", inventory.leaving},
+          {"clock_ms", wire::ToMillisFloor(inventory.worker_clock)},
+          {"capacity", wire::ToJson(inventory.capacity)},
+          {"attempts", std::move(attempts)}};
 }
 
 nlohmann::json EncodeTaskStart(const TaskStart& start) {
--- a/packages/standins/executor_standin.cc
+++ b/packages/standins/executor_standin.cc
@@ -26,7 +26,10 @@
   server_.HandleControl("POST", "/leave", [this](const StandinRequest&) {
     absl::MutexLock lock(&mutex_);
     leaving_ = true;
-    events_->Record(EventCode::kWorkerLeaving).Worker(options_.id).Emit();
+    events_->Record(EventCode::kWorkerLeaving)
+        .Worker(options_.id)
+        .With(event_field::kBoot, options_.boot.value())
+        .Emit();
     return StandinResponse{};
   });
 }
@@ -80,8 +83,8 @@
       .Attempt(AttemptId(work.attempt))
       .Executor(options_.id)
       .With(event_field::kBoot, options_.boot.value())
-      .With(event_field::kKind, std::string_view(kUpstreamKind))
-      .With(kDigestField, std::string_view(work.digest))
+      .With(event_field::kKind, kUpstreamKind)
+      .With(kDigestField, work.digest)
       .Emit();
 }
 
--- a/packages/standins/worker_state.cc
+++ b/packages/standins/worker_state.cc
@@ -222,8 +222,8 @@
       .With(event_field::kBoot, options_.boot.value())
       .With(event_field::kReserved, ToText(start.demand))
       .With(event_field::kCapacity, ToText(options_.capacity))
-      .With(event_field::kRepeatable, std::string_view(start.repeatable ? "true" : "false"))
-      .With(event_field::kState, std::string_view(wire::AttemptStateName(task.state())))
+      .With(event_field::kRepeatable, start.repeatable ? "true" : "false")
+      .With(event_field::kState, wire::AttemptStateName(task.state()))
       .Emit();
 }
 
