history: Merge timelines and check histories against the invariants

A worker's or executor's own events are the ground truth; instances' events are views. The random choices of the tests draw uniformly: RapidCheck's ranges stayed near the first choice, which left most actions untried.

--- /dev/null
+++ b/packages/history/job_rules.h
@@ -0,0 +1,15 @@
+#ifndef POMELOTRAY_HISTORY_JOB_RULES_H_
+#define POMELOTRAY_HISTORY_JOB_RULES_H_
+
+#include "history/history_checker.h"
+#include "history/history_index.h"
+
+namespace pomelotray {
+
+// Rules on what callers were told about jobs; HistoryChecker documents them.
+void CheckFinalStates(const HistoryIndex& index, bool complete, HistoryReport* report);
+void CheckNotRun(const HistoryIndex& index, HistoryReport* report);
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_HISTORY_JOB_RULES_H_
--- /dev/null
+++ b/packages/history/request_rules.cc
@@ -0,0 +1,125 @@
+#include "history/request_rules.h"
+
+#include <map>
+#include <string>
+#include <tuple>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace pomelotray {
+namespace {
+
+constexpr char kDigestField[] = "digest";
+
+// What the executors recorded.
+struct ExecutorRecords {
+  // Executors' request_sent by attempt.
+  std::map<std::string, const Event*> by_attempt;
+  // Executors' events by request.
+  std::multimap<std::string, const Event*> by_request;
+};
+
+ExecutorRecords CollectExecutorRecords(const HistoryIndex& index) {
+  ExecutorRecords records;
+  for (const Event& event : index.events()) {
+    if (!IsFromExecutor(event)) {
+      continue;
+    }
+    if (event.code == EventCode::kRequestSent) {
+      records.by_attempt.emplace(FieldOf(event, event_field::kAttempt), &event);
+    }
+    records.by_request.emplace(FieldOf(event, event_field::kRequest), &event);
+  }
+  return records;
+}
+
+void CheckAttemptOfAnswer(const ExecutorRecords& records, const Event& answer,
+                          HistoryReport* report) {
+  const auto sent = records.by_attempt.find(FieldOf(answer, event_field::kAttempt));
+  const std::string& request = FieldOf(answer, event_field::kRequest);
+  if (FieldOf(answer, event_field::kAttempt).empty() || sent == records.by_attempt.end() ||
+      FieldOf(*sent->second, event_field::kRequest) == request) {
+    return;
+  }
+  report->violations.push_back(
+      {HistoryRule::kForeignAnswer,
+       absl::StrCat("Request ", request, " was answered with the attempt of another request."),
+       {*sent->second, answer}});
+}
+
+void CheckDigestOfAnswer(const ExecutorRecords& records, const Event& answer,
+                         HistoryReport* report) {
+  const std::string& digest = FieldOf(answer, kDigestField);
+  const std::string& request = FieldOf(answer, event_field::kRequest);
+  if (digest.empty()) {
+    return;
+  }
+  const auto [first, last] = records.by_request.equal_range(request);
+  for (auto it = first; it != last; ++it) {
+    if (FieldOf(*it->second, kDigestField) == digest) {
+      return;
+    }
+  }
+  if (first == last) {
+    report->inconclusive.push_back(
+        absl::StrCat("No executor recorded request ", request, "; its answer is not matched."));
+    return;
+  }
+  report->violations.push_back(
+      {HistoryRule::kForeignAnswer,
+       absl::StrCat("Request ", request, " was answered with the digest of another body."),
+       {*first->second, answer}});
+}
+
+}  // namespace
+
+void CheckAnswers(const HistoryIndex& index, HistoryReport* report) {
+  const ExecutorRecords records = CollectExecutorRecords(index);
+  std::map<std::tuple<std::string, std::string, std::string>, const Event*> answers;
+  for (const Event& event : index.events()) {
+    if (event.code != EventCode::kRequestAnswered || IsFromExecutor(event)) {
+      continue;
+    }
+    CheckAttemptOfAnswer(records, event, report);
+    CheckDigestOfAnswer(records, event, report);
+    const std::string& request = FieldOf(event, event_field::kRequest);
+    const auto [it, added] = answers.emplace(
+        std::make_tuple(event.process, FieldOf(event, event_field::kKind), request), &event);
+    if (!added) {
+      report->violations.push_back({HistoryRule::kSecondAnswer,
+                                    absl::StrCat("Request ", request, " was answered twice."),
+                                    {*it->second, event}});
+    }
+  }
+}
+
+void CheckRevisions(const HistoryIndex& index, HistoryReport* report) {
+  // The last revision of each customer by process.
+  std::map<std::string, std::map<std::string, std::pair<int64_t, const Event*>>> in_force;
+  for (const Event& event : index.events()) {
+    if (event.code == EventCode::kProcessStarted) {
+      in_force.erase(event.process);
+      continue;
+    }
+    int64_t revision = 0;
+    if (event.code != EventCode::kContractInForce ||
+        !absl::SimpleAtoi(FieldOf(event, event_field::kRevision), &revision)) {
+      continue;
+    }
+    const std::string& customer = FieldOf(event, event_field::kCustomer);
+    const auto [it, added] =
+        in_force[event.process].emplace(customer, std::make_pair(revision, &event));
+    if (!added && revision < it->second.first) {
+      report->violations.push_back(
+          {HistoryRule::kRevisionWentBack,
+           absl::StrCat("The contract of ", customer, " went back from revision ", it->second.first,
+                        " to ", revision, " on ", event.process, "."),
+           {*it->second.second, event}});
+    }
+    it->second = std::make_pair(revision, &event);
+  }
+}
+
+}  // namespace pomelotray
--- a/tests/adapters/decoder_test.cc
+++ b/tests/adapters/decoder_test.cc
@@ -8,6 +8,7 @@
 #include "adapters/store_codec.h"
 #include "adapters/worker_codec.h"
 #include "boost/test/unit_test.hpp"
+#include "tests/pick.h"
 
 namespace pomelotray {
 namespace {
@@ -45,11 +46,11 @@
 
 // A value of any type, nested at most `depth` deep.
 nlohmann::json ArbitraryJson(int depth) {
-  switch (*rc::gen::inRange(0, depth > 0 ? 8 : 6)) {
+  switch (Pick(0, depth > 0 ? 8 : 6)) {
     case 0:
       return nullptr;
     case 1:
-      return *rc::gen::arbitrary<bool>();
+      return (Pick(0, 2) == 1);
     case 2:
       return *rc::gen::arbitrary<int64_t>();
     case 3:
@@ -60,14 +61,14 @@
       return *rc::gen::element<std::string>("", "aGk=", "running", "\x01", "worker");
     case 6: {
       nlohmann::json array = nlohmann::json::array();
-      for (int i = *rc::gen::inRange(0, 4); i > 0; --i) {
+      for (int i = Pick(0, 4); i > 0; --i) {
         array.push_back(ArbitraryJson(depth - 1));
       }
       return array;
     }
     default: {
       nlohmann::json object = nlohmann::json::object();
-      for (int i = *rc::gen::inRange(0, 6); i > 0; --i) {
+      for (int i = Pick(0, 6); i > 0; --i) {
         object[*rc::gen::element<std::string>("entry", "entries", "key", "value", "revision",
                                               "changed", "deleted", "next", "attempts", "epoch",
                                               "capacity", "vms", "worker", "boot", "term")] =
@@ -97,11 +98,11 @@
   const std::vector<std::string> answers = ValidAnswers();
   BOOST_TEST(rc::check([&answers] {
     std::string text = *rc::gen::elementOf(answers);
-    const int mutations = *rc::gen::inRange(1, 5);
+    const int mutations = Pick(1, 5);
     for (int i = 0; i < mutations && !text.empty(); ++i) {
-      const size_t at = *rc::gen::inRange<size_t>(0, text.size());
+      const size_t at = Pick<size_t>(0, text.size());
       const char byte = *rc::gen::arbitrary<char>();
-      switch (*rc::gen::inRange(0, 4)) {
+      switch (Pick(0, 4)) {
         case 0:
           text[at] = byte;
           break;
--- a/tests/adapters/store_model_test.cc
+++ b/tests/adapters/store_model_test.cc
@@ -8,6 +8,7 @@
 #include "boost/test/unit_test.hpp"
 #include "standins/store_standin.h"
 #include "tests/adapters/standin_fixture.h"
+#include "tests/pick.h"
 
 namespace pomelotray {
 namespace {
@@ -159,12 +160,12 @@
 BOOST_AUTO_TEST_CASE(StoreBehavesLikeAMapWithRevisions) {
   BOOST_TEST(rc::check([] {
     StoreComparison comparison;
-    const int steps = *rc::gen::inRange(1, 30);
+    const int steps = Pick(1, 30);
     for (int i = 0; i < steps; ++i) {
-      const Action action = static_cast<Action>(*rc::gen::inRange(0, 8));
+      const Action action = static_cast<Action>(Pick(0, 8));
       const std::string key = *rc::gen::element<std::string>("a/1", "a/2", "b/1");
       const std::string value = *rc::gen::arbitrary<std::string>();
-      comparison.Apply(action, key, value, *rc::gen::inRange<int64_t>(0, 20));
+      comparison.Apply(action, key, value, Pick<int64_t>(0, 20));
     }
   }));
 }
