--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -72,7 +72,7 @@
 pomelotray_package(api DEPENDS pomelotray_ports pomelotray_history PkgConfig::HTTPLIB
   prometheus-cpp::core)
 pomelotray_package(daemon DEPENDS pomelotray_shard pomelotray_api pomelotray_adapters pomelotray_peer
-  docopt)
+  docopt PkgConfig::XXHASH)
 pomelotray_package(cli DEPENDS pomelotray_history pomelotray_model PkgConfig::HTTPLIB docopt)
 pomelotray_package(standins DEPENDS pomelotray_adapters PkgConfig::HTTPLIB docopt)
 pomelotray_package(bench DEPENDS pomelotray_scheduler)
