api: Serve the HTTP API with limits, authentication and a graceful stop

cpp-httplib parses requests; accepting connections and reading them is done here, because its accept loop bounds neither the number of connections, nor the bytes of the headers, nor the time that a whole request may take.

A contract without caller_token_sha256 gives no one but operators access.

--- /dev/null
+++ b/packages/api/connection_server.cc
@@ -0,0 +1,155 @@
+#include "api/connection_server.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace pomelotray {
+namespace {
+
+constexpr int kBacklog = 256;
+// Interval at which the accepting thread checks for Stop(), and its pause when the process has no
+// file descriptors left.
+constexpr int kAcceptPollMs = 50;
+
+// Fills `storage` and returns its length.
+socklen_t FillAddress(const SocketAddress& address, sockaddr_storage* storage) {
+  auto* v4 = reinterpret_cast<sockaddr_in*>(storage);
+  if (inet_pton(AF_INET, address.ip.c_str(), &v4->sin_addr) == 1) {
+    v4->sin_family = AF_INET;
+    v4->sin_port = htons(static_cast<uint16_t>(address.port));
+    return sizeof(sockaddr_in);
+  }
+  auto* v6 = reinterpret_cast<sockaddr_in6*>(storage);
+  inet_pton(AF_INET6, address.ip.c_str(), &v6->sin6_addr);
+  v6->sin6_family = AF_INET6;
+  v6->sin6_port = htons(static_cast<uint16_t>(address.port));
+  return sizeof(sockaddr_in6);
+}
+
+int BoundPort(int fd) {
+  sockaddr_storage address{};
+  socklen_t length = sizeof(address);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+  return ntohs(address.ss_family == AF_INET ? reinterpret_cast<sockaddr_in*>(&address)->sin_port
+                                            : reinterpret_cast<sockaddr_in6*>(&address)->sin6_port);
+}
+
+}  // namespace
+
+ConnectionServer::ConnectionServer(size_t max_connections, Handler serve, Handler refuse)
+    : max_connections_(max_connections), serve_(std::move(serve)), refuse_(std::move(refuse)) {}
+
+ConnectionServer::~ConnectionServer() { Stop(); }
+
+Result<void> ConnectionServer::Start(const SocketAddress& address) {
+  sockaddr_storage storage{};
+  const socklen_t length = FillAddress(address, &storage);
+  const int fd = socket(storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  const int on = 1;
+  if (fd < 0 || setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
+      bind(fd, reinterpret_cast<sockaddr*>(&storage), length) != 0 || listen(fd, kBacklog) != 0) {
+    const int error = errno;
+    if (fd >= 0) {
+      close(fd);
+    }
+    return Fail(ErrorKind::kUnavailable,
+                absl::StrCat("Listening on ", address.ToString(), " failed: ",
+                             std::strerror(error),  // NOLINT(concurrency-mt-unsafe)
+                             "; choose a free local address with --listen-address."));
+  }
+  listener_ = fd;
+  port_ = BoundPort(fd);
+  accept_thread_ = std::thread([this] { AcceptLoop(); });
+  return {};
+}
+
+void ConnectionServer::AcceptLoop() {
+  while (!stopping_) {
+    pollfd entry{listener_, POLLIN, 0};
+    if (poll(&entry, 1, kAcceptPollMs) <= 0) {
+      continue;
+    }
+    const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+    if (fd >= 0) {
+      const int on = 1;
+      setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+      Dispatch(fd);
+    } else if (errno == EMFILE || errno == ENFILE || errno == ENOMEM || errno == ENOBUFS) {
+      poll(nullptr, 0, kAcceptPollMs);
+    }
+  }
+}
+
+void ConnectionServer::Dispatch(int fd) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (open_ < max_connections_) {
+      ++open_;
+      waiting_.push_back(fd);
+      if (threads_.size() < open_) {
+        threads_.emplace_back([this] { ConnectionLoop(); });
+      }
+      changed_.Signal();
+      return;
+    }
+  }
+  refuse_(fd);
+  close(fd);
+}
+
+void ConnectionServer::ConnectionLoop() {
+  for (;;) {
+    int fd = -1;
+    {
+      absl::MutexLock lock(&mutex_);
+      while (waiting_.empty() && !stopping_) {
+        changed_.WaitWithTimeout(&mutex_, absl::Seconds(1));
+      }
+      if (waiting_.empty()) {
+        return;
+      }
+      fd = waiting_.front();
+      waiting_.pop_front();
+    }
+    serve_(fd);
+    close(fd);
+    absl::MutexLock lock(&mutex_);
+    --open_;
+  }
+}
+
+bool ConnectionServer::IsCrowded() const {
+  absl::MutexLock lock(&mutex_);
+  return open_ * 4 >= max_connections_ * 3;
+}
+
+void ConnectionServer::Stop() {
+  stopping_ = true;
+  if (accept_thread_.joinable()) {
+    accept_thread_.join();
+  }
+  if (listener_ >= 0) {
+    close(listener_);
+    listener_ = -1;
+  }
+  std::vector<std::thread> threads;
+  {
+    absl::MutexLock lock(&mutex_);
+    threads.swap(threads_);
+    changed_.SignalAll();
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+}
+
+}  // namespace pomelotray
--- a/packages/model/contract.h
+++ b/packages/model/contract.h
@@ -20,8 +20,7 @@
   // Store revision of this version; 0 before it is stored. Not part of the JSON that operators
   // write.
   Revision revision;
-  // Lower-case hex SHA-256 of the caller's token; empty when callers of this customer need no
-  // token.
+  // Lower-case hex SHA-256 of the caller's token; empty when only operators act for the customer.
   std::string caller_token_sha256;
   // The most that the customer's tasks and requests may hold at once, over all shards.
   Resources hold;
