--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -82,11 +82,18 @@
   install(TARGETS pomelotrayd pomelotray)
 endif()
 
+# Fakes of the ports and generators of model values that several test folders use.
+file(GLOB fakes CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/fakes/*.cc
+  ${CMAKE_SOURCE_DIR}/tests/model/model_generators.cc)
+add_library(pomelotray_fakes STATIC EXCLUDE_FROM_ALL ${fakes})
+target_include_directories(pomelotray_fakes PUBLIC ${CMAKE_SOURCE_DIR})
+target_link_libraries(pomelotray_fakes PUBLIC pomelotray_ports rapidcheck)
+
 pomelotray_tests(base DEPENDS pomelotray_base)
 pomelotray_tests(model DEPENDS pomelotray_model)
 pomelotray_tests(adapters DEPENDS pomelotray_adapters pomelotray_standins)
 pomelotray_tests(peer DEPENDS pomelotray_peer)
-pomelotray_tests(state DEPENDS pomelotray_state)
+pomelotray_tests(state DEPENDS pomelotray_state pomelotray_fakes TIMEOUT 300)
 pomelotray_tests(scheduler DEPENDS pomelotray_scheduler)
 pomelotray_tests(shard DEPENDS pomelotray_shard)
 pomelotray_tests(history DEPENDS pomelotray_history)
--- a/packages/state/budgeted_store.cc
+++ b/packages/state/budgeted_store.cc
@@ -22,8 +22,10 @@
   return "store";
 }
 
+// Never zero: a wait that rounds down to nothing would be repeated without end on a paused clock.
 absl::Duration TimeForTokens(double tokens, double per_second) {
-  return per_second > 0 ? absl::Seconds(tokens / per_second) : absl::InfiniteDuration();
+  return per_second > 0 ? absl::Seconds(tokens / per_second) + absl::Nanoseconds(1)
+                        : absl::InfiniteDuration();
 }
 
 }  // namespace
--- a/packages/state/configuration_cache.cc
+++ b/packages/state/configuration_cache.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "model/contract_codec.h"
+#include "model/json_text.h"
 #include "state/nonce.h"
 #include "state/swap.h"
 
@@ -274,7 +275,7 @@
   // Checks the contract as its readers will.
   BOOST_LEAF_AUTO(checked, ContractFromJson(json));
   json[kNonceField] = MakeNonceText();
-  const std::string value = json.dump();
+  const std::string value = DumpJson(json);
   BOOST_LEAF_AUTO(swap, SwapReadingBack(context_, KeyOf(contract.customer), expected, value));
   if (swap.state == SwapOutcome::State::kRefused) {
     return Conflict(contract.customer, expected);
--- a/packages/state/instance_lease.cc
+++ b/packages/state/instance_lease.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "model/json_text.h"
 #include "state/nonce.h"
 #include "state/swap.h"
 
@@ -161,7 +162,7 @@
                                 {"nonce", MakeNonceText()}};
   BOOST_LEAF_AUTO(present, context_.store->Get(key_));
   const Revision expected = present.has_value() ? present->revision : Revision(0);
-  BOOST_LEAF_AUTO(swap, SwapReadingBack(context_, key_, expected, value.dump(), lease));
+  BOOST_LEAF_AUTO(swap, SwapReadingBack(context_, key_, expected, DumpJson(value), lease));
   if (swap.state != SwapOutcome::State::kWritten) {
     return Fail(ErrorKind::kConflict, absl::StrCat("Another process writes ", key_,
                                                    "; give each instance an id of its own."));
--- a/packages/state/shard_claims.cc
+++ b/packages/state/shard_claims.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "model/json_text.h"
 #include "state/nonce.h"
 #include "state/swap.h"
 
@@ -16,11 +17,10 @@
 std::string KeyOf(const ShardId& shard) { return kPrefix + shard.ToString(); }
 
 std::string ToValue(const ShardClaim& claim) {
-  return nlohmann::json{{"owner", claim.owner.value()},
-                        {"address", claim.address},
-                        {"term", claim.term},
-                        {"nonce", MakeNonceText()}}
-      .dump();
+  return DumpJson(nlohmann::json{{"owner", claim.owner.value()},
+                                 {"address", claim.address},
+                                 {"term", claim.term},
+                                 {"nonce", MakeNonceText()}});
 }
 
 Result<ShardClaim> ParseClaim(const StoreEntry& entry) {
--- a/packages/state/slice_book.cc
+++ b/packages/state/slice_book.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <tuple>
 
+#include "model/json_text.h"
+
 namespace pomelotray {
 namespace {
 
@@ -77,11 +79,10 @@
   for (const auto& [shard, entry] : book.entries) {
     slices[shard.ToString()] = nlohmann::json::array({entry.term, entry.amount, entry.wanted});
   }
-  return nlohmann::json{{"revision", book.contract_revision.value()},
-                        {"cap", book.cap},
-                        {"slices", slices},
-                        {"nonce", nonce}}
-      .dump();
+  return DumpJson(nlohmann::json{{"revision", book.contract_revision.value()},
+                                 {"cap", book.cap},
+                                 {"slices", slices},
+                                 {"nonce", nonce}});
 }
 
 Result<SliceBook> DecodeSliceBook(const std::string& value) {
--- a/packages/state/slice_manager.cc
+++ b/packages/state/slice_manager.cc
@@ -182,8 +182,8 @@
     }
     Slice& slice = SliceOf(contract.customer, shard);
     const SliceVector wish = slice.demand.Wish(cap, entry.wanted, HomeShards(contract), now);
-    standings[shard] = ShardStanding{term, wish, slice.demand.InUse(), slice.limit,
-                                     slice.demand.InUseKnown(now)};
+    standings[shard] =
+        ShardStanding{term, wish, slice.demand.InUse(), slice.limit, slice.demand.InUseKnown(now)};
   }
   return standings;
 }
--- a/packages/state/slice_plan.h
+++ b/packages/state/slice_plan.h
@@ -14,8 +14,8 @@
   SliceVector in_use = {};
   // The limit that the shard keeps to now.
   SliceVector limit = {};
-  // True when `in_use` was reported since the limit was lowered: it can no longer exceed the greater
-  // of the two.
+  // True when `in_use` was reported since the limit was lowered: it can no longer exceed the
+  // greater of the two.
   bool in_use_known = false;
 };
 
--- /dev/null
+++ b/tests/fakes/fake_store.h
@@ -0,0 +1,108 @@
+#ifndef POMELOTRAY_TESTS_FAKES_FAKE_STORE_H_
+#define POMELOTRAY_TESTS_FAKES_FAKE_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "base/clock.h"
+#include "ports/store_port.h"
+
+namespace pomelotray {
+
+// What happens to one call.
+enum class StoreFault {
+  kNone,
+  // Fails with kStoreUnavailable and has no effect.
+  kDown,
+  // Has no effect, but the caller cannot know: kOutcomeUnknown for writes.
+  kRequestLost,
+  // Takes effect, but the caller cannot know: kOutcomeUnknown for writes.
+  kAnswerLost,
+};
+
+// An in-memory store on a clock, with faults. Thread-safe.
+class FakeStore : public StorePort {
+ public:
+  struct Call {
+    // "get", "list", "swap", "delete", "watch", "grant", "keepalive" or "revoke".
+    std::string kind;
+    std::string key;
+    bool write = false;
+  };
+  // Called before each call, without any lock held: it may use the store itself.
+  using Hook = std::function<StoreFault(const Call&)>;
+
+  explicit FakeStore(const Clock* clock);
+
+  void SetDown(bool down);
+  // Delays each call; with a paused clock, until the clock is advanced.
+  void SetLatency(absl::Duration latency);
+  void SetHook(Hook hook);
+  // Ends all leases now, as if their holders had been silent.
+  void LapseLeases();
+
+  // Calls of this kind that reached the store or its outage so far.
+  int64_t Calls(const std::string& kind) const;
+  int64_t AllCalls() const;
+  int64_t WrittenBytes() const;
+  // Reads a key without counting and without faults.
+  std::optional<StoreEntry> Peek(const std::string& key) const;
+  // Writes a key whatever its revision is.
+  Revision Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+
+  Result<std::optional<StoreEntry>> Get(const std::string& key) override;
+  Result<std::vector<StoreEntry>> List(const std::string& prefix) override;
+  using StorePort::CompareAndSwap;
+  Result<Revision> CompareAndSwap(const std::string& key, Revision expected,
+                                  const std::string& value,
+                                  const std::optional<StoreLeaseId>& lease) override;
+  Result<void> Delete(const std::string& key, Revision expected) override;
+  Result<WatchBatch> Watch(const std::string& prefix, Revision after, absl::Duration wait) override;
+  Result<StoreLeaseId> GrantLease(absl::Duration ttl) override;
+  Result<void> KeepAlive(const StoreLeaseId& lease) override;
+  Result<void> RevokeLease(const StoreLeaseId& lease) override;
+
+ private:
+  struct Item {
+    std::string value;
+    Revision revision;
+    std::optional<StoreLeaseId> lease;
+  };
+  struct Lease {
+    absl::Duration ttl;
+    absl::Time expires;
+  };
+
+  // Decides on the fault of a call; returns an error for the faults without an effect.
+  Result<StoreFault> Begin(const Call& call);
+  Revision NextRevision() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void Erase(const std::string& key) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void ExpireLeases() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void EndLease(const StoreLeaseId& lease) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  WatchBatch Changes(const std::string& prefix, Revision after) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+  const Clock* const clock_;
+  mutable absl::Mutex mutex_;
+  absl::CondVar changed_;
+  std::map<std::string, Item> items_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, Revision> deleted_ ABSL_GUARDED_BY(mutex_);
+  std::map<StoreLeaseId, Lease> leases_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, int64_t> calls_ ABSL_GUARDED_BY(mutex_);
+  int64_t written_bytes_ ABSL_GUARDED_BY(mutex_) = 0;
+  Revision revision_ ABSL_GUARDED_BY(mutex_);
+  int64_t next_lease_ ABSL_GUARDED_BY(mutex_) = 1;
+  bool down_ ABSL_GUARDED_BY(mutex_) = false;
+  absl::Duration latency_ ABSL_GUARDED_BY(mutex_);
+  Hook hook_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_TESTS_FAKES_FAKE_STORE_H_
