--- a/packages/state/packed_reader.cc
+++ b/packages/state/packed_reader.cc
@@ -1,8 +1,14 @@
 #include "state/packed_reader.h"
 
+#include <cstdlib>
+#include <vector>
+
 namespace pomelotray {
 namespace {
 
+// Times further from the Unix epoch do not fit into 64 bits of nanoseconds.
+constexpr int64_t kMaxSecondsInNanoseconds = 9'000'000'000;
+
 const nlohmann::json& NullJson() {
   static const nlohmann::json* const kNull = new nlohmann::json();
   return *kNull;
@@ -86,7 +92,17 @@
   return element;
 }
 
-absl::Time PackedReader::Time() { return absl::FromUnixNanos(Integer()); }
+absl::Time PackedReader::Time() {
+  const nlohmann::json& element = Next();
+  if (element.is_number_integer()) {
+    return absl::FromUnixNanos(element.get<int64_t>());
+  }
+  PackedReader parts(element);
+  const int64_t seconds = parts.Integer();
+  const int64_t nanoseconds = parts.Integer();
+  ok_ = ok_ && parts.Complete();
+  return absl::FromUnixSeconds(seconds) + absl::Nanoseconds(nanoseconds);
+}
 
 std::optional<absl::Time> PackedReader::OptionalTime() {
   if (ok_ && next_ < size_ && array_[next_].is_null()) {
@@ -96,15 +112,22 @@
   return Time();
 }
 
-absl::Duration PackedReader::Duration() { return absl::Nanoseconds(Integer()); }
+absl::Duration PackedReader::Duration() { return absl::Milliseconds(Integer()); }
 
-nlohmann::json PackTime(absl::Time time) { return absl::ToUnixNanos(time); }
+nlohmann::json PackTime(absl::Time time) {
+  const int64_t seconds = absl::ToUnixSeconds(time);
+  if (std::abs(seconds) < kMaxSecondsInNanoseconds) {
+    return absl::ToUnixNanos(time);
+  }
+  return nlohmann::json::array(
+      {seconds, absl::ToInt64Nanoseconds(time - absl::FromUnixSeconds(seconds))});
+}
 
 nlohmann::json PackTime(const std::optional<absl::Time>& time) {
   return time.has_value() ? PackTime(*time) : nlohmann::json();
 }
 
-nlohmann::json PackDuration(absl::Duration duration) { return absl::ToInt64Nanoseconds(duration); }
+nlohmann::json PackDuration(absl::Duration duration) { return absl::ToInt64Milliseconds(duration); }
 
 nlohmann::json PackBytes(const std::string& bytes) {
   return nlohmann::json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
--- a/packages/state/packed_reader.h
+++ b/packages/state/packed_reader.h
@@ -55,6 +55,7 @@
 // Encodings that PackedReader reads.
 nlohmann::json PackTime(absl::Time time);
 nlohmann::json PackTime(const std::optional<absl::Time>& time);
+// Whole milliseconds, as in the API.
 nlohmann::json PackDuration(absl::Duration duration);
 nlohmann::json PackBytes(const std::string& bytes);
 
