--- a/packages/daemon/shard_host.cc
+++ b/packages/daemon/shard_host.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "daemon/rendezvous.h"
+#include "shard/slice_limits_source.h"
 #include "state/journal.h"
 
 namespace pomelotray {
@@ -337,7 +338,7 @@
 std::shared_ptr<ShardHost::Hosted> ShardHost::NewHosted(const ShardId& shard, const Epoch& epoch) {
   std::shared_ptr<Hosted> hosted = std::make_shared<Hosted>();
   hosted->epoch = epoch;
-  hosted->limits = std::make_shared<ShardLimits>(shard, context_.contracts, context_.slices);
+  hosted->limits = std::make_shared<SliceLimitsSource>(shard, context_.contracts, context_.slices);
   return hosted;
 }
 
--- a/packages/shard/shard_limits.cc
+++ b/packages/shard/slice_limits_source.cc
@@ -1,25 +1,25 @@
-#include "shard/shard_limits.h"
+#include "shard/slice_limits_source.h"
 
 #include <optional>
 
 namespace pomelotray {
 
-ShardLimits::ShardLimits(const ShardId& shard, const ConfigurationCache* contracts,
+SliceLimitsSource::ShardLimits(const ShardId& shard, const ConfigurationCache* contracts,
                          SliceManager* slices)
     : shard_(shard), contracts_(contracts), slices_(slices) {}
 
-Resources ShardLimits::HoldLimit(const CustomerId& customer) const { return Limits(customer).hold; }
+Resources SliceLimitsSource::HoldLimit(const CustomerId& customer) const { return Limits(customer).hold; }
 
-double ShardLimits::Weight(const CustomerId& customer) const {
+double SliceLimitsSource::Weight(const CustomerId& customer) const {
   const std::optional<Contract> contract = contracts_->Find(customer);
   return contract.has_value() ? contract->weight : 1.0;
 }
 
-SliceLimits ShardLimits::Limits(const CustomerId& customer) const {
+SliceLimits SliceLimitsSource::Limits(const CustomerId& customer) const {
   return slices_->Limit(customer, shard_);
 }
 
-void ShardLimits::ReportDemand(const CustomerId& customer, const SliceDemand& in_use,
+void SliceLimitsSource::ReportDemand(const CustomerId& customer, const SliceDemand& in_use,
                                const SliceDemand& wanted) {
   slices_->ReportDemand(customer, shard_, in_use, wanted);
 }
--- a/packages/shard/task_lifecycle.cc
+++ b/packages/shard/task_lifecycle.cc
@@ -32,6 +32,12 @@
   return task.state == TaskState::kStarting || task.state == TaskState::kRunning;
 }
 
+// True when the caller is told that the job was not run.
+bool NotRun(const TrackedJob& job) {
+  return job.record.state == JobState::kExpired ||
+         (job.record.state == JobState::kCancelled && !job.record.started_at.has_value());
+}
+
 }  // namespace
 
 TaskLifecycle::TaskLifecycle(const Context& context) : context_(context) {}
@@ -490,12 +496,11 @@
   job->record.state = state;
   job->record.reason = std::move(reason);
   job->record.finished_at = context_.clock->Now();
-  context_.events
-      ->Record(state == JobState::kCancelled ? EventCode::kJobCancelled : EventCode::kJobFinished)
+  context_.events->Record(EventCode::kJobFinished)
       .Job(job->record.id)
       .Customer(job->record.spec.customer)
       .With(event_field::kState, JobStateName(state))
-      .With(event_field::kReason, job->record.reason)
+      .With(event_field::kReason, NotRun(*job) ? "not_run" : "")
       .Emit();
 }
 
