adapters: Test the kinds of refused starts that the port now names

The port gives the refusals without effect kinds of their own instead of kConflict; each start that does not fit is now checked for its own kind.

--- a/packages/standins/worker_standin.cc
+++ b/packages/standins/worker_standin.cc
@@ -21,8 +21,7 @@
     case WorkerVerdict::kNotFenced:
       return Refuse(421, "not_ready", "The worker has not seen this epoch; fence it first.");
     case WorkerVerdict::kWrongBoot:
-      return Refuse(421, "not_ready",
-                    "The worker has restarted; fence it and read its inventory.");
+      return Refuse(421, "not_ready", "The worker has restarted; fence it and read its inventory.");
     case WorkerVerdict::kKnownAttempt:
       return Refuse(409, "conflict",
                     "The attempt is already known; read its state from the inventory.");
--- a/tests/adapters/http_worker_test.cc
+++ b/tests/adapters/http_worker_test.cc
@@ -113,19 +113,19 @@
 // not seen, or after their time.
 BOOST_AUTO_TEST_CASE(StartsThatDoNotFitAreRefused) {
   BOOST_TEST_REQUIRE(Start(NewStart("a1")).ok());
-  BOOST_TEST((KindOf(Start(NewStart("a2"))) == ErrorKind::kConflict));
+  BOOST_TEST((KindOf(Start(NewStart("a2"))) == ErrorKind::kOverLimit));
   TaskStart small = NewStart("a3");
   small.demand.cpu = MilliCores(400);
   TaskStart wrong_boot = small;
   wrong_boot.boot = BootId("b2");
-  BOOST_TEST((KindOf(Start(wrong_boot)) == ErrorKind::kConflict));
+  BOOST_TEST((KindOf(Start(wrong_boot)) == ErrorKind::kNotReady));
   TaskStart not_fenced = small;
   not_fenced.epoch = Epoch{3, 0};
-  BOOST_TEST((KindOf(Start(not_fenced)) == ErrorKind::kConflict));
+  BOOST_TEST((KindOf(Start(not_fenced)) == ErrorKind::kNotReady));
   TaskStart late = small;
   late.valid_before = -absl::Seconds(1);
   clock.SleepFor(absl::Milliseconds(2));
-  BOOST_TEST((KindOf(Start(late)) == ErrorKind::kConflict));
+  BOOST_TEST((KindOf(Start(late)) == ErrorKind::kDeadlineExceeded));
   BOOST_TEST(Start(small).ok());
 }
 
