--- a/packages/history/history_checker.h
+++ b/packages/history/history_checker.h
@@ -79,11 +79,12 @@
 // - kRevisionWentBack: contract_in_force on one process since its process_started: customer,
 //   revision.
 // - kNotOneFinalState: an accepted job has no final state at the end, or two different ones.
-//   job_accepted: job; job_finished: job, state. The same final state may be recorded again after a
-//   takeover.
-// - kStartOfJobNotRun: a job has a start although it was refused and never accepted, or was
-//   reported as not run. job_refused: job; job_finished: job with the state "expired" or the reason
-//   "not_run"; workers' task_started: job.
+//   job_accepted: job; job_finished and job_cancelled: job, state. The same final state may be
+//   recorded again after a takeover.
+// - kStartOfJobNotRun: a job has a start although a caller was told that it did not run: it was
+//   refused after the start, refused before it and not accepted since, or has the final state
+//   "expired". job_refused and job_accepted: job; job_finished: job, state; workers' task_started:
+//   job.
 // - kStartAfterLeaving: a start or request reaches a worker or executor later than the grace after
 //   it announced that it leaves. Workers' worker_leaving: worker, boot; task_started: boot;
 //   executors' request_sent: executor.
--- a/packages/history/task_rules.cc
+++ b/packages/history/task_rules.cc
@@ -89,6 +89,7 @@
     runs.push_back(&start);
   }
   std::vector<Event> events;
+  events.reserve(runs.size());
   for (const TaskRun* run : runs) {
     events.push_back(*run->start);
   }
