state: Hold no lock during the slice manager's store calls

The lock of a round was held over store calls only to guard data of a single thread. The lock-order check found it when rounds of two managers met. Rounds are now documented as one at a time.

--- a/packages/state/slice_manager.cc
+++ b/packages/state/slice_manager.cc
@@ -110,7 +110,6 @@
 }
 
 bool SliceManager::NegotiateOnce(absl::Duration watch_wait) {
-  absl::MutexLock round(&round_mutex_);
   const Outcome<void> read = Capture([&] { return ReadChanges(watch_wait); });
   if (!read.ok()) {
     return false;
--- a/packages/state/slice_manager.h
+++ b/packages/state/slice_manager.h
@@ -43,8 +43,8 @@
   // says that nothing is in use. What was admitted under the limit read before is included.
   void ReportDemand(const CustomerId& customer, const ShardId& shard, const SliceDemand& in_use,
                     const SliceDemand& wanted);
-  // One round for all customers. The thread calls it; tests do so instead of starting the thread.
-  // Returns false when the store did not answer.
+  // One round for all customers. The thread calls it; tests do so instead of starting the thread,
+  // one call at a time. Returns false when the store did not answer.
   bool NegotiateOnce(absl::Duration watch_wait = absl::ZeroDuration());
 
  private:
@@ -85,12 +85,12 @@
 
   const StateContext context_;
   const ContractSource contracts_;
-  // Held during a round.
-  absl::Mutex round_mutex_ ABSL_ACQUIRED_BEFORE(mutex_);
-  Revision watched_ ABSL_GUARDED_BY(round_mutex_);
+  // These three are used by one round at a time only and need no lock, which would be held during
+  // store calls.
+  Revision watched_;
   // The customer at which the next round begins, so that a short write budget reaches all in turn.
-  CustomerId first_customer_ ABSL_GUARDED_BY(round_mutex_);
-  std::map<CustomerId, KnownBook> books_ ABSL_GUARDED_BY(round_mutex_);
+  CustomerId first_customer_;
+  std::map<CustomerId, KnownBook> books_;
   mutable absl::Mutex mutex_;
   absl::CondVar wake_;
   std::map<ShardId, int64_t> owned_ ABSL_GUARDED_BY(mutex_);
