--- a/packages/base/event.h
+++ b/packages/base/event.h
@@ -33,6 +33,9 @@
 inline constexpr char kKind[] = "kind";
 }  // namespace event_field
 
+// Value of the field "reason" of a final state that says that the job was not run.
+inline constexpr char kNotRunReason[] = "not_run";
+
 // One entry of the timeline. `process` and `sequence` identify it; `time` orders it causally with
 // the events of other processes.
 struct Event {
--- a/packages/history/history_checker.h
+++ b/packages/history/history_checker.h
@@ -83,8 +83,8 @@
 //   recorded again after a takeover.
 // - kStartOfJobNotRun: a job has a start although a caller was told that it did not run: it was
 //   refused after the start, refused before it and not accepted since, or has the final state
-//   "expired". job_refused and job_accepted: job; job_finished: job, state; workers' task_started:
-//   job.
+//   "expired" or the reason "not_run". job_refused and job_accepted: job; job_finished and
+//   job_cancelled: job, state, reason; workers' task_started: job.
 // - kStartAfterLeaving: a start or request reaches a worker or executor later than the grace after
 //   it announced that it leaves. Workers' worker_leaving: worker, boot; task_started: boot;
 //   executors' request_sent: executor.
--- a/packages/history/job_rules.cc
+++ b/packages/history/job_rules.cc
@@ -18,15 +18,17 @@
          !FieldOf(event, event_field::kState).empty();
 }
 
-bool SaysExpired(const Event& event) {
+// Whether the event states that the job ended without having run.
+bool SaysNotRun(const Event& event) {
   return IsFinalState(event) &&
-         FieldOf(event, event_field::kState) == JobStateName(JobState::kExpired);
+         (FieldOf(event, event_field::kState) == JobStateName(JobState::kExpired) ||
+          FieldOf(event, event_field::kReason) == kNotRunReason);
 }
 
 // Whether `event` says that the job of `run` did not run. A submission that was refused may be
 // repeated and accepted (`last_acceptance`); a start after that is no fault.
 bool Denies(const Event& event, const TaskRun& run, const Event* last_acceptance) {
-  if (SaysExpired(event)) {
+  if (SaysNotRun(event)) {
     return true;
   }
   if (event.code != EventCode::kJobRefused) {
@@ -78,7 +80,7 @@
     const std::string& job = FieldOf(event, event_field::kJob);
     if (event.code == EventCode::kJobAccepted) {
       last_acceptance[job] = &event;
-    } else if (event.code == EventCode::kJobRefused || SaysExpired(event)) {
+    } else if (event.code == EventCode::kJobRefused || SaysNotRun(event)) {
       denials[job].push_back(&event);
     }
   }
--- a/packages/shard/lease_keeper.h
+++ b/packages/shard/lease_keeper.h
@@ -14,8 +14,8 @@
 
 namespace pomelotray {
 
-// A local owner of a shard during a store outage: it keeps the tasks that run on the shard's workers running. It starts,
-// ends and acknowledges nothing, because it cannot read the journal.
+// A local owner of a shard during a store outage: it keeps the tasks that run on the shard's
+// workers running. It starts, ends and acknowledges nothing, because it cannot read the journal.
 class LeaseKeeper : public WorkerLinkListener {
  public:
   LeaseKeeper(WorkerPort* port, const Clock* clock, EventLog* events,
--- a/packages/shard/slice_limits_source.cc
+++ b/packages/shard/slice_limits_source.cc
@@ -4,11 +4,13 @@
 
 namespace pomelotray {
 
-SliceLimitsSource::ShardLimits(const ShardId& shard, const ConfigurationCache* contracts,
-                         SliceManager* slices)
+SliceLimitsSource::SliceLimitsSource(const ShardId& shard, const ConfigurationCache* contracts,
+                                     SliceManager* slices)
     : shard_(shard), contracts_(contracts), slices_(slices) {}
 
-Resources SliceLimitsSource::HoldLimit(const CustomerId& customer) const { return Limits(customer).hold; }
+Resources SliceLimitsSource::HoldLimit(const CustomerId& customer) const {
+  return Limits(customer).hold;
+}
 
 double SliceLimitsSource::Weight(const CustomerId& customer) const {
   const std::optional<Contract> contract = contracts_->Find(customer);
@@ -20,7 +22,7 @@
 }
 
 void SliceLimitsSource::ReportDemand(const CustomerId& customer, const SliceDemand& in_use,
-                               const SliceDemand& wanted) {
+                                     const SliceDemand& wanted) {
   slices_->ReportDemand(customer, shard_, in_use, wanted);
 }
 
--- a/packages/shard/task_lifecycle.cc
+++ b/packages/shard/task_lifecycle.cc
@@ -496,11 +496,12 @@
   job->record.state = state;
   job->record.reason = std::move(reason);
   job->record.finished_at = context_.clock->Now();
-  context_.events->Record(EventCode::kJobFinished)
+  context_.events
+      ->Record(state == JobState::kCancelled ? EventCode::kJobCancelled : EventCode::kJobFinished)
       .Job(job->record.id)
       .Customer(job->record.spec.customer)
       .With(event_field::kState, JobStateName(state))
-      .With(event_field::kReason, NotRun(*job) ? "not_run" : "")
+      .With(event_field::kReason, NotRun(*job) ? kNotRunReason : "")
       .Emit();
 }
 
--- /dev/null
+++ b/tests/shard/fault_run.h
@@ -0,0 +1,121 @@
+#ifndef POMELOTRAY_TESTS_SHARD_FAULT_RUN_H_
+#define POMELOTRAY_TESTS_SHARD_FAULT_RUN_H_
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "base/manual_clock.h"
+#include "history/history_checker.h"
+#include "shard/shard_owner.h"
+#include "tests/fakes/fake_store.h"
+#include "tests/shard/faulty_ports.h"
+
+namespace pomelotray {
+
+// Limits that never restrict.
+class UnlimitedShard : public ShardLimits {
+ public:
+  Resources HoldLimit(const CustomerId& customer) const override;
+  double Weight(const CustomerId& customer) const override;
+  SliceLimits Limits(const CustomerId& customer) const override;
+  void ReportDemand(const CustomerId& customer, const SliceDemand& in_use,
+                    const SliceDemand& wanted) override;
+};
+
+// Which faults a run brings about.
+struct FaultPlan {
+  bool owner_crashes = false;
+  // The former owner goes on while a new one takes over.
+  bool zombie_owners = false;
+  bool store_outages = false;
+  bool lost_store_answers = false;
+  bool worker_reboots = false;
+  bool worker_cuts = false;
+  bool lost_worker_answers = false;
+  bool delayed_commands = false;
+  bool cancellations = false;
+};
+
+// Runs one shard of four workers on the paused clock through a random schedule of jobs and faults,
+// then heals everything and waits until all jobs are final.
+class FaultRun {
+ public:
+  FaultRun(uint64_t seed, const FaultPlan& plan);
+  ~FaultRun();
+
+  void Run();
+
+  // After Run(): everything that happened.
+  const std::vector<Event>& history() const { return history_; }
+  // Jobs whose submission was accepted but which did not become final, with their states.
+  const std::vector<std::string>& unfinished() const { return unfinished_; }
+  int64_t accepted_jobs() const { return accepted_jobs_; }
+
+ private:
+  struct Owner {
+    std::unique_ptr<CutStorePort> store;
+    std::unique_ptr<FaultyWorkerPort> workers;
+    std::unique_ptr<EventLog> events;
+    std::unique_ptr<ShardOwner> owner;
+    std::atomic<bool> started{false};
+    std::thread starter;
+  };
+  struct Worker {
+    VmEntry vm;
+    std::shared_ptr<WorkerState> state;
+    std::thread timers;
+  };
+  struct Client {
+    JobSpec spec;
+    std::thread thread;
+    std::atomic<bool> accepted{false};
+    std::atomic<bool> done{false};
+  };
+
+  std::unique_ptr<EventLog> NewLog(const std::string& process);
+  void BootWorker(size_t index);
+  void StartOwner();
+  // Cuts the newest owner off from everything, then destroys it.
+  void CrashOwner();
+  void StepFaults();
+  void SubmitJob();
+  void CancelSomeJob();
+  void Heal();
+  void Step();
+  bool AllFinal();
+  std::shared_ptr<Owner> Current();
+  int64_t Random(int64_t bound) {
+    return static_cast<int64_t>(random_() % static_cast<uint64_t>(bound));
+  }
+
+  const FaultPlan plan_;
+  const uint64_t seed_;
+  std::mt19937_64 random_;
+  ManualClock clock_;
+  HybridClock hybrid_clock_;
+  FakeStore store_;
+  UnlimitedShard limits_;
+  WorkerFleet fleet_;
+  absl::Mutex history_mutex_;
+  std::vector<Event> history_;
+  std::vector<std::unique_ptr<EventLog>> logs_;
+  std::vector<Worker> workers_;
+  absl::Mutex owners_mutex_;
+  // All owners, the newest last; destroyed at the end.
+  std::vector<std::shared_ptr<Owner>> owners_;
+  int64_t term_ = 0;
+  std::vector<std::unique_ptr<Client>> clients_;
+  std::atomic<bool> stopping_{false};
+  std::vector<std::string> unfinished_;
+  int64_t accepted_jobs_ = 0;
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_TESTS_SHARD_FAULT_RUN_H_
--- a/tests/shard/faulty_ports.cc
+++ b/tests/shard/faulty_ports.cc
@@ -73,8 +73,8 @@
   }
 }
 
-Result<WorkerInventory> FaultyWorkerPort::Fence(const std::string& address,
-                                                const InstanceId& owner, const Epoch& epoch) {
+Result<WorkerInventory> FaultyWorkerPort::Fence(const std::string& address, const InstanceId& owner,
+                                                const Epoch& epoch) {
   BOOST_LEAF_AUTO(worker, Reach(address));
   BOOST_LEAF_CHECK(ToResult(worker->Fence(owner, epoch)));
   if (Roll(faults.lose_answer_percent)) {
@@ -133,8 +133,7 @@
     return false;
   }
   absl::MutexLock lock(&mutex_);
-  const absl::Duration delay =
-      absl::Milliseconds(static_cast<int64_t>(random_() % kMaxDelayMs));
+  const absl::Duration delay = absl::Milliseconds(static_cast<int64_t>(random_() % kMaxDelayMs));
   delayed_.push_back({clock_->Now() + delay, std::move(deliver)});
   return true;
 }
