cli: Add the pomelotray program

Each command is a class of its own with a help page in help/<command>.txt, which is both its docopt usage and what `pomelotray help <command>` prints; CMake compiles the pages in.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -53,6 +53,23 @@
     ENVIRONMENT "RC_PARAMS=seed=20261204;POMELOTRAY_BIN_DIR=${CMAKE_BINARY_DIR}/bin")
 endfunction()
 
+# pomelotray_help_texts(<target> <folder>)
+#
+# Compiles the texts <folder>/*.txt into <target>, by way of help_texts.cc.in beside the folder.
+function(pomelotray_help_texts target folder)
+  file(GLOB texts CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${folder}/*.txt)
+  set(POMELOTRAY_HELP_ENTRIES "")
+  foreach(text IN LISTS texts)
+    set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${text})
+    get_filename_component(name ${text} NAME_WE)
+    file(READ ${text} content)
+    string(APPEND POMELOTRAY_HELP_ENTRIES "          {\"${name}\", R\"help(${content})help\"},\n")
+  endforeach()
+  set(generated ${CMAKE_BINARY_DIR}/generated/${target}_help_texts.cc)
+  configure_file(${CMAKE_SOURCE_DIR}/${folder}/../help_texts.cc.in ${generated} @ONLY)
+  target_sources(${target} PRIVATE ${generated})
+endfunction()
+
 set(ABSL_TARGETS absl::base absl::time absl::synchronization absl::strings absl::flat_hash_map
     absl::flat_hash_set absl::btree absl::hash absl::random_random)
 
@@ -71,6 +88,7 @@
 pomelotray_package(daemon DEPENDS pomelotray_shard pomelotray_api pomelotray_adapters pomelotray_peer
   docopt)
 pomelotray_package(cli DEPENDS pomelotray_history pomelotray_model PkgConfig::HTTPLIB docopt)
+pomelotray_help_texts(pomelotray_cli packages/cli/help)
 pomelotray_package(standins DEPENDS pomelotray_adapters PkgConfig::HTTPLIB docopt)
 pomelotray_package(bench DEPENDS pomelotray_scheduler)
 
--- /dev/null
+++ b/packages/cli/nodes_command.cc
@@ -0,0 +1,33 @@
+#include "cli/nodes_command.h"
+
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_join.h"
+#include "cli/json_view.h"
+#include "cli/table.h"
+
+namespace pomelotray {
+
+Result<int> NodesCommand::Run(const Arguments& /*args*/, const CommandContext& context) {
+  BOOST_LEAF_AUTO(answer, context.client->GetJson("/v1/instances"));
+  if (context.json) {
+    PrintJson(answer, context);
+    return kExitDone;
+  }
+  Table table({"INSTANCE", "REGION", "DOMAIN", "STATE", "ADDRESS", "REVISION", "SHARDS"});
+  for (const nlohmann::json& instance : JsonList(answer, "/instances")) {
+    std::vector<std::string> shards;
+    for (const nlohmann::json& shard : JsonList(instance, "/owned_shards")) {
+      shards.push_back(JsonText(shard, ""));
+    }
+    table.AddRow({JsonText(instance, "/id"), JsonText(instance, "/region"),
+                  JsonText(instance, "/domain"), JsonText(instance, "/state"),
+                  JsonText(instance, "/address"), JsonText(instance, "/configuration_revision"),
+                  shards.empty() ? "-" : absl::StrJoin(shards, ",")});
+  }
+  table.Print(*context.out);
+  return kExitDone;
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/cli/queue_command.h
@@ -0,0 +1,16 @@
+#ifndef POMELOTRAY_CLI_QUEUE_COMMAND_H_
+#define POMELOTRAY_CLI_QUEUE_COMMAND_H_
+
+#include "cli/command.h"
+
+namespace pomelotray {
+
+// Lists the jobs that wait, oldest first.
+class QueueCommand : public Command {
+ public:
+  Result<int> Run(const Arguments& args, const CommandContext& context) override;
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_CLI_QUEUE_COMMAND_H_
--- /dev/null
+++ b/packages/cli/status_command.h
@@ -0,0 +1,16 @@
+#ifndef POMELOTRAY_CLI_STATUS_COMMAND_H_
+#define POMELOTRAY_CLI_STATUS_COMMAND_H_
+
+#include "cli/command.h"
+
+namespace pomelotray {
+
+// Shows one job and the reason why it waits.
+class StatusCommand : public Command {
+ public:
+  Result<int> Run(const Arguments& args, const CommandContext& context) override;
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_CLI_STATUS_COMMAND_H_
--- /dev/null
+++ b/packages/cli/wait_command.cc
@@ -0,0 +1,43 @@
+#include "cli/wait_command.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "cli/json_view.h"
+#include "model/job.h"
+
+namespace pomelotray {
+namespace {
+
+// The API answers a wait within a minute.
+constexpr absl::Duration kLongestCall = absl::Seconds(30);
+constexpr absl::Duration kDefaultTimeout = absl::Hours(1);
+
+}  // namespace
+
+Result<int> WaitCommand::Run(const Arguments& args, const CommandContext& context) {
+  BOOST_LEAF_AUTO(timeout, args.Duration("--timeout"));
+  const absl::Time end = context.clock->Now() + timeout.value_or(kDefaultTimeout);
+  for (;;) {
+    const absl::Duration left = std::max(end - context.clock->Now(), absl::ZeroDuration());
+    ApiCall call;
+    call.timeout = std::min(left, kLongestCall);
+    call.target = absl::StrCat("/v1/jobs/", EscapeUrl(*args.Text("<job>")),
+                               "/wait?timeout_ms=", absl::ToInt64Milliseconds(call.timeout));
+    BOOST_LEAF_AUTO(job, context.client->CallJson(call));
+    const std::optional<JobState> state = ParseJobState(JsonText(job, "/state"));
+    if (state.has_value() && IsFinal(*state)) {
+      PrintJob(job, context);
+      return *state == JobState::kSucceeded ? kExitDone
+             : *state == JobState::kUnknown ? kExitOutcomeUnknown
+                                            : kExitFailed;
+    }
+    if (context.clock->Now() >= end) {
+      PrintJob(job, context);
+      *context.err << "The job is not final yet; wait again or raise --timeout.\n";
+      return kExitFailed;
+    }
+  }
+}
+
+}  // namespace pomelotray
