--- a/packages/state/slice_manager.cc
+++ b/packages/state/slice_manager.cc
@@ -110,7 +110,6 @@
 }
 
 bool SliceManager::NegotiateOnce(absl::Duration watch_wait) {
-  absl::MutexLock round(&round_mutex_);
   const Outcome<void> read = Capture([&] { return ReadChanges(watch_wait); });
   if (!read.ok()) {
     return false;
@@ -182,8 +181,8 @@
     }
     Slice& slice = SliceOf(contract.customer, shard);
     const SliceVector wish = slice.demand.Wish(cap, entry.wanted, HomeShards(contract), now);
-    standings[shard] = ShardStanding{term, wish, slice.demand.InUse(), slice.limit,
-                                     slice.demand.InUseKnown(now)};
+    standings[shard] =
+        ShardStanding{term, wish, slice.demand.InUse(), slice.limit, slice.demand.InUseKnown(now)};
   }
   return standings;
 }
