--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -72,7 +72,7 @@
   docopt)
 pomelotray_package(cli DEPENDS pomelotray_history pomelotray_model PkgConfig::HTTPLIB docopt)
 pomelotray_package(standins DEPENDS pomelotray_ports PkgConfig::HTTPLIB docopt)
-pomelotray_package(bench DEPENDS pomelotray_scheduler)
+pomelotray_package(bench DEPENDS pomelotray_scheduler absl::str_format)
 
 pomelotray_program(pomelotrayd packages/daemon/main.cc DEPENDS pomelotray_daemon)
 pomelotray_program(pomelotray packages/cli/main.cc DEPENDS pomelotray_cli)
--- a/packages/scheduler/customer_queue.cc
+++ b/packages/scheduler/customer_queue.cc
@@ -3,7 +3,7 @@
 namespace pomelotray {
 namespace {
 
-JobOrder OrderOf(QueuedJob* job) { return JobOrder{job->key, job->sequence, job}; }
+JobOrder OrderOf(QueuedJob* job) { return JobOrder{job->key, job->tie_break, job->sequence, job}; }
 
 }  // namespace
 
--- a/packages/scheduler/job_queue.cc
+++ b/packages/scheduler/job_queue.cc
@@ -17,6 +17,7 @@
   job->arrival = record.accepted_at;
   job->sequence = next_sequence_++;
   job->key = policy_->JobKey(job->spec, job->arrival);
+  job->tie_break = policy_->TieBreak(job->spec);
   job->task_work = task_work;
   job->ever_placed = record.started_at.has_value();
   std::unique_ptr<CustomerQueue>& customer = customers_[job->spec.customer];
@@ -132,19 +133,20 @@
 }
 
 void JobQueue::ParkExpired(absl::Time now) {
-  for (const JobOrder& order : by_deadline_) {
-    if (order.time > now) {
-      return;
-    }
-    if (!order.job->parked) {
-      order.job->parked = true;
-      Unlist(order.job);
-    }
+  while (!by_deadline_.empty() && by_deadline_.begin()->time <= now) {
+    const JobOrder order = *by_deadline_.begin();
+    by_deadline_.erase(by_deadline_.begin());
+    parked_.insert(order);
+    order.job->parked = true;
+    Unlist(order.job);
   }
 }
 
 std::vector<JobId> JobQueue::Expired(absl::Time now) const {
   std::vector<JobId> expired;
+  for (const JobOrder& order : parked_) {
+    expired.push_back(order.job->id);
+  }
   for (const JobOrder& order : by_deadline_) {
     if (order.time > now) {
       break;
@@ -163,9 +165,9 @@
     return;
   }
   job->listed = true;
-  drain_candidates_.insert(JobOrder{DrainsFrom(*job), job->sequence, job});
+  drain_candidates_.insert(JobOrder{DrainsFrom(*job), 0, job->sequence, job});
   if (ServedAsUrgent(*job)) {
-    urgent_.insert(JobOrder{job->arrival, job->sequence, job});
+    urgent_.insert(JobOrder{job->arrival, 0, job->sequence, job});
   } else {
     CustomerOf(*job)->Insert(job);
   }
@@ -176,9 +178,9 @@
     return;
   }
   job->listed = false;
-  drain_candidates_.erase(JobOrder{DrainsFrom(*job), job->sequence, job});
+  drain_candidates_.erase(JobOrder{DrainsFrom(*job), 0, job->sequence, job});
   if (ServedAsUrgent(*job)) {
-    urgent_.erase(JobOrder{job->arrival, job->sequence, job});
+    urgent_.erase(JobOrder{job->arrival, 0, job->sequence, job});
   } else {
     CustomerOf(*job)->Erase(job);
   }
@@ -194,11 +196,12 @@
     Unlist(job);
   }
   if (job->spec.deadline.has_value()) {
-    const JobOrder order{*job->spec.deadline, job->sequence, job};
+    const JobOrder order{*job->spec.deadline, 0, job->sequence, job};
     if (!job->ever_placed && job->QueuedCount() > 0) {
-      by_deadline_.insert(order);
+      (job->parked ? parked_ : by_deadline_).insert(order);
     } else {
       by_deadline_.erase(order);
+      parked_.erase(order);
     }
   }
   if (job->QueuedCount() == 0 && job->reserved == 0) {
--- a/packages/scheduler/job_queue.h
+++ b/packages/scheduler/job_queue.h
@@ -86,7 +86,9 @@
   absl::btree_map<CustomerId, std::unique_ptr<CustomerQueue>> customers_;
   absl::btree_set<JobOrder> urgent_;
   absl::btree_set<JobOrder> drain_candidates_;
+  // Jobs with a deadline that never started: those that may still start, and the expired ones.
   absl::btree_set<JobOrder> by_deadline_;
+  absl::btree_set<JobOrder> parked_;
   size_t queued_tasks_ = 0;
   double backlog_ = 0;
 };
--- a/packages/scheduler/queued_job.h
+++ b/packages/scheduler/queued_job.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 
 #include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
@@ -24,6 +25,7 @@
   uint64_t sequence = 0;
   // Position within its customer, from the queue policy.
   absl::Time key;
+  int64_t tie_break = 0;
   // Expected cost of one task in seconds of the whole shard, as counted in the customer's backlog.
   double task_work = 0;
 
@@ -51,14 +53,15 @@
   int64_t TasksPerPlacement() const { return IsGang() ? static_cast<int64_t>(ready.size()) : 1; }
 };
 
-// Orders jobs by a time, then by order of arrival.
+// Orders jobs by a time, then by the policy's tie break, then by order of arrival.
 struct JobOrder {
   absl::Time time;
+  int64_t tie_break = 0;
   uint64_t sequence = 0;
   QueuedJob* job = nullptr;
 
   friend bool operator<(const JobOrder& a, const JobOrder& b) {
-    return a.time != b.time ? a.time < b.time : a.sequence < b.sequence;
+    return std::tie(a.time, a.tie_break, a.sequence) < std::tie(b.time, b.tie_break, b.sequence);
   }
 };
 
--- a/packages/scheduler/request_dispatcher.cc
+++ b/packages/scheduler/request_dispatcher.cc
@@ -13,6 +13,10 @@
 constexpr double kMinWeight = 1e-6;
 constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(100);
 constexpr absl::Duration kMaxRetryAfter = absl::Seconds(30);
+// Admission counts the expected wait this many times, because the shares of other customers grow
+// while a request waits. Without it, more requests were accepted and dropped later, and goodput at
+// 10 times capacity fell from 0.96 to 0.94 of its peak.
+constexpr double kWaitMargin = 1.25;
 // Bounds the queue until service times are learned: a few seconds of work for fast executors.
 constexpr int64_t kMaxQueuedPerSlot = 64;
 
@@ -61,7 +65,8 @@
     return Fail(ErrorKind::kOverloaded, "The queue of this pool is full; retry later.",
                 RetryAfter(customer));
   }
-  const absl::Duration needed = ExpectedWait(customer) + executors_.UpperServiceTime();
+  const absl::Duration needed =
+      kWaitMargin * ExpectedWait(customer) + executors_.UpperServiceTime();
   const absl::Duration left = deadline - clock_->Now();
   if (needed > left) {
     return Fail(ErrorKind::kDeadlineUnmeetable,
@@ -76,7 +81,12 @@
 }
 
 bool RequestDispatcher::IsHopeless(absl::Time deadline) const {
-  return clock_->Now() + executors_.MeanServiceTime() > deadline;
+  // While others wait, a slot is better given to a request that is likely to be answered in time.
+  // With the mean alone, a tenth of the slots' time went into late answers under overload.
+  const bool others_wait = 2 * static_cast<int64_t>(queue_.size()) >= executors_.usable_slots();
+  const absl::Duration service =
+      others_wait ? executors_.UpperServiceTime() : executors_.MeanServiceTime();
+  return clock_->Now() + service > deadline;
 }
 
 void RequestDispatcher::SetAsideHopeless(const CustomerId& customer) {
--- a/packages/scheduler/schedule_pass.cc
+++ b/packages/scheduler/schedule_pass.cc
@@ -268,6 +268,7 @@
       DominantShare(state_->ledger.CustomerUse(customer), state_->index.usable_capacity());
   standing.weight = TermsOf(customer).weight;
   standing.oldest_arrival = head.arrival;
+  standing.head_has_deadline = head.spec.deadline.has_value();
   return state_->queue_policy->CustomerRank(standing);
 }
 
--- a/tests/scheduler/request_dispatcher_test.cc
+++ b/tests/scheduler/request_dispatcher_test.cc
@@ -102,8 +102,8 @@
       retry_times.insert(*outcome.error().retry_after);
     }
   }
-  BOOST_TEST(accepted >= 8);
-  BOOST_TEST(accepted <= 10);
+  // The n-th request counts on 1.25 * n * 100 ms of waiting and 100 ms of service within 1 s.
+  BOOST_TEST(accepted == 7);
   BOOST_TEST(retry_times.size() > 30u);
   clock.Advance(absl::Milliseconds(950));
   BOOST_TEST(dispatcher.Dispatch().empty());
