--- a/packages/bench/waiting_bench.cc
+++ b/packages/bench/waiting_bench.cc
@@ -56,7 +56,7 @@
                    double own_p99, double baseline_p99, BenchReport* report) {
   const double ratio = baseline_p99 > 0 ? own_p99 / baseline_p99 : 0;
   report->AddTarget(absl::StrCat("p99 wait of deadline work at 0.95 load of the best baseline's, ",
-                                 order, ", ", shard.name),
+                                 load.steady ? "steady" : "peaks", ", ", order, ", ", shard.name),
                     ratio, "<= 0.5", ratio <= 0.5);
 }
 
--- a/packages/bench/workload.cc
+++ b/packages/bench/workload.cc
@@ -29,6 +29,7 @@
 
 std::vector<SchedulableWorker> MakeWorkers(int count, int per_rack, const Resources& capacity) {
   std::vector<SchedulableWorker> workers;
+  workers.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     workers.push_back(SchedulableWorker{WorkerId(absl::StrCat("w", i)),
                                         RackId(absl::StrCat("r", i / per_rack)), capacity});
