--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -95,7 +95,7 @@
 pomelotray_package(cli DEPENDS pomelotray_history pomelotray_model PkgConfig::HTTPLIB docopt)
 pomelotray_help_texts(pomelotray_cli packages/cli/help)
 pomelotray_package(standins DEPENDS pomelotray_adapters PkgConfig::HTTPLIB docopt)
-pomelotray_package(bench DEPENDS pomelotray_scheduler)
+pomelotray_package(bench DEPENDS pomelotray_scheduler absl::str_format)
 
 pomelotray_program(pomelotrayd packages/daemon/main.cc DEPENDS pomelotray_daemon)
 pomelotray_program(pomelotray packages/cli/main.cc DEPENDS pomelotray_cli)
