adapters: Drop refusals that belong to another attempt or request

Only 200 answers were matched to their call, so a misdirected 409 made an attempt look known to a worker that had never seen it. The channel now matches every answer by the ids that it echoes.

--- a/packages/adapters/http_channel.cc
+++ b/packages/adapters/http_channel.cc
@@ -197,6 +197,17 @@
   return answer;
 }
 
+bool HttpChannel::BelongsTo(const HttpCall& call, const nlohmann::json& answer) {
+  for (const auto& [field, value] : call.echo) {
+    if (answer.is_object() && answer.contains(field) &&
+        wire::ReadString(answer, field.c_str()) != value) {
+      ++dropped_answers_;
+      return false;
+    }
+  }
+  return true;
+}
+
 Result<nlohmann::json> HttpChannel::Call(const std::string& address, const HttpCall& call) {
   // Rendering throws for text that is not UTF-8, so it is caught here.
   std::string body;
@@ -215,6 +226,11 @@
                      httplib::to_string(answer.error), "); check that the address is reachable."));
   }
   nlohmann::json json = nlohmann::json::parse(answer.body, nullptr, /*allow_exceptions=*/false);
+  if (!BelongsTo(call, json)) {
+    return Fail(call.no_answer,
+                Describe(address, call) +
+                    " got the answer to another call, which was dropped; its outcome is unknown.");
+  }
   if (answer.status == 200 && json.is_object()) {
     return json;
   }
--- a/packages/adapters/http_channel.h
+++ b/packages/adapters/http_channel.h
@@ -1,6 +1,8 @@
 #ifndef POMELOTRAY_ADAPTERS_HTTP_CHANNEL_H_
 #define POMELOTRAY_ADAPTERS_HTTP_CHANNEL_H_
 
+#include <atomic>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -25,6 +27,9 @@
   ErrorKind no_effect = ErrorKind::kUnavailable;
   // The call was sent and no whole answer came. Equals `no_effect` for calls that change nothing.
   ErrorKind no_answer = ErrorKind::kOutcomeUnknown;
+  // Fields that name the request or attempt. An answer in which one of them has another value is
+  // dropped and counted.
+  std::map<std::string, std::string> echo;
 };
 
 // Makes HTTP/JSON calls and reuses connections. Each call in progress holds a connection of its
@@ -41,6 +46,9 @@
 
   const HttpOptions& options() const { return options_; }
 
+  // Answers dropped because they belonged to another request or attempt.
+  int64_t dropped_answers() const { return dropped_answers_.load(); }
+
   // Idle connections, for tests.
   size_t idle_connections() const;
 
@@ -55,7 +63,10 @@
   void DropStale(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   Answer Exchange(const std::string& address, const HttpCall& call, std::string body);
 
+  bool BelongsTo(const HttpCall& call, const nlohmann::json& answer);
+
   HttpOptions options_;
+  std::atomic<int64_t> dropped_answers_{0};
   const std::unique_ptr<Clock> own_clock_;
   const Clock* const clock_;
   mutable absl::Mutex mutex_;
--- a/packages/adapters/http_executor.cc
+++ b/packages/adapters/http_executor.cc
@@ -57,6 +57,7 @@
                {"body", wire::ToBase64(call.body)},
                {"timeout_ms", wire::ToMillis(call.timeout)}};
   http.timeout = call.timeout;
+  http.echo = {{"request", call.request.value()}, {"attempt", call.attempt.value()}};
   BOOST_LEAF_AUTO(json, channel_.Call(address, http));
   std::optional<ExecutorAnswer> answer = DecodeExecutorAnswer(json);
   if (!answer) {
@@ -64,12 +65,6 @@
                 absl::StrCat("The answer to request ", call.request.value(), " from ", address,
                              " is malformed; the request may have run."));
   }
-  if (answer->request != call.request || answer->attempt != call.attempt) {
-    ++dropped_answers_;
-    return Fail(ErrorKind::kOutcomeUnknown,
-                absl::StrCat("The executor at ", address, " answered another request than ",
-                             call.request.value(), "; the request may have run."));
-  }
   return std::move(*answer);
 }
 
--- a/packages/adapters/http_executor.h
+++ b/packages/adapters/http_executor.h
@@ -1,7 +1,6 @@
 #ifndef POMELOTRAY_ADAPTERS_HTTP_EXECUTOR_H_
 #define POMELOTRAY_ADAPTERS_HTTP_EXECUTOR_H_
 
-#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -30,13 +29,12 @@
   Result<ExecutorAnswer> Call(const std::string& address, const ExecutorCall& call) override;
 
   // Answers dropped because they belonged to another request or attempt.
-  int64_t dropped_answers() const { return dropped_answers_.load(); }
+  int64_t dropped_answers() const { return channel_.dropped_answers(); }
 
  private:
   explicit HttpExecutor(const HttpOptions& options) : channel_(options) {}
 
   HttpChannel channel_;
-  std::atomic<int64_t> dropped_answers_{0};
 };
 
 }  // namespace pomelotray
--- a/packages/adapters/http_worker.h
+++ b/packages/adapters/http_worker.h
@@ -29,17 +29,20 @@
   Result<void> Stop(const std::string& address, const AttemptId& attempt, const Epoch& epoch,
                     StopMode mode) override;
 
-  // Answers dropped because they belonged to another attempt.
-  int64_t dropped_answers() const { return dropped_answers_.load(); }
+  // Answers dropped because they belonged to another attempt or epoch.
+  int64_t dropped_answers() const { return channel_.dropped_answers() + other_epochs_.load(); }
 
  private:
   explicit HttpWorker(const HttpOptions& options) : channel_(options) {}
 
-  Result<nlohmann::json> Post(const std::string& address, const char* path, nlohmann::json body);
-  Result<void> CheckAttempt(const nlohmann::json& json, const AttemptId& attempt);
+  Result<nlohmann::json> Post(const std::string& address, HttpCall call);
+  // Calls whose answer names the attempt.
+  Result<void> PostForAttempt(const std::string& address, const char* path, nlohmann::json body,
+                              const AttemptId& attempt);
 
   HttpChannel channel_;
-  std::atomic<int64_t> dropped_answers_{0};
+  // Fences answered with another epoch.
+  std::atomic<int64_t> other_epochs_{0};
 };
 
 }  // namespace pomelotray
--- a/tests/adapters/http_worker_test.cc
+++ b/tests/adapters/http_worker_test.cc
@@ -177,6 +177,10 @@
     BOOST_TEST((KindOf(Start(start)) == ErrorKind::kConflict), mode);
   }
   BOOST_TEST(worker->dropped_answers() == 1);
+  // A refusal of another attempt says nothing about this one.
+  SetFault(standin.address(), {{"mode", "misdirect"}});
+  BOOST_TEST((KindOf(Start(NewStart("misdirect"))) == ErrorKind::kOutcomeUnknown));
+  BOOST_TEST(worker->dropped_answers() == 2);
 }
 
 // Guards against calls without effect that are reported as unknown, so that work is held back.
