state: Build the store budget with the address sanitizer

GCC 12 reported a false use of an uninitialized value there, which -Werror turned into a failed build; the answer is now kept outside of the outcome.

--- a/packages/state/budgeted_store.cc
+++ b/packages/state/budgeted_store.cc
@@ -1,7 +1,11 @@
 #include "state/budgeted_store.h"
 
 #include <algorithm>
+#include <optional>
 #include <string>
+#include <type_traits>
+#include <utility>
+#include <variant>
 
 #include "absl/strings/str_cat.h"
 
@@ -142,7 +146,18 @@
 Result<T> BudgetedStore::Run(StoreCallKind kind, const std::function<Result<T>(bool probe)>& call) {
   bool probe = false;
   BOOST_LEAF_CHECK(Admit(kind, &probe));
-  const Outcome<T> outcome = Capture([&] { return call(probe); });
+  // Kept outside of the outcome: GCC 12 with -fsanitize=address reports a false use of an
+  // uninitialized value when an Outcome<Revision> is moved here.
+  std::conditional_t<std::is_void_v<T>, std::monostate, std::optional<T>> value;
+  const Outcome<void> outcome = Capture([&]() -> Result<void> {
+    if constexpr (std::is_void_v<T>) {
+      return call(probe);
+    } else {
+      BOOST_LEAF_AUTO(answer, call(probe));
+      value.emplace(std::move(answer));
+      return {};
+    }
+  });
   // A single lost answer is no outage: its writer reads the key back at once and finds out.
   const bool reached = outcome.ok() || (outcome.error().kind != ErrorKind::kStoreUnavailable &&
                                         outcome.error().kind != ErrorKind::kOutcomeUnknown);
@@ -150,7 +165,12 @@
   if (!lost_answer || probe) {
     Finish(reached, probe);
   }
-  return outcome.ToResult();
+  if constexpr (std::is_void_v<T>) {
+    return outcome.ToResult();
+  } else {
+    BOOST_LEAF_CHECK(outcome.ToResult());
+    return *std::move(value);
+  }
 }
 
 Result<std::optional<StoreEntry>> BudgetedStore::Get(const std::string& key) {
