--- a/packages/peer/server_connection.cc
+++ b/packages/peer/server_connection.cc
@@ -218,14 +218,14 @@
 
 void ServerConnection::Handle(int32_t stream, const std::string& nonce, PeerCall call,
                               const Http2Message& message, size_t payload_size) {
-  const Outcome<std::string> outcome = Capture([&]() -> Result<std::string> {  // NOLINT
+  const Outcome<std::string> outcome = Capture([&]() -> Result<std::string> {
     if (context_->peer.clock->Now() >= call.deadline) {
       return Fail(ErrorKind::kDeadlineExceeded,
                   "The call waited longer than its timeout and was not processed; retry with a "
                   "longer timeout.");
     }
-    std::optional<nlohmann::json> body =
-        DecodeBody(std::string_view(message.body).substr(message.body.size() - payload_size));
+    const std::string_view data = message.body;
+    std::optional<nlohmann::json> body = DecodeBody(data.substr(data.size() - payload_size));
     if (!body.has_value()) {
       return Fail(ErrorKind::kInvalidArgument,
                   "The body of the call is not a MessagePack value of at most 64 levels; check "
--- a/tests/peer/fake_network.h
+++ b/tests/peer/fake_network.h
@@ -1,6 +1,7 @@
 #ifndef POMELOTRAY_TESTS_PEER_FAKE_NETWORK_H_
 #define POMELOTRAY_TESTS_PEER_FAKE_NETWORK_H_
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -112,6 +113,9 @@
 
  private:
   void Settle();
+  // Advances the clock if the instance does not stop while it stands still: ManualClock::WaitUntil
+  // loses a signal that arrives between two of its polls, and then waits for its deadline.
+  void StopInstance(Membership* membership);
 };
 
 }  // namespace pomelotray
--- a/tests/peer/member_table_test.cc
+++ b/tests/peer/member_table_test.cc
@@ -112,6 +112,7 @@
 // Guards against a description that is too large for the byte bound and would be sent for ever.
 BOOST_AUTO_TEST_CASE(ManyShardsStayWithinByteBound) {
   std::vector<ShardId> shards;
+  shards.reserve(200);
   for (int i = 0; i < 200; ++i) {
     shards.push_back({FailureDomainId("other"), PoolName("pool-" + std::to_string(i))});
   }
