peer: Keep a new connection open for the call it was opened for

With a short idle timeout and slow threads, as under ThreadSanitizer, a new connection counted as idle before its first call was queued, and the call failed as unavailable.

--- a/packages/peer/client_connection.cc
+++ b/packages/peer/client_connection.cc
@@ -151,6 +151,7 @@
       continue;
     }
     calls_[call->stream] = call;
+    used_ = true;
     last_call_ = context_->clock->Now();
   }
   queue_.clear();
@@ -170,7 +171,10 @@
     closing_ = true;
   }
   if (calls_.empty() && queue_.empty()) {
-    if (!closing_ && now < last_call_ + limits.client_idle_timeout) {
+    // A new connection waits for the call that it was opened for, which may arrive late.
+    const absl::Duration patience =
+        used_ ? limits.client_idle_timeout : limits.client_idle_timeout + limits.connect_timeout;
+    if (!closing_ && now < last_call_ + patience) {
       return true;
     }
     closing_ = true;
--- a/packages/peer/client_connection.h
+++ b/packages/peer/client_connection.h
@@ -73,6 +73,7 @@
   absl::Time last_received_;
   absl::Time last_call_;
   bool pinged_ = false;
+  bool used_ = false;
   bool goaway_sent_ = false;
 
   mutable absl::Mutex mutex_;
