scheduler: Let jobs without a drainable worker make way for younger ones

The four oldest gangs could keep all later ones from a reservation when services held their room. Room that an earmark leaves unused is offered at once; before, a remembered failure could hide it for up to a second.

--- a/packages/scheduler/preemption_planner.cc
+++ b/packages/scheduler/preemption_planner.cc
@@ -204,13 +204,14 @@
   });
 }
 
-void PreemptionPlanner::RecordPlacement(const JobId& job, WorkerSlot slot) {
+bool PreemptionPlanner::RecordPlacement(const JobId& job, WorkerSlot slot) {
   for (size_t i = 0; i < earmarks_.size(); ++i) {
     if (earmarks_[i].slot == slot && earmarks_[i].job == job) {
       DropEarmark(i);
-      return;
+      return true;
     }
   }
+  return false;
 }
 
 bool PreemptionPlanner::Trim(const JobId& job, int64_t count) {
--- a/packages/scheduler/preemption_planner.h
+++ b/packages/scheduler/preemption_planner.h
@@ -43,8 +43,8 @@
   // The number of the job's tasks for which room is being made.
   int64_t EarmarksOf(const JobId& job) const;
   bool AllowsPlacement(WorkerSlot slot, const JobId& job) const;
-  // A task of the job was placed on the worker.
-  void RecordPlacement(const JobId& job, WorkerSlot slot);
+  // A task of the job was placed on the worker; true when that used up an earmark.
+  bool RecordPlacement(const JobId& job, WorkerSlot slot);
   // Keeps at most `count` earmarks of the job; true when any was dropped.
   bool Trim(const JobId& job, int64_t count);
   void RecordRelease(const TaskId& victim);
--- a/packages/scheduler/queued_job.h
+++ b/packages/scheduler/queued_job.h
@@ -39,6 +39,8 @@
   bool parked = false;
   // Present in the order of waiting jobs.
   bool listed = false;
+  // Workers could not be drained for it when this was last tried.
+  absl::Time no_drain_before = absl::InfinitePast();
 
   // Tasks per rack and worker, kept for services only.
   absl::flat_hash_map<RackId, int64_t> tasks_in_rack;
--- a/packages/scheduler/schedule_pass.cc
+++ b/packages/scheduler/schedule_pass.cc
@@ -15,6 +15,8 @@
 constexpr size_t kMaxUrgentJobsPerRound = 1024;
 constexpr int kMaxDrainCandidates = 256;
 constexpr int kMaxDrainPlans = 4;
+// Jobs for which no workers can be drained at the moment make way for younger ones for this long.
+constexpr absl::Duration kDrainRetryInterval = absl::Seconds(5);
 constexpr int64_t kMaxPreemptionsPerRound = 256;
 // A reservation that is this late is planned anew: tasks outlived their estimates, or urgent work
 // took the room.
@@ -128,7 +130,9 @@
     const TaskId task = *job->ready.begin();
     const WorkerId worker = state_->index.At(*slot).id;
     state_->Reserve(job, task, *slot, now_);
-    state_->preemptions.RecordPlacement(job->id, *slot);
+    if (state_->preemptions.RecordPlacement(job->id, *slot)) {
+      state_->RoomChanged();
+    }
     state_->health.RecordPlacement(worker, now_);
     result_.placements.push_back(Placement{job->id, task, worker, job->spec.demand});
   }
@@ -186,9 +190,8 @@
 void SchedulePass::PreemptFor(const QueuedJob& job) {
   const TaskShape shape = ShapeOf(job);
   const int64_t waiting = static_cast<int64_t>(job.ready.size());
-  const auto usable = [this, &job](WorkerSlot slot) {
-    return !state_->health.IsQuarantined(state_->index.At(slot).id) &&
-           state_->index.At(slot).Usable() && job.CanBePlaced();
+  const auto usable = [this](WorkerSlot slot) {
+    return !state_->health.IsQuarantined(state_->index.At(slot).id);
   };
   int64_t earmarks = state_->preemptions.EarmarksOf(job.id);
   while (earmarks < waiting && WithinLimit(job, earmarks + shape.count) &&
@@ -231,14 +234,24 @@
   int seen = 0;
   int plans = 0;
   for (const JobOrder& order : state_->queue.drain_candidates()) {
-    const QueuedJob& job = *order.job;
-    if (order.time > now_ || ++seen > kMaxDrainCandidates || plans >= kMaxDrainPlans) {
+    QueuedJob& job = *order.job;
+    if (order.time > now_) {
+      return;
+    }
+    if (now_ < job.no_drain_before) {
+      continue;
+    }
+    if (++seen > kMaxDrainCandidates || plans >= kMaxDrainPlans) {
       return;
     }
     const bool aged = !job.IsGang() && !ServedAsUrgent(job);
     const bool too_soon = now_ - state_->last_aged_drain < kAgedDrainInterval ||
                           !state_->queue_policy->PrefersUrgent();
-    if ((aged && too_soon) || !WithinLimit(job, job.TasksPerPlacement())) {
+    if (aged && too_soon) {
+      continue;
+    }
+    if (!WithinLimit(job, job.TasksPerPlacement())) {
+      job.no_drain_before = now_ + kDrainRetryInterval;
       continue;
     }
     ++plans;
@@ -248,6 +261,7 @@
       }
       return;
     }
+    job.no_drain_before = now_ + kDrainRetryInterval;
   }
 }
 
--- a/packages/scheduler/shard_scheduler.cc
+++ b/packages/scheduler/shard_scheduler.cc
@@ -101,7 +101,9 @@
     return;
   }
   state_->queue.RemoveQueued(entry);
-  state_->preemptions.Trim(job, 0);
+  if (state_->preemptions.Trim(job, 0)) {
+    state_->RoomChanged();
+  }
   if (state_->drain.active() && state_->drain.job() == job) {
     state_->drain.Clear();
     state_->RoomChanged();
--- a/packages/scheduler/shard_scheduler.h
+++ b/packages/scheduler/shard_scheduler.h
@@ -22,11 +22,14 @@
 // Built by ShardSchedulerBuilder.
 //
 // - No placement takes a worker above its capacity or a customer above its HoldLimit.
-// - A queued job that has waited kAgingBound goes before all younger non-urgent work and may drain
-//   workers for itself, one job at a time, the oldest first. With n older jobs waiting, a job
-//   that fits its customer's limit and the shard starts no later than kAgingBound plus n + 1 times
-//   the longest run time of the tasks that it has to wait for.
-// - Urgent work precedes all other work. Its customers' HoldLimits bound what it can take.
+// - A queued job that has waited kAgingBound goes before other non-urgent work and may drain
+//   workers for itself, one job at a time, the oldest first; a gang may do so from its arrival.
+//   With n such jobs before it, a job that is within its customer's limit starts within kAgingBound
+//   plus n + 1 times (1 s plus the longest run time of a task in the shard). Not counted: urgent
+//   work, and workers that leave. Services that hold all room that a job could use are not drained.
+// - Urgent work precedes all other work; its customers' HoldLimits bound what it can take. In a
+//   full pool it preempts batch tasks and services that are repeatable and not urgent, never a task
+//   of a gang. Schedule must then be called at least every second.
 class ShardScheduler {
  public:
   explicit ShardScheduler(std::unique_ptr<SchedulerState> state);
--- a/tests/scheduler/shard_scheduler_test.cc
+++ b/tests/scheduler/shard_scheduler_test.cc
@@ -177,6 +177,30 @@
   BOOST_TEST(round <= 9);
 }
 
+// Guards against jobs that cannot get a drained worker and keep all younger ones from it.
+BOOST_AUTO_TEST_CASE(JobsThatCannotBeDrainedForMakeWay) {
+  AddWorker("w1", MakeResources(4, 8));
+  AddWorker("w2", MakeResources(4, 8));
+  JobRecord service = Job("service", "a", MakeResources(1, 1), 2);
+  service.spec.kind = JobKind::kService;
+  scheduler->Enqueue(service);
+  BOOST_TEST(scheduler->Schedule(1000).placements.size() == 2u);
+  // The services never end, so these gangs find no room.
+  for (int i = 0; i < 6; ++i) {
+    JobRecord gang = Job(absl::StrCat("g", i), "b", MakeResources(4, 1), 2);
+    gang.spec.kind = JobKind::kGang;
+    scheduler->Enqueue(gang);
+  }
+  scheduler->Enqueue(Job("small", "c", MakeResources(1, 1), 6));
+  BOOST_TEST(scheduler->Schedule(1000).placements.size() == 6u);
+  JobRecord last = Job("last", "d", MakeResources(2, 1), 2);
+  last.spec.kind = JobKind::kGang;
+  scheduler->Enqueue(last);
+  Schedule();
+  Schedule();
+  BOOST_TEST(scheduler->WaitReason(JobId("last")).substr(0, 25) == "Workers are being drained");
+}
+
 // Guards against a faulty worker that swallows one job after the other.
 BOOST_AUTO_TEST_CASE(FaultyWorkerIsQuarantinedAndProbed) {
   AddWorker("w1", MakeResources(4, 8));
