--- a/packages/bench/waiting_bench.cc
+++ b/packages/bench/waiting_bench.cc
@@ -54,7 +54,11 @@
 
 void AddWaitTarget(const ShardModel& shard, const LoadChoice& load, const std::string& order,
                    double own_p99, double baseline_p99, BenchReport* report) {
-  const double ratio = baseline_p99 > 0 ? own_p99 / baseline_p99 : 0;
+  // Nothing can be judged where the best baseline does not wait.
+  if (baseline_p99 <= 0) {
+    return;
+  }
+  const double ratio = own_p99 / baseline_p99;
   report->AddTarget(absl::StrCat("p99 wait of deadline work at 0.95 load of the best baseline's, ",
                                  load.steady ? "steady" : "peaks", ", ", order, ", ", shard.name),
                     ratio, "<= 0.5", ratio <= 0.5);
