--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -44,7 +44,12 @@
     set(ARG_TIMEOUT 120)
   endif()
   add_executable(test_${feature} ${sources} ${CMAKE_SOURCE_DIR}/tests/test_main.cc)
+  if(POMELOTRAY_SANITIZER STREQUAL "thread")
+    target_sources(test_${feature} PRIVATE ${CMAKE_SOURCE_DIR}/tests/tsan_abseil.cc)
+  endif()
   target_include_directories(test_${feature} PRIVATE ${CMAKE_SOURCE_DIR})
+  # GCC 12 reports std::variant members of inlined Outcome temporaries although they are never read.
+  target_compile_options(test_${feature} PRIVATE -Wno-maybe-uninitialized)
   target_link_libraries(test_${feature} PRIVATE ${ARG_DEPENDS} Boost::unit_test_framework rapidcheck)
   set_target_properties(test_${feature} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/tests)
   add_test(NAME ${feature} COMMAND test_${feature} --log_level=test_suite --report_level=short)
@@ -53,6 +58,23 @@
     ENVIRONMENT "RC_PARAMS=seed=20261204;POMELOTRAY_BIN_DIR=${CMAKE_BINARY_DIR}/bin")
 endfunction()
 
+# pomelotray_help_texts(<target> <folder>)
+#
+# Compiles the texts <folder>/*.txt into <target>, by way of help_texts.cc.in beside the folder.
+function(pomelotray_help_texts target folder)
+  file(GLOB texts CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${folder}/*.txt)
+  set(POMELOTRAY_HELP_ENTRIES "")
+  foreach(text IN LISTS texts)
+    set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${text})
+    get_filename_component(name ${text} NAME_WE)
+    file(READ ${text} content)
+    string(APPEND POMELOTRAY_HELP_ENTRIES "          {\"${name}\", R\"help(${content})help\"},\n")
+  endforeach()
+  set(generated ${CMAKE_BINARY_DIR}/generated/${target}_help_texts.cc)
+  configure_file(${CMAKE_SOURCE_DIR}/${folder}/../help_texts.cc.in ${generated} @ONLY)
+  target_sources(${target} PRIVATE ${generated})
+endfunction()
+
 set(ABSL_TARGETS absl::base absl::time absl::synchronization absl::strings absl::flat_hash_map
     absl::flat_hash_set absl::btree absl::hash absl::random_random)
 
@@ -69,9 +91,10 @@
 pomelotray_package(api DEPENDS pomelotray_ports pomelotray_history PkgConfig::HTTPLIB
   prometheus-cpp::core)
 pomelotray_package(daemon DEPENDS pomelotray_shard pomelotray_api pomelotray_adapters pomelotray_peer
-  docopt)
+  docopt PkgConfig::XXHASH)
 pomelotray_package(cli DEPENDS pomelotray_history pomelotray_model PkgConfig::HTTPLIB docopt)
-pomelotray_package(standins DEPENDS pomelotray_ports PkgConfig::HTTPLIB docopt)
+pomelotray_help_texts(pomelotray_cli packages/cli/help)
+pomelotray_package(standins DEPENDS pomelotray_adapters PkgConfig::HTTPLIB docopt)
 pomelotray_package(bench DEPENDS pomelotray_scheduler absl::str_format)
 
 pomelotray_program(pomelotrayd packages/daemon/main.cc DEPENDS pomelotray_daemon)
@@ -82,13 +105,21 @@
   install(TARGETS pomelotrayd pomelotray)
 endif()
 
+# Fakes of the ports and generators of model values that several test folders use.
+file(GLOB fakes CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/fakes/*.cc
+  ${CMAKE_SOURCE_DIR}/tests/model/model_generators.cc)
+add_library(pomelotray_fakes STATIC EXCLUDE_FROM_ALL ${fakes})
+target_include_directories(pomelotray_fakes PUBLIC ${CMAKE_SOURCE_DIR})
+target_link_libraries(pomelotray_fakes PUBLIC pomelotray_ports rapidcheck)
+
 pomelotray_tests(base DEPENDS pomelotray_base)
 pomelotray_tests(model DEPENDS pomelotray_model)
 pomelotray_tests(adapters DEPENDS pomelotray_adapters pomelotray_standins)
 pomelotray_tests(peer DEPENDS pomelotray_peer)
-pomelotray_tests(state DEPENDS pomelotray_state)
+pomelotray_tests(state DEPENDS pomelotray_state pomelotray_fakes TIMEOUT 300)
 pomelotray_tests(scheduler DEPENDS pomelotray_scheduler)
-pomelotray_tests(shard DEPENDS pomelotray_shard)
+pomelotray_tests(shard DEPENDS pomelotray_shard pomelotray_fakes pomelotray_standins pomelotray_history
+  TIMEOUT 300)
 pomelotray_tests(history DEPENDS pomelotray_history)
 pomelotray_tests(api DEPENDS pomelotray_api)
 pomelotray_tests(cli DEPENDS pomelotray_cli pomelotray_api)
--- /dev/null
+++ b/packages/shard/shard_limits.h
@@ -0,0 +1,20 @@
+#ifndef POMELOTRAY_SHARD_SHARD_LIMITS_H_
+#define POMELOTRAY_SHARD_SHARD_LIMITS_H_
+
+#include "scheduler/limit_source.h"
+#include "state/slice_manager.h"
+
+namespace pomelotray {
+
+// What the contracts allow in one shard, and how the shard tells what it needs.
+class ShardLimits : public LimitSource {
+ public:
+  virtual SliceLimits Limits(const CustomerId& customer) const = 0;
+  // `wanted` includes what is in use.
+  virtual void ReportDemand(const CustomerId& customer, const SliceDemand& in_use,
+                            const SliceDemand& wanted) = 0;
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_SHARD_SHARD_LIMITS_H_
--- /dev/null
+++ b/packages/state/packed_reader.cc
@@ -0,0 +1,146 @@
+#include "state/packed_reader.h"
+
+#include <cstdlib>
+#include <vector>
+
+namespace pomelotray {
+namespace {
+
+// Times further from the Unix epoch do not fit into 64 bits of nanoseconds.
+constexpr int64_t kMaxSecondsInNanoseconds = 9'000'000'000;
+
+const nlohmann::json& NullJson() {
+  static const nlohmann::json* const kNull = new nlohmann::json();
+  return *kNull;
+}
+
+const nlohmann::json& EmptyArray() {
+  static const nlohmann::json* const kEmpty = new nlohmann::json(nlohmann::json::array());
+  return *kEmpty;
+}
+
+}  // namespace
+
+PackedReader::PackedReader(const nlohmann::json& array)
+    : array_(array), size_(array.is_array() ? array.size() : 0), ok_(array.is_array()) {}
+
+const nlohmann::json& PackedReader::Next() {
+  if (!ok_ || next_ >= size_) {
+    ok_ = false;
+    return NullJson();
+  }
+  return array_[next_++];
+}
+
+bool PackedReader::NextIsText() const { return ok_ && next_ < size_ && array_[next_].is_string(); }
+
+int64_t PackedReader::Integer() {
+  const nlohmann::json& element = Next();
+  if (!element.is_number_integer()) {
+    ok_ = false;
+    return 0;
+  }
+  return element.get<int64_t>();
+}
+
+uint64_t PackedReader::Unsigned() {
+  const nlohmann::json& element = Next();
+  if (!element.is_number_integer()) {
+    ok_ = false;
+    return 0;
+  }
+  return element.get<uint64_t>();
+}
+
+bool PackedReader::Bool() {
+  const nlohmann::json& element = Next();
+  if (!element.is_boolean()) {
+    ok_ = false;
+    return false;
+  }
+  return element.get<bool>();
+}
+
+std::string PackedReader::Text() {
+  const nlohmann::json& element = Next();
+  if (!element.is_string()) {
+    ok_ = false;
+    return "";
+  }
+  return element.get<std::string>();
+}
+
+std::string PackedReader::Bytes() {
+  const nlohmann::json& element = Next();
+  if (element.is_string()) {
+    return element.get<std::string>();
+  }
+  if (!element.is_binary()) {
+    ok_ = false;
+    return "";
+  }
+  const nlohmann::json::binary_t& bytes = element.get_binary();
+  return std::string(bytes.begin(), bytes.end());
+}
+
+const nlohmann::json& PackedReader::Array() {
+  const nlohmann::json& element = Next();
+  if (!element.is_array()) {
+    ok_ = false;
+    return EmptyArray();
+  }
+  return element;
+}
+
+absl::Time PackedReader::Time() {
+  const nlohmann::json& element = Next();
+  if (element.is_number_integer()) {
+    return absl::FromUnixNanos(element.get<int64_t>());
+  }
+  PackedReader parts(element);
+  const int64_t seconds = parts.Integer();
+  const int64_t nanoseconds = parts.Integer();
+  ok_ = ok_ && parts.Complete();
+  return absl::FromUnixSeconds(seconds) + absl::Nanoseconds(nanoseconds);
+}
+
+std::optional<absl::Time> PackedReader::OptionalTime() {
+  if (ok_ && next_ < size_ && array_[next_].is_null()) {
+    ++next_;
+    return std::nullopt;
+  }
+  return Time();
+}
+
+absl::Duration PackedReader::Duration() { return absl::Milliseconds(Integer()); }
+
+nlohmann::json PackTime(absl::Time time) {
+  const int64_t seconds = absl::ToUnixSeconds(time);
+  if (std::abs(seconds) < kMaxSecondsInNanoseconds) {
+    return absl::ToUnixNanos(time);
+  }
+  return nlohmann::json::array(
+      {seconds, absl::ToInt64Nanoseconds(time - absl::FromUnixSeconds(seconds))});
+}
+
+nlohmann::json PackTime(const std::optional<absl::Time>& time) {
+  return time.has_value() ? PackTime(*time) : nlohmann::json();
+}
+
+nlohmann::json PackDuration(absl::Duration duration) { return absl::ToInt64Milliseconds(duration); }
+
+nlohmann::json PackBytes(const std::string& bytes) {
+  return nlohmann::json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+std::string ToPackedBytes(const nlohmann::json& json) {
+  std::string bytes;
+  nlohmann::json::to_msgpack(json, bytes);
+  return bytes;
+}
+
+nlohmann::json FromPackedBytes(const std::string& bytes) {
+  return nlohmann::json::from_msgpack(bytes, true, false);
+}
+
+}  // namespace pomelotray
