--- a/packages/cli/api_client.cc
+++ b/packages/cli/api_client.cc
@@ -115,6 +115,7 @@
 }
 
 Result<ApiAnswer> ApiClient::Call(const ApiCall& call) const {
+  was_used_ = true;
   Error error{ErrorKind::kUnavailable, "No address is set; use --address.", std::nullopt};
   for (const SocketAddress& address : addresses_) {
     ApiAnswer answer;
--- a/packages/cli/api_client.h
+++ b/packages/cli/api_client.h
@@ -1,6 +1,7 @@
 #ifndef POMELOTRAY_CLI_API_CLIENT_H_
 #define POMELOTRAY_CLI_API_CLIENT_H_
 
+#include <atomic>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -41,6 +42,9 @@
   Result<nlohmann::json> CallJson(const ApiCall& call) const;
   Result<nlohmann::json> GetJson(const std::string& target) const;
 
+  // True once a call was tried: mistakes found before that are mistakes of usage.
+  bool was_used() const { return was_used_; }
+
  private:
   enum class Attempt { kAnswered, kTryNext, kFinal };
 
@@ -50,6 +54,7 @@
 
   const std::vector<SocketAddress> addresses_;
   const std::string token_;
+  mutable std::atomic<bool> was_used_{false};
 };
 
 // Escapes one path segment or query value.
--- a/packages/cli/cli_program.cc
+++ b/packages/cli/cli_program.cc
@@ -84,10 +84,13 @@
   }
   BOOST_LEAF_AUTO(settings, GlobalSettings().Read(GivenFlags(global), environment_));
   BOOST_LEAF_AUTO(json, WantsJson(settings.Text("output")));
-  parsing_ = false;
   const SystemClock clock;
   const ApiClient client(settings.AddressList("address"), settings.Secret("token"));
-  return command->Run(parsed.value(), CommandContext{&client, &clock, json, in_, out_, err_});
+  const Outcome<int> code = Capture([&] {
+    return command->Run(parsed.value(), CommandContext{&client, &clock, json, in_, out_, err_});
+  });
+  called_ = client.was_used();
+  return code.ToResult();
 }
 
 int CliProgram::Help(const std::vector<std::string>& words) {
@@ -106,7 +109,7 @@
   if (error.retry_after.has_value()) {
     *err_ << "Retry after " << absl::ToInt64Milliseconds(*error.retry_after) << " ms.\n";
   }
-  return parsing_ ? kExitUsage : ExitCodeOf(error);
+  return !called_ && error.kind == ErrorKind::kInvalidArgument ? kExitUsage : ExitCodeOf(error);
 }
 
 }  // namespace pomelotray
--- a/packages/cli/cli_program.h
+++ b/packages/cli/cli_program.h
@@ -29,8 +29,8 @@
   std::istream* const in_;
   std::ostream* const out_;
   std::ostream* const err_;
-  // Set until the command line is understood: errors are then usage errors.
-  bool parsing_ = true;
+  // False until the first call of the API: mistakes in the input are then mistakes of usage.
+  bool called_ = false;
 };
 
 }  // namespace pomelotray
--- a/tests/cli/commands_test.cc
+++ b/tests/cli/commands_test.cc
@@ -77,7 +77,7 @@
   Expect(cli.Run({"submit", "-"}, "{"), 1, "",
          "error: invalid_argument: The job is not valid JSON; check it for syntax errors, numbers "
          "beyond the range of a double and bytes that are not UTF-8.\n");
-  Expect(cli.Run({"submit", "no/such/file"}), 1, "",
+  Expect(cli.Run({"submit", "no/such/file"}), 2, "",
          "error: invalid_argument: File \"no/such/file\" cannot be read; check its name and "
          "rights.\n");
 }
--- a/tests/cli/program_test.cc
+++ b/tests/cli/program_test.cc
@@ -90,6 +90,8 @@
   Expect(cli.Run({"--address=here", "nodes"}), 2, "",
          "error: invalid_argument: The configuration is invalid: --address is \"here\" from the "
          "flag --address: use <ip>:<port>, several separated by commas.\n");
+  Expect(cli.Run({"submit", "--key=k", "--pool=p", "--cpu=x"}), 2, "",
+         "error: invalid_argument: --cpu is \"x\"; use a whole number.\n");
   BOOST_TEST(cli.Run({"status"}).code == 2);
   BOOST_TEST(cli.Run({"submit", "--key=k"}).code == 2);
   BOOST_TEST(cli.Run({"nodes", "--colour"}).code == 2);
