--- a/packages/cli/cli_program.cc
+++ b/packages/cli/cli_program.cc
@@ -76,18 +76,21 @@
     return Help({name});
   }
   words.insert(words.begin(), name);
-  const Outcome<Arguments> parsed =
-      Capture([&] { return Arguments::Parse(HelpTexts().at(name), words, false); });
-  if (!parsed.ok()) {
+  Arguments parsed;
+  const Outcome<void> understood = Capture([&]() -> Result<void> {
+    BOOST_LEAF_ASSIGN(parsed, Arguments::Parse(HelpTexts().at(name), words, false));
+    return {};
+  });
+  if (!understood.ok()) {
     return Fail(ErrorKind::kInvalidArgument,
-                absl::StrCat(parsed.error().message, " See \"pomelotray help ", name, "\"."));
+                absl::StrCat(understood.error().message, " See \"pomelotray help ", name, "\"."));
   }
   BOOST_LEAF_AUTO(settings, GlobalSettings().Read(GivenFlags(global), environment_));
   BOOST_LEAF_AUTO(json, WantsJson(settings.Text("output")));
   const SystemClock clock;
   const ApiClient client(settings.AddressList("address"), settings.Secret("token"));
   const Outcome<int> code = Capture([&] {
-    return command->Run(parsed.value(), CommandContext{&client, &clock, json, in_, out_, err_});
+    return command->Run(parsed, CommandContext{&client, &clock, json, in_, out_, err_});
   });
   called_ = client.was_used();
   return code.ToResult();
--- a/packages/cli/command.cc
+++ b/packages/cli/command.cc
@@ -34,6 +34,7 @@
     ++counts[JsonText(task, "/state")];
   }
   std::vector<std::string> parts;
+  parts.reserve(counts.size());
   for (const auto& [state, count] : counts) {
     parts.push_back(absl::StrCat(count, " ", state));
   }
