--- a/packages/cli/cli_program.cc
+++ b/packages/cli/cli_program.cc
@@ -76,18 +76,24 @@
     return Help({name});
   }
   words.insert(words.begin(), name);
-  const Outcome<Arguments> parsed =
-      Capture([&] { return Arguments::Parse(HelpTexts().at(name), words, false); });
-  if (!parsed.ok()) {
+  Arguments parsed;
+  const Outcome<void> understood = Capture([&]() -> Result<void> {
+    BOOST_LEAF_ASSIGN(parsed, Arguments::Parse(HelpTexts().at(name), words, false));
+    return {};
+  });
+  if (!understood.ok()) {
     return Fail(ErrorKind::kInvalidArgument,
-                absl::StrCat(parsed.error().message, " See \"pomelotray help ", name, "\"."));
+                absl::StrCat(understood.error().message, " See \"pomelotray help ", name, "\"."));
   }
   BOOST_LEAF_AUTO(settings, GlobalSettings().Read(GivenFlags(global), environment_));
   BOOST_LEAF_AUTO(json, WantsJson(settings.Text("output")));
-  parsing_ = false;
   const SystemClock clock;
   const ApiClient client(settings.AddressList("address"), settings.Secret("token"));
-  return command->Run(parsed.value(), CommandContext{&client, &clock, json, in_, out_, err_});
+  const Outcome<int> code = Capture([&] {
+    return command->Run(parsed, CommandContext{&client, &clock, json, in_, out_, err_});
+  });
+  called_ = client.was_used();
+  return code.ToResult();
 }
 
 int CliProgram::Help(const std::vector<std::string>& words) {
@@ -106,7 +112,7 @@
   if (error.retry_after.has_value()) {
     *err_ << "Retry after " << absl::ToInt64Milliseconds(*error.retry_after) << " ms.\n";
   }
-  return parsing_ ? kExitUsage : ExitCodeOf(error);
+  return !called_ && error.kind == ErrorKind::kInvalidArgument ? kExitUsage : ExitCodeOf(error);
 }
 
 }  // namespace pomelotray
