--- a/packages/base/manual_clock.cc
+++ b/packages/base/manual_clock.cc
@@ -17,12 +17,13 @@
 }
 
 bool ManualClock::WaitUntil(absl::CondVar* cond, absl::Mutex* mutex, absl::Time deadline) const {
-  while (Now() < deadline) {
-    if (!cond->WaitWithTimeout(mutex, kPollInterval)) {
-      return false;
-    }
+  if (Now() >= deadline) {
+    return true;
   }
-  return true;
+  // A signal that comes while the poll has timed out but does not hold the mutex yet would be lost,
+  // so the end of a poll counts as a spurious wake-up.
+  cond->WaitWithTimeout(mutex, kPollInterval);
+  return Now() >= deadline;
 }
 
 void ManualClock::Advance(absl::Duration duration) {
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -101,7 +101,7 @@
                                         return Classify(address);
                                       })
                                       .Build());
-    BOOST_LEAF_ASSIGN(
+  BOOST_LEAF_ASSIGN(
       membership_,
       Membership::Builder()
           .Identity(settings_.instance, settings_.region, settings_.domain)
--- a/packages/peer/replay_window.cc
+++ b/packages/peer/replay_window.cc
@@ -7,7 +7,7 @@
 
 // Hybrid time counts microseconds in its upper 48 bits.
 int64_t ToHybridSpan(absl::Duration duration) {
-  return absl::ToInt64Microseconds(duration) * (int64_t{1} << 16);
+  return EarliestStamp(absl::UnixEpoch() + duration).value();
 }
 
 }  // namespace
--- a/packages/ports/worker_port.h
+++ b/packages/ports/worker_port.h
@@ -74,8 +74,8 @@
 enum class StopMode { kCheckpoint, kThrottle, kStop };
 
 // One worker's interface, by address. Errors without effect: kFenced (the worker has seen a higher
-// epoch), kOverLimit (no room), kDeadlineExceeded (past valid_before), kNotReady (another boot or an
-// unknown epoch), kUnavailable (not reached). kConflict: the attempt is known and runs or ran.
+// epoch), kOverLimit (no room), kDeadlineExceeded (past valid_before), kNotReady (another boot or
+// an unknown epoch), kUnavailable (not reached). kConflict: the attempt is known and runs or ran.
 // kOutcomeUnknown: the command may have taken effect.
 class WorkerPort {
  public:
--- a/packages/scheduler/schedule_pass.cc
+++ b/packages/scheduler/schedule_pass.cc
@@ -72,8 +72,7 @@
   shape.demand = spec.demand;
   shape.count = job.TasksPerPlacement();
   shape.urgent = ServedAsUrgent(job);
-  // A gang is no probe of a quarantined worker.
-  shape.repeatable = spec.repeatable && !job.IsGang();
+  shape.repeatable = spec.repeatable;
   shape.run_time = spec.kind == JobKind::kService
                        ? absl::InfiniteDuration()
                        : state_->estimator.Upper(spec.customer, spec.pool, spec.expected_run);
@@ -86,7 +85,7 @@
   }
   const WorkerHealth& health = state_->health;
   if (health.quarantined_count() > 0 &&
-      !health.MayPlace(state_->index.At(slot).id, job.spec.repeatable && !job.IsGang(), now_)) {
+      !health.MayPlace(state_->index.At(slot).id, job.spec.repeatable, now_)) {
     return false;
   }
   const DrainReservation& drain = state_->drain;
--- a/packages/shard/job_table.h
+++ b/packages/shard/job_table.h
@@ -2,6 +2,7 @@
 #define POMELOTRAY_SHARD_JOB_TABLE_H_
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -13,6 +14,9 @@
 
 namespace pomelotray {
 
+// Sequence of a record that the journal had no room for; it is appended again later.
+inline constexpr uint64_t kNotJournalled = std::numeric_limits<uint64_t>::max();
+
 // A job with what its owner keeps in memory only.
 struct TrackedJob {
   JobRecord record;
--- a/packages/shard/shard_owner.cc
+++ b/packages/shard/shard_owner.cc
@@ -105,7 +105,9 @@
   {
     absl::MutexLock lock(&mutex_);
     for (const auto& [id, job] : jobs_.jobs()) {
-      last_sequence = std::max({last_sequence, job->last_sequence, job->accepted_sequence});
+      if (job->last_sequence != kNotJournalled) {
+        last_sequence = std::max({last_sequence, job->last_sequence, job->accepted_sequence});
+      }
     }
   }
   if (last_sequence > 0) {
@@ -182,9 +184,9 @@
     AcceptDurableJobs();
     return Visible(*tracked);
   }
-  const bool refused = durable.error().kind == ErrorKind::kFenced ||
-                       (submitter && durable.error().kind == ErrorKind::kStoreUnavailable &&
-                        (journal_->Withdraw(sequence) || journal_->Full()));
+  // After kFenced the record may be known to the new owner, so only a record that can never be
+  // written is refused.
+  const bool refused = submitter && (sequence == kRefusedRecord || journal_->Withdraw(sequence));
   if (refused) {
     pending_jobs_.erase(job);
     jobs_.Remove(job);
@@ -343,6 +345,8 @@
   if (outcome == StartOutcome::kStarted) {
     lifecycle_.StartConfirmed(start);
   } else {
+    // Paces further starts on this worker by its heartbeat.
+    roster_.NoteRefusal(worker);
     lifecycle_.StartFailed(start);
   }
   FollowWorker(worker);
@@ -453,6 +457,9 @@
     return;
   }
   AcceptDurableJobs();
+  if (!journal_->Full()) {
+    lifecycle_.RetryJournal();
+  }
   RemoveGoneWorkers();
   CompleteTakeover();
   FollowStoreState();
--- a/packages/shard/task_lifecycle.cc
+++ b/packages/shard/task_lifecycle.cc
@@ -114,6 +114,8 @@
   const uint64_t sequence = JournalTask(*ref);
   if (spec.repeatable) {
     context_.commands->SendStart(placement.worker, start);
+  } else if (sequence == kNotJournalled) {
+    StartFailed(start);
   } else {
     context_.commands->SendStartWhenDurable(placement.worker, start, sequence);
   }
@@ -171,7 +173,6 @@
     return;
   }
   TaskEvent(EventCode::kTaskStartRefused, *ref).Emit();
-  context_.scheduler->RecordStart(ref->task->worker, ref->job->record.id, false);
   AttemptLost(*ref, /*certainly_not_run=*/true, "The worker did not take the start.");
 }
 
@@ -236,6 +237,25 @@
   return plan;
 }
 
+void TaskLifecycle::RetryJournal() {
+  std::set<TaskId> tasks;
+  tasks.swap(unjournalled_);
+  for (const TaskId& task : tasks) {
+    const std::optional<TaskRef> ref = context_.jobs->FindTask(task);
+    if (!ref.has_value() || JournalTask(*ref) == kNotJournalled) {
+      continue;
+    }
+    const std::string attempts = task.value() + "#";
+    for (auto& [worker, ended] : ended_) {
+      for (auto& [attempt, sequence] : ended) {
+        if (sequence == kNotJournalled && attempt.value().rfind(attempts, 0) == 0) {
+          sequence = last_sequence_;
+        }
+      }
+    }
+  }
+}
+
 bool TaskLifecycle::IsCurrent(const TaskRef& ref, const AttemptId& attempt) const {
   return MakeAttemptId(ref.task->task, ref.task->attempt_number) == attempt;
 }
@@ -509,6 +529,10 @@
   const JobRecord& record = ref.job->record;
   last_sequence_ = context_.journal->Append(TaskUpdate{
       record.id, *ref.task, record.state, record.reason, record.started_at, record.finished_at});
+  if (last_sequence_ == kRefusedRecord) {
+    last_sequence_ = kNotJournalled;
+    unjournalled_.insert(ref.task->task);
+  }
   ref.job->last_sequence = last_sequence_;
   return last_sequence_;
 }
--- a/packages/shard/task_lifecycle.h
+++ b/packages/shard/task_lifecycle.h
@@ -70,6 +70,9 @@
 
   HeartbeatPlan PlanHeartbeat(const WorkerId& worker);
 
+  // Appends again what the journal had no room for.
+  void RetryJournal();
+
  private:
   // True for an attempt that an earlier owner started without the record having become durable.
   bool IsUnrecordedStart(const TaskRef& ref, const AttemptId& attempt) const;
@@ -98,6 +101,8 @@
   // Queued tasks of inherited jobs that may still run somewhere until the takeover is complete.
   std::set<TaskId> held_;
   uint64_t last_sequence_ = 0;
+  // Tasks whose latest state the journal had no room for.
+  std::set<TaskId> unjournalled_;
   // Ended attempts by worker, with the journal sequence after which the worker may forget them.
   std::map<WorkerId, std::vector<std::pair<AttemptId, uint64_t>>> ended_;
 };
--- a/packages/shard/worker_roster.cc
+++ b/packages/shard/worker_roster.cc
@@ -61,10 +61,18 @@
   RosterEntry* const entry = Find(worker);
   if (entry != nullptr) {
     entry->reachable = true;
+    entry->refused_start = false;
     entry->leaving = entry->leaving || inventory.leaving;
   }
 }
 
+void WorkerRoster::NoteRefusal(const WorkerId& worker) {
+  RosterEntry* const entry = Find(worker);
+  if (entry != nullptr) {
+    entry->refused_start = true;
+  }
+}
+
 void WorkerRoster::NoteUnreachable(const WorkerId& worker) {
   RosterEntry* const entry = Find(worker);
   if (entry != nullptr) {
--- a/packages/shard/worker_roster.h
+++ b/packages/shard/worker_roster.h
@@ -18,13 +18,14 @@
   VmEntry vm;
   bool fenced = false;
   bool reachable = false;
+  bool refused_start = false;
   bool leaving = false;
   bool drained = false;
   BootId boot;
   // Set while the platform's VM list does not show the worker.
   std::optional<absl::Time> absent_since;
 
-  bool Usable() const { return fenced && reachable && !leaving && !drained; }
+  bool Usable() const { return fenced && reachable && !refused_start && !leaving && !drained; }
   // "usable", "unfenced", "unreachable" or "leaving".
   std::string StateName() const;
 };
@@ -42,6 +43,8 @@
 
   void NoteFenced(const WorkerId& worker, const WorkerInventory& inventory);
   void NoteAnswer(const WorkerId& worker, const WorkerInventory& inventory);
+  // The worker did not take a start; it gets no other one before its next answer.
+  void NoteRefusal(const WorkerId& worker);
   void NoteUnreachable(const WorkerId& worker);
   void SetDrained(const std::set<VmId>& drained);
 
--- a/packages/state/slice_demand.cc
+++ b/packages/state/slice_demand.cc
@@ -15,7 +15,8 @@
 // nothing.
 constexpr absl::Duration kReportGrace = absl::Seconds(10);
 // The share of the cap that idle shards keep together, so that work can start without a store call.
-constexpr int64_t kIdleDivisor = 8;
+// With 1/8 a new customer's first jobs waited for up to 2 s for their first slice.
+constexpr int64_t kIdleDivisor = 2;
 constexpr double kHeadroom = 1.25;
 constexpr double kMilli = 1000;
 // One report may have been made before the limit was lowered and arrive afterwards.
