--- a/packages/daemon/shard_host.cc
+++ b/packages/daemon/shard_host.cc
@@ -393,6 +393,12 @@
     context.workers = context_.workers;
     context.limits = hosted->limits.get();
     context.store_available = [this] { return context_.store->Available(); };
+    context.claim_is_current = [this, shard, term = hosted->epoch.term] {
+      const Outcome<std::optional<ShardClaim>> claim =
+          Capture([&] { return context_.claims->Find(shard); });
+      return claim.ok() && claim.value().has_value() && claim.value()->term == term &&
+             claim.value()->owner == options_.self;
+    };
     const StateContext state{context_.store, context_.clock, context_.events};
     hosted->owner = std::make_shared<ShardOwner>(
         context, options,
--- a/packages/scheduler/wait_estimator.cc
+++ b/packages/scheduler/wait_estimator.cc
@@ -146,8 +146,12 @@
     return absl::StrCat("No worker has room for ", count, " tasks of ", ToText(spec.demand),
                         " at the moment.");
   }
-  return absl::StrCat("Waits for its turn; ", state_->queue.queued_tasks(),
-                      " tasks are queued in this shard.");
+  const std::string turn = absl::StrCat("Waits for its turn; ", state_->queue.queued_tasks(),
+                                        " tasks are queued in this shard.");
+  const size_t quarantined = state_->health.quarantined_count();
+  return quarantined == 0 ? turn
+                          : absl::StrCat(turn, " ", quarantined,
+                                         " workers failed several jobs and get only probes.");
 }
 
 }  // namespace pomelotray
--- a/packages/shard/lease_keeper.cc
+++ b/packages/shard/lease_keeper.cc
@@ -30,6 +30,11 @@
   return deposed_;
 }
 
+bool LeaseKeeper::ConfirmOwnership(absl::Time /*since*/) {
+  // The store is down, and nothing is started here that a newer owner could start elsewhere.
+  return true;
+}
+
 void LeaseKeeper::OnFenced(const WorkerId& worker, const WorkerInventory& inventory) {
   events_->Record(EventCode::kWorkerFenced).Worker(worker).At(options_.epoch).Emit();
   OnInventory(worker, inventory);
--- a/packages/shard/lease_keeper.h
+++ b/packages/shard/lease_keeper.h
@@ -28,6 +28,7 @@
   bool deposed() const;
 
  private:
+  bool ConfirmOwnership(absl::Time since) override;
   void OnFenced(const WorkerId& worker, const WorkerInventory& inventory) override;
   void OnInventory(const WorkerId& worker, const WorkerInventory& inventory) override;
   void OnStartOutcome(const WorkerId& worker, const TaskStart& start,
--- a/packages/shard/shard_owner.cc
+++ b/packages/shard/shard_owner.cc
@@ -317,6 +317,19 @@
   return fenced_by_worker_ || journal_->deposed();
 }
 
+bool ShardOwner::ConfirmOwnership(absl::Time since) {
+  absl::MutexLock lock(&confirm_mutex_);
+  if (confirmed_at_ >= since) {
+    return true;
+  }
+  const absl::Time began = context_.clock->Now();
+  if (!context_.claim_is_current()) {
+    return false;
+  }
+  confirmed_at_ = began;
+  return true;
+}
+
 void ShardOwner::OnFenced(const WorkerId& worker, const WorkerInventory& inventory) {
   context_.events->Record(EventCode::kWorkerFenced)
       .Worker(worker)
@@ -457,6 +470,7 @@
     return;
   }
   AcceptDurableJobs();
+  AnnounceDurableEnds();
   if (!journal_->Full()) {
     lifecycle_.RetryJournal();
   }
@@ -494,6 +508,22 @@
   }
 }
 
+void ShardOwner::AnnounceDurableEnds() {
+  const uint64_t durable = journal_->durable_sequence();
+  std::set<JobId>* const ended = lifecycle_.ended_jobs();
+  for (auto it = ended->begin(); it != ended->end();) {
+    const TrackedJob* const job = jobs_.Find(*it);
+    if (job != nullptr && job->last_sequence > durable) {
+      ++it;
+      continue;
+    }
+    if (job != nullptr) {
+      lifecycle_.RecordEnd(*job);
+    }
+    it = ended->erase(it);
+  }
+}
+
 void ShardOwner::CompleteTakeover() {
   if (!takeover_complete_ && roster_.AllFenced()) {
     takeover_complete_ = true;
--- a/packages/shard/shard_owner.h
+++ b/packages/shard/shard_owner.h
@@ -52,6 +52,8 @@
   WorkerPort* workers = nullptr;
   ShardLimits* limits = nullptr;
   std::function<bool()> store_available;
+  // Reads the shard's claim from the store: true when it is still this owner's.
+  std::function<bool()> claim_is_current;
 };
 
 // The owner of one shard of workers: accepts jobs into the journal, places their tasks, starts them
@@ -86,6 +88,7 @@
 
  private:
   // WorkerLinkListener:
+  bool ConfirmOwnership(absl::Time since) override;
   void OnFenced(const WorkerId& worker, const WorkerInventory& inventory) override;
   void OnInventory(const WorkerId& worker, const WorkerInventory& inventory) override;
   void OnStartOutcome(const WorkerId& worker, const TaskStart& start,
@@ -103,6 +106,8 @@
 
   void Run();
   void RunRound();
+  // Records the ends of jobs that have become durable.
+  void AnnounceDurableEnds() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void AcceptDurableJobs() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void CompleteTakeover() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void RemoveGoneWorkers() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -137,6 +142,10 @@
   absl::Time next_report_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
   JobTable jobs_ ABSL_GUARDED_BY(mutex_);
   std::set<JobId> pending_jobs_ ABSL_GUARDED_BY(mutex_);
+  // Serializes reads of the claim, so that links that wait for one share its result.
+  absl::Mutex confirm_mutex_ ABSL_ACQUIRED_BEFORE(mutex_);
+  // When the read that last confirmed the claim began.
+  absl::Time confirmed_at_ ABSL_GUARDED_BY(confirm_mutex_) = absl::InfinitePast();
   // Tasks that may not be repeated, held because their intent cannot become durable now.
   std::set<TaskId> held_for_store_ ABSL_GUARDED_BY(mutex_);
   WorkerRoster roster_ ABSL_GUARDED_BY(mutex_);
--- a/packages/shard/task_lifecycle.cc
+++ b/packages/shard/task_lifecycle.cc
@@ -57,6 +57,8 @@
   TrackedJob* const job = context_.jobs->Insert(std::move(record));
   job->accepted = true;
   if (IsFinal(job->record.state)) {
+    // The earlier owner may have died before it recorded the event.
+    ended_jobs_.insert(job->record.id);
     return;
   }
   context_.scheduler->Enqueue(job->record);
@@ -388,6 +390,9 @@
   Requeue(ref, reason);
   if (job->record.spec.kind == JobKind::kGang) {
     AbandonGang(job);
+    // The gang may have ended with this task.
+    UpdateJob(job);
+    JournalTask(ref);
   }
 }
 
@@ -516,12 +521,17 @@
   job->record.state = state;
   job->record.reason = std::move(reason);
   job->record.finished_at = context_.clock->Now();
+  ended_jobs_.insert(job->record.id);
+}
+
+void TaskLifecycle::RecordEnd(const TrackedJob& job) {
+  const JobState state = job.record.state;
   context_.events
       ->Record(state == JobState::kCancelled ? EventCode::kJobCancelled : EventCode::kJobFinished)
-      .Job(job->record.id)
-      .Customer(job->record.spec.customer)
+      .Job(job.record.id)
+      .Customer(job.record.spec.customer)
       .With(event_field::kState, JobStateName(state))
-      .With(event_field::kReason, NotRun(*job) ? kNotRunReason : "")
+      .With(event_field::kReason, NotRun(job) ? kNotRunReason : "")
       .Emit();
 }
 
--- a/packages/shard/task_lifecycle.h
+++ b/packages/shard/task_lifecycle.h
@@ -73,6 +73,11 @@
   // Appends again what the journal had no room for.
   void RetryJournal();
 
+  // Jobs whose end has not been recorded as an event yet. Another owner may still decide otherwise
+  // until the end is durable, so the event waits for that.
+  std::set<JobId>* ended_jobs() { return &ended_jobs_; }
+  void RecordEnd(const TrackedJob& job);
+
  private:
   // True for an attempt that an earlier owner started without the record having become durable.
   bool IsUnrecordedStart(const TaskRef& ref, const AttemptId& attempt) const;
@@ -103,6 +108,7 @@
   uint64_t last_sequence_ = 0;
   // Tasks whose latest state the journal had no room for.
   std::set<TaskId> unjournalled_;
+  std::set<JobId> ended_jobs_;
   // Ended attempts by worker, with the journal sequence after which the worker may forget them.
   std::map<WorkerId, std::vector<std::pair<AttemptId, uint64_t>>> ended_;
 };
--- a/packages/shard/worker_link.cc
+++ b/packages/shard/worker_link.cc
@@ -31,7 +31,10 @@
 
 WorkerLink::~WorkerLink() { Stop(); }
 
-void WorkerLink::Start() { thread_ = std::thread(&WorkerLink::Run, this); }
+void WorkerLink::Start() {
+  unfenced_since_ = clock_->Now();
+  thread_ = std::thread(&WorkerLink::Run, this);
+}
 
 void WorkerLink::Stop() {
   {
@@ -99,6 +102,9 @@
 }
 
 bool WorkerLink::Fence() {
+  if (!listener_->ConfirmOwnership(unfenced_since_)) {
+    return false;
+  }
   const absl::Time sent = clock_->Now();
   const Outcome<WorkerInventory> answer =
       Capture([&] { return port_->Fence(address_, options_.owner, options_.epoch); });
@@ -170,6 +176,7 @@
   if (answer.value().boot != boot_ || answer.value().epoch < options_.epoch) {
     // The worker process is another one; it has to be fenced before anything else is sent.
     fenced_ = false;
+    unfenced_since_ = clock_->Now();
     return;
   }
   NoteAnswer(sent, answer.value());
--- a/packages/shard/worker_link.h
+++ b/packages/shard/worker_link.h
@@ -78,6 +78,8 @@
 
   // Used by the link's thread only.
   bool fenced_ = false;
+  // When the link learnt that the present boot of the worker does not obey its owner yet.
+  absl::Time unfenced_since_;
   BootId boot_;
   WorkerClockEstimate worker_clock_;
   int failures_ = 0;
--- a/packages/shard/worker_link_listener.h
+++ b/packages/shard/worker_link_listener.h
@@ -26,6 +26,10 @@
  public:
   virtual ~WorkerLinkListener() = default;
 
+  // Asked before each fence: true when this owner's claim is still the current one, by a store read
+  // that began after `since`. A worker that restarted has forgotten every epoch, so a deposed owner
+  // could fence it.
+  virtual bool ConfirmOwnership(absl::Time since) = 0;
   // The worker obeys this owner now. `inventory` is complete: an attempt that is not in it does not
   // run there and cannot start there any more.
   virtual void OnFenced(const WorkerId& worker, const WorkerInventory& inventory) = 0;
--- a/tests/shard/fault_run.cc
+++ b/tests/shard/fault_run.cc
@@ -133,9 +133,10 @@
 }
 
 void FaultRun::StartOwner() {
+  // Stands for the claim in the store.
   ++term_;
   std::shared_ptr<Owner> owner = std::make_shared<Owner>();
-  const InstanceId id(absl::StrCat("owner-", term_));
+  const InstanceId id(absl::StrCat("owner-", term_.load()));
   owner->store = std::make_unique<CutStorePort>(&store_);
   owner->workers = std::make_unique<FaultyWorkerPort>(&fleet_, &clock_, random_());
   owner->workers->faults.lose_answer_percent = plan_.lost_worker_answers ? kDeliveryPercent : 0;
@@ -144,7 +145,7 @@
   ShardOwnerOptions options;
   options.shard = TestShard();
   options.self = id;
-  options.epoch = Epoch{term_, 0};
+  options.epoch = Epoch{term_.load(), 0};
   ShardOwnerContext context;
   context.clock = &clock_;
   context.events = owner->events.get();
@@ -152,6 +153,9 @@
   context.limits = &limits_;
   CutStorePort* const store = owner->store.get();
   context.store_available = [store] { return !store->cut; };
+  context.claim_is_current = [this, store, term = term_.load()] {
+    return !store->cut && term_ == term;
+  };
   owner->owner = std::make_unique<ShardOwner>(
       context, options,
       std::make_unique<Journal>(StateContext{store, &clock_, owner->events.get()}, options.shard,
--- a/tests/shard/fault_run.h
+++ b/tests/shard/fault_run.h
@@ -109,7 +109,7 @@
   absl::Mutex owners_mutex_;
   // All owners, the newest last; destroyed at the end.
   std::vector<std::shared_ptr<Owner>> owners_;
-  int64_t term_ = 0;
+  std::atomic<int64_t> term_{0};
   std::vector<std::unique_ptr<Client>> clients_;
   std::atomic<bool> stopping_{false};
   std::vector<std::string> unfinished_;
