--- a/packages/cli/timeline_command.cc
+++ b/packages/cli/timeline_command.cc
@@ -1,8 +1,6 @@
 #include "cli/timeline_command.h"
 
-#include <algorithm>
 #include <string>
-#include <tuple>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -10,18 +8,12 @@
 #include "base/event.h"
 #include "cli/json_view.h"
 #include "cli/table.h"
+#include "history/merge_timelines.h"
 #include "model/field_reader.h"
 
 namespace pomelotray {
 namespace {
 
-// Hybrid time keeps a counter in its lower 16 bits.
-constexpr int kCounterBits = 16;
-
-bool HappensBefore(const Event& a, const Event& b) {
-  return std::tie(a.time, a.process, a.sequence) < std::tie(b.time, b.process, b.sequence);
-}
-
 std::string FieldsText(const Event& event) {
   std::vector<std::string> parts;
   for (const auto& [name, value] : event.fields) {
@@ -52,15 +44,15 @@
       events.push_back(event);
     }
   }
-  std::sort(events.begin(), events.end(), HappensBefore);
+  events = MergeTimelines({events});
   if (context.json) {
     PrintJson({{"events", events}}, context);
     return kExitDone;
   }
   Table table({"TIME", "PROCESS", "CODE", "EVENT", "FIELDS"});
   for (const Event& event : events) {
-    const absl::Time time = absl::FromUnixMicros(event.time.value() >> kCounterBits);
-    table.AddRow({TimeToText(time), event.process, absl::StrCat(static_cast<int>(event.code)),
+    table.AddRow({TimeToText(WallTime(event.time)), event.process,
+                  absl::StrCat(static_cast<int>(event.code)),
                   std::string(DescribeEvent(event.code).name), FieldsText(event)});
   }
   table.Print(*context.out);
--- a/packages/cli/wait_command.cc
+++ b/packages/cli/wait_command.cc
@@ -11,6 +11,7 @@
 
 // The API answers a wait within a minute.
 constexpr absl::Duration kLongestCall = absl::Seconds(30);
+constexpr absl::Duration kOwnerRetryInterval = absl::Milliseconds(500);
 constexpr absl::Duration kDefaultTimeout = absl::Hours(1);
 
 }  // namespace
@@ -24,7 +25,17 @@
     call.timeout = std::min(left, kLongestCall);
     call.target = absl::StrCat("/v1/jobs/", EscapeUrl(*args.Text("<job>")),
                                "/wait?timeout_ms=", absl::ToInt64Milliseconds(call.timeout));
-    BOOST_LEAF_AUTO(job, context.client->CallJson(call));
+    const Outcome<nlohmann::json> answer = Capture([&] { return context.client->CallJson(call); });
+    if (!answer.ok()) {
+      // While a shard changes its owner the job goes on; its state cannot be asked for.
+      if (answer.error().kind != ErrorKind::kOwnerUnavailable ||
+          context.clock->Now() + kOwnerRetryInterval >= end) {
+        return Fail(answer.error());
+      }
+      context.clock->SleepFor(kOwnerRetryInterval);
+      continue;
+    }
+    const nlohmann::json& job = answer.value();
     const std::optional<JobState> state = ParseJobState(JsonText(job, "/state"));
     if (state.has_value() && IsFinal(*state)) {
       PrintJob(job, context);
--- a/packages/daemon/cluster_service.cc
+++ b/packages/daemon/cluster_service.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "daemon/peer_codec.h"
 #include "daemon/rendezvous.h"
+#include "history/merge_timelines.h"
 #include "model/contract_rules.h"
 #include "model/job_codec.h"
 
@@ -115,14 +116,14 @@
       return owner != nullptr ? owner->WaitForJob(job, chunk)
                               : CallJobOwner(job, "wait", body, chunk + kMemberCallTimeout);
     });
-    if (record.ok() && (IsFinal(record.value().state) || remaining <= chunk)) {
+    if (record.ok() && (IsFinal(record.value().state) || context_.clock->Now() >= deadline)) {
       return record.value();
     }
     const bool owner_changes =
         !record.ok() && (record.error().kind == ErrorKind::kOwnerUnavailable ||
                          record.error().kind == ErrorKind::kOutcomeUnknown ||
                          record.error().kind == ErrorKind::kDeadlineExceeded);
-    if (!record.ok() && (!owner_changes || remaining <= chunk)) {
+    if (!record.ok() && (!owner_changes || remaining <= kOwnerRetryInterval)) {
       return Fail(record.error());
     }
     if (owner_changes) {
@@ -281,10 +282,7 @@
       }
     }
   }
-  std::sort(events.begin(), events.end(), [](const Event& a, const Event& b) {
-    return std::tie(a.time, a.process, a.sequence) < std::tie(b.time, b.process, b.sequence);
-  });
-  return events;
+  return MergeTimelines({events});
 }
 
 std::string ClusterService::NotReadyReason() {
--- a/packages/daemon/shard_host.cc
+++ b/packages/daemon/shard_host.cc
@@ -20,7 +20,7 @@
 constexpr absl::Duration kClaimRefreshInterval = absl::Seconds(5);
 // Lower-ranked candidates leave the better ones this much time each.
 constexpr absl::Duration kRankDelay = absl::Seconds(2);
-// A domain without a live instance for this long is served from outside.
+// Time after the start in which a domain without a known instance may still have one.
 constexpr absl::Duration kOrphanDomainDelay = absl::Seconds(10);
 // A store that does not answer for this long is in an outage; local takeovers are allowed.
 constexpr absl::Duration kOutageDelay = absl::Seconds(4);
@@ -328,11 +328,11 @@
     return true;
   }
   const std::vector<Member> members = context_.membership->Members();
-  const absl::Time now = context_.clock->Now();
-  const bool domain_alive = std::any_of(members.begin(), members.end(), [&](const Member& member) {
-    return member.domain == shard.domain && now - member.last_heard < kOrphanDomainDelay;
-  });
-  return !domain_alive && now - started_ > kOrphanDomainDelay;
+  const bool domain_alive =
+      std::any_of(members.begin(), members.end(), [&shard](const Member& member) {
+        return member.domain == shard.domain && member.state != MemberState::kDead;
+      });
+  return !domain_alive && context_.clock->Now() - started_ > kOrphanDomainDelay;
 }
 
 std::shared_ptr<ShardHost::Hosted> ShardHost::NewHosted(const ShardId& shard, const Epoch& epoch) {
--- a/packages/scheduler/shard_scheduler.cc
+++ b/packages/scheduler/shard_scheduler.cc
@@ -112,7 +112,7 @@
 
 void ShardScheduler::RecordStart(const WorkerId& worker, const JobId& job, bool ok) {
   const bool was_quarantined = state_->health.IsQuarantined(worker);
-  state_->health.RecordStart(worker, job, ok, state_->clock->Now());
+  state_->health.RecordStart(worker, job, ok, state_->clock->Now(), state_->index.slot_count());
   const std::optional<WorkerSlot> slot = state_->index.Find(worker);
   if (slot.has_value() && state_->health.IsQuarantined(worker) != was_quarantined) {
     state_->WorkerChanged(*slot);
--- a/packages/scheduler/worker_health.cc
+++ b/packages/scheduler/worker_health.cc
@@ -4,7 +4,8 @@
 
 namespace pomelotray {
 
-void WorkerHealth::RecordStart(const WorkerId& worker, const JobId& job, bool ok, absl::Time now) {
+void WorkerHealth::RecordStart(const WorkerId& worker, const JobId& job, bool ok, absl::Time now,
+                               size_t workers) {
   if (ok) {
     Forget(worker);
     return;
@@ -24,7 +25,8 @@
   const bool several_jobs =
       std::any_of(failures.begin(), failures.end(),
                   [&failures](const JobId& other) { return other != failures.front(); });
-  if (failures.size() < kFailuresToQuarantine || !several_jobs) {
+  const size_t allowed = std::max<size_t>(1, workers / kQuarantineDivisor);
+  if (failures.size() < kFailuresToQuarantine || !several_jobs || quarantined_count_ >= allowed) {
     return;
   }
   record.quarantined = true;
--- a/packages/scheduler/worker_health.h
+++ b/packages/scheduler/worker_health.h
@@ -20,7 +20,13 @@
   // A probe without an outcome after this time may be sent again.
   static constexpr absl::Duration kProbeTimeout = absl::Minutes(1);
 
-  void RecordStart(const WorkerId& worker, const JobId& job, bool ok, absl::Time now);
+  // At most this part of the shard's workers, but at least one, is quarantined at a time: when more
+  // of them seem faulty, the jobs are. Otherwise a few failing jobs could stop a whole shard.
+  static constexpr size_t kQuarantineDivisor = 4;
+
+  // `workers`: number of workers in the shard.
+  void RecordStart(const WorkerId& worker, const JobId& job, bool ok, absl::Time now,
+                   size_t workers);
   // A placement on a quarantined worker is its probe.
   void RecordPlacement(const WorkerId& worker, absl::Time now);
   void Forget(const WorkerId& worker);
--- a/tests/api/fake_admin_service.h
+++ b/tests/api/fake_admin_service.h
@@ -191,7 +191,7 @@
     std::vector<Event> events;
     for (int i = 0; i < (all_instances ? 2 : 1); ++i) {
       Event event;
-      event.time = HybridTime((1'000'000'000'000LL + i) << 16);
+      event.time = EarliestStamp(absl::FromUnixMicros(1'000'000'000'000LL + i));
       event.process = i == 0 ? "entry-1" : "entry-2";
       event.sequence = 5;
       event.code = i == 0 ? EventCode::kJobAccepted : EventCode::kTaskStarted;
--- a/tests/scheduler/shard_scheduler_test.cc
+++ b/tests/scheduler/shard_scheduler_test.cc
@@ -221,6 +221,20 @@
   BOOST_TEST(Schedule() == "once/0@w1 probe/1@w1");
 }
 
+// Guards against a few failing jobs that take all workers out (fault run ZombieOwners, seed 289).
+BOOST_AUTO_TEST_CASE(FailingJobsDoNotStopTheShard) {
+  for (const char* worker : {"w1", "w2", "w3", "w4"}) {
+    AddWorker(worker, MakeResources(4, 8));
+    for (const char* job : {"x", "y", "x"}) {
+      scheduler->RecordStart(WorkerId(worker), JobId(job), false);
+    }
+  }
+  JobRecord once = Job("once", "a", MakeResources(4, 8), 4);
+  once.spec.repeatable = false;
+  scheduler->Enqueue(once);
+  BOOST_TEST(scheduler->Schedule(1000).placements.size() == 3u);
+}
+
 // Guards against held tasks that start, and against a cancelled job that comes back.
 BOOST_AUTO_TEST_CASE(HoldRemoveAndRequeue) {
   AddWorker("w1", MakeResources(4, 8));
