--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -50,6 +50,7 @@
   target_include_directories(test_${feature} PRIVATE ${CMAKE_SOURCE_DIR})
   # GCC 12 reports std::variant members of inlined Outcome temporaries although they are never read.
   target_compile_options(test_${feature} PRIVATE -Wno-maybe-uninitialized)
+  target_compile_definitions(test_${feature} PRIVATE POMELOTRAY_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
   target_link_libraries(test_${feature} PRIVATE ${ARG_DEPENDS} Boost::unit_test_framework rapidcheck)
   set_target_properties(test_${feature} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/tests)
   add_test(NAME ${feature} COMMAND test_${feature} --log_level=test_suite --report_level=short)
