--- a/packages/shard/shard_owner.cc
+++ b/packages/shard/shard_owner.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "model/job_codec.h"
 #include "scheduler/shard_scheduler_builder.h"
+#include "shard/submission.h"
 
 namespace pomelotray {
 namespace {
@@ -14,35 +14,16 @@
 constexpr absl::Duration kRoundInterval = absl::Milliseconds(50);
 constexpr absl::Duration kReportInterval = absl::Milliseconds(500);
 constexpr int kMaxPlacementsPerRound = 512;
-// When a caller may try again after a refusal because of the store.
-constexpr absl::Duration kStoreRetryAfter = absl::Seconds(2);
 constexpr absl::Duration kFlushTimeout = absl::Seconds(2);
 
-JobRecord NewRecord(const ShardId& shard, const JobSpec& spec, absl::Time now) {
-  JobRecord record;
-  record.id = MakeJobId(shard, spec.customer, spec.key);
-  record.spec = spec;
-  record.accepted_at = now;
-  for (int64_t index = 0; index < spec.task_count; ++index) {
-    TaskStatus task;
-    task.task = MakeTaskId(record.id, index);
-    record.tasks.push_back(task);
-  }
-  return record;
-}
-
-// A caller that repeats a submission may compute its deadline anew, so deadlines are not compared.
-bool SameWork(JobSpec a, JobSpec b) {
-  a.deadline.reset();
-  b.deadline.reset();
-  return JobSpecToJson(a) == JobSpecToJson(b);
-}
-
-Error StoreRefusal() {
-  return Error{
-      ErrorKind::kStoreUnavailable,
-      "The store does not accept writes now and the job was not run; submit it again later.",
-      kStoreRetryAfter};
+WorkerLinkOptions LinkOptions(const ShardOwnerOptions& options) {
+  WorkerLinkOptions link;
+  link.owner = options.self;
+  link.epoch = options.epoch;
+  link.heartbeat_interval = options.heartbeat_interval;
+  link.task_lease = options.task_lease;
+  link.command_validity = options.command_validity;
+  return link;
 }
 
 }  // namespace
@@ -61,6 +42,9 @@
       limiter_(context.clock, static_cast<uint64_t>(options.epoch.term)),
       lifecycle_(TaskLifecycle::Context{context.clock, context.events, journal_.get(),
                                         scheduler_.get(), this, &jobs_}),
+      reader_(JobReader::Context{options.shard, &jobs_, &roster_, scheduler_.get(), journal_.get(),
+                                 &held_for_store_, &takeover_complete_}),
+      links_(context.workers, context.clock, this, LinkOptions(options)),
       intents_(journal_.get(), context.clock,
                [this](const WorkerId& worker, const TaskStart& start) {
                  SendDurableIntent(worker, start);
@@ -86,21 +70,16 @@
 }
 
 void ShardOwner::Stop() {
-  std::map<WorkerId, std::unique_ptr<WorkerLink>> links;
   {
     absl::MutexLock lock(&mutex_);
     stopping_ = true;
     Wake();
-    links.swap(links_);
   }
   if (thread_.joinable()) {
     thread_.join();
   }
   intents_.Stop();
-  for (auto& [worker, link] : links) {
-    link->Stop();
-  }
-  JoinRetiredLinks();
+  links_.Stop();
   uint64_t last_sequence = 0;
   {
     absl::MutexLock lock(&mutex_);
@@ -135,11 +114,11 @@
                                " was used for another job; use a new key for new work."));
     }
     if (job != nullptr && job->accepted) {
-      return Visible(*job);
+      return reader_.Visible(*job);
     }
     if (job == nullptr) {
       BOOST_LEAF_CHECK(CheckSubmission(spec));
-      JobRecord record = NewRecord(options_.shard, spec, context_.clock->Now());
+      JobRecord record = NewJobRecord(options_.shard, spec, context_.clock->Now());
       sequence = journal_->Append(JobUpsert{record});
       TrackedJob* const inserted = jobs_.Insert(std::move(record));
       inserted->accepted_sequence = sequence;
@@ -182,7 +161,7 @@
   }
   if (durable.ok()) {
     AcceptDurableJobs();
-    return Visible(*tracked);
+    return reader_.Visible(*tracked);
   }
   // After kFenced the record may be known to the new owner, so only a record that can never be
   // written is refused.
@@ -208,7 +187,7 @@
         absl::StrCat("Job ", job.value(),
                      " does not exist or ended longer ago than jobs are kept; check the id."));
   }
-  return Visible(*tracked);
+  return reader_.Visible(*tracked);
 }
 
 Result<JobRecord> ShardOwner::CancelJob(const JobId& job) {
@@ -252,41 +231,16 @@
 }
 
 std::vector<JobRecord> ShardOwner::ListJobs(const std::optional<CustomerId>& customer) {
-  std::vector<JobRecord> records;
   absl::MutexLock lock(&mutex_);
-  for (const auto& [id, job] : jobs_.jobs()) {
-    if (job->accepted && !IsFinal(job->record.state) &&
-        (!customer.has_value() || job->record.spec.customer == *customer)) {
-      records.push_back(Visible(*job));
-    }
-  }
-  return records;
+  return reader_.LiveJobs(customer);
 }
 
 std::vector<WorkerStatus> ShardOwner::ListWorkers() {
-  std::vector<WorkerStatus> workers;
   absl::MutexLock lock(&mutex_);
-  for (const auto& [id, entry] : roster_.entries()) {
-    WorkerStatus status;
-    status.id = id;
-    status.shard = options_.shard;
-    status.rack = entry.vm.rack;
-    status.state = entry.StateName();
-    status.capacity = entry.vm.capacity;
-    status.reserved = scheduler_->Reserved(id);
-    status.running_attempts = static_cast<int64_t>(jobs_.TasksOn(id).size());
-    workers.push_back(status);
-  }
-  return workers;
+  return reader_.Workers();
 }
 
 void ShardOwner::UpdateWorkers(const std::vector<VmEntry>& vms) {
-  WorkerLinkOptions link_options;
-  link_options.owner = options_.self;
-  link_options.epoch = options_.epoch;
-  link_options.heartbeat_interval = options_.heartbeat_interval;
-  link_options.task_lease = options_.task_lease;
-  link_options.command_validity = options_.command_validity;
   absl::MutexLock lock(&mutex_);
   if (!running_ || stopping_) {
     return;
@@ -294,10 +248,7 @@
   for (const VmEntry& vm : roster_.Update(vms, context_.clock->Now())) {
     scheduler_->UpsertWorker({vm.id, vm.rack, vm.capacity});
     scheduler_->SetAvailable(vm.id, false);
-    std::unique_ptr<WorkerLink> link = std::make_unique<WorkerLink>(
-        vm.id, vm.address, context_.workers, context_.clock, this, link_options);
-    link->Start();
-    links_[vm.id] = std::move(link);
+    links_.Add(vm);
   }
   for (const auto& [id, entry] : roster_.entries()) {
     FollowWorker(id);
@@ -402,10 +353,7 @@
 }
 
 void ShardOwner::SendStop(const WorkerId& worker, const AttemptId& attempt, StopMode mode) {
-  const auto link = links_.find(worker);
-  if (link != links_.end()) {
-    link->second->QueueStop(attempt, mode);
-  }
+  links_.QueueStop(worker, attempt, mode);
 }
 
 void ShardOwner::SendDurableIntent(const WorkerId& worker, const TaskStart& start) {
@@ -421,8 +369,7 @@
 
 void ShardOwner::QueueStart(const WorkerId& worker, const TaskStart& start) {
   const TrackedJob* const job = jobs_.Find(start.job);
-  const auto link = links_.find(worker);
-  if (link == links_.end() || job == nullptr || job->cancel_requested) {
+  if (job == nullptr || job->cancel_requested || !links_.QueueStart(worker, start)) {
     // It has not been sent to the worker, so it cannot run.
     lifecycle_.StartFailed(start);
     return;
@@ -434,7 +381,6 @@
       .Worker(worker)
       .At(options_.epoch)
       .Emit();
-  link->second->QueueStart(start);
 }
 
 void ShardOwner::FollowWorker(const WorkerId& worker) {
@@ -460,7 +406,7 @@
       work_pending_ = false;
     }
     RunRound();
-    JoinRetiredLinks();
+    links_.JoinRetired();
   }
 }
 
@@ -536,11 +482,7 @@
     context_.events->Record(EventCode::kWorkerGone).Worker(worker).Shard(options_.shard).Emit();
     lifecycle_.WorkerLost(worker, "The worker is gone.");
     scheduler_->RemoveWorker(worker);
-    const auto link = links_.find(worker);
-    if (link != links_.end()) {
-      retired_links_.push_back(std::move(link->second));
-      links_.erase(link);
-    }
+    links_.Retire(worker);
   }
 }
 
@@ -607,45 +549,6 @@
   }
 }
 
-void ShardOwner::JoinRetiredLinks() {
-  std::vector<std::unique_ptr<WorkerLink>> retired;
-  {
-    absl::MutexLock lock(&mutex_);
-    retired.swap(retired_links_);
-  }
-  for (const std::unique_ptr<WorkerLink>& link : retired) {
-    link->Stop();
-  }
-}
-
-JobRecord ShardOwner::Visible(const TrackedJob& job) const {
-  JobRecord record = job.record;
-  if (IsFinal(record.state) && job.last_sequence > journal_->durable_sequence()) {
-    record.state = JobState::kRunning;
-    record.reason = "The job has ended, but its end is not durable yet.";
-    record.finished_at.reset();
-  } else if (record.state == JobState::kQueued) {
-    record.reason = WaitReason(record);
-  }
-  return record;
-}
-
-std::string ShardOwner::WaitReason(const JobRecord& record) const {
-  const bool held_for_store =
-      std::any_of(record.tasks.begin(), record.tasks.end(),
-                  [this](const TaskStatus& task) { return held_for_store_.count(task.task) > 0; });
-  if (held_for_store) {
-    return "store_unavailable: the start cannot be recorded until the store answers again.";
-  }
-  const TrackedJob* const job = jobs_.Find(record.id);
-  const std::optional<WorkerId> unfenced = roster_.FirstUnfenced();
-  if (job != nullptr && job->inherited && !takeover_complete_ && unfenced.has_value()) {
-    return absl::StrCat("worker_unreachable: the job may still run on ", unfenced->value(),
-                        ", which does not answer.");
-  }
-  return scheduler_->WaitReason(record.id);
-}
-
 void ShardOwner::Wake() {
   work_pending_ = true;
   changed_.SignalAll();
--- a/packages/shard/shard_owner.h
+++ b/packages/shard/shard_owner.h
@@ -2,7 +2,6 @@
 #define POMELOTRAY_SHARD_SHARD_OWNER_H_
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -23,10 +22,11 @@
 #include "scheduler/shard_scheduler.h"
 #include "shard/command_sink.h"
 #include "shard/intent_sender.h"
+#include "shard/job_reader.h"
 #include "shard/job_table.h"
 #include "shard/shard_limits.h"
 #include "shard/task_lifecycle.h"
-#include "shard/worker_link.h"
+#include "shard/worker_links.h"
 #include "shard/worker_roster.h"
 #include "state/journal.h"
 
@@ -115,7 +115,6 @@
   void ApplyRound(const ScheduleRound& round) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ForgetOldJobs() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ReportDemand() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  void JoinRetiredLinks();
   void SendDurableIntent(const WorkerId& worker, const TaskStart& start);
   void QueueStart(const WorkerId& worker, const TaskStart& start)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -123,8 +122,6 @@
 
   Result<void> CheckSubmission(const JobSpec& spec) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   Result<JobRecord> AwaitAcceptance(const JobId& job, uint64_t sequence, bool submitter);
-  JobRecord Visible(const TrackedJob& job) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  std::string WaitReason(const JobRecord& record) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void Wake() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   const ShardOwnerContext context_;
@@ -152,9 +149,8 @@
   std::unique_ptr<ShardScheduler> scheduler_ ABSL_GUARDED_BY(mutex_);
   ContractLimiter limiter_ ABSL_GUARDED_BY(mutex_);
   TaskLifecycle lifecycle_ ABSL_GUARDED_BY(mutex_);
-  std::map<WorkerId, std::unique_ptr<WorkerLink>> links_ ABSL_GUARDED_BY(mutex_);
-  // Links of gone workers; their threads are joined without the lock.
-  std::vector<std::unique_ptr<WorkerLink>> retired_links_ ABSL_GUARDED_BY(mutex_);
+  JobReader reader_ ABSL_GUARDED_BY(mutex_);
+  WorkerLinks links_;
   IntentSender intents_;
   std::thread thread_;
 };
--- a/packages/shard/task_lifecycle.cc
+++ b/packages/shard/task_lifecycle.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "absl/strings/numbers.h"
+#include "shard/job_progress.h"
 
 namespace pomelotray {
 namespace {
@@ -16,9 +18,6 @@
 // without a durable record do not share their ids with later ones.
 constexpr int64_t kTakeoverAttemptGap = 100;
 
-// Marks a job in the journal whose cancellation is not complete.
-constexpr char kStoppingReason[] = "The job is being stopped.";
-
 int64_t AttemptNumber(const AttemptId& attempt) {
   const size_t mark = attempt.value().rfind('#');
   int64_t number = 0;
@@ -28,16 +27,6 @@
   return number;
 }
 
-bool OccupiesWorker(const TaskStatus& task) {
-  return task.state == TaskState::kStarting || task.state == TaskState::kRunning;
-}
-
-// True when the caller is told that the job was not run.
-bool NotRun(const TrackedJob& job) {
-  return job.record.state == JobState::kExpired ||
-         (job.record.state == JobState::kCancelled && !job.record.started_at.has_value());
-}
-
 }  // namespace
 
 TaskLifecycle::TaskLifecycle(const Context& context) : context_(context) {}
@@ -191,13 +180,7 @@
       HandleMissing(*ref, inventory, after_fence);
     }
   }
-  // Attempts that the worker no longer reports have been acknowledged.
-  std::vector<std::pair<AttemptId, uint64_t>>& ended = ended_[worker];
-  ended.erase(std::remove_if(ended.begin(), ended.end(),
-                             [&reported](const std::pair<AttemptId, uint64_t>& entry) {
-                               return reported.count(entry.first) == 0;
-                             }),
-              ended.end());
+  ended_.KeepOnly(worker, reported);
 }
 
 void TaskLifecycle::WorkerLost(const WorkerId& worker, const std::string& reason) {
@@ -227,15 +210,7 @@
       plan.renew.push_back(MakeAttemptId(task, ref->task->attempt_number));
     }
   }
-  const uint64_t durable = context_.journal->durable_sequence();
-  const auto ended = ended_.find(worker);
-  if (ended != ended_.end()) {
-    for (const auto& [attempt, sequence] : ended->second) {
-      if (sequence <= durable) {
-        plan.acknowledge.push_back(attempt);
-      }
-    }
-  }
+  plan.acknowledge = ended_.Durable(worker, context_.journal->durable_sequence());
   return plan;
 }
 
@@ -247,14 +222,7 @@
     if (!ref.has_value() || JournalTask(*ref) == kNotJournalled) {
       continue;
     }
-    const std::string attempts = task.value() + "#";
-    for (auto& [worker, ended] : ended_) {
-      for (auto& [attempt, sequence] : ended) {
-        if (sequence == kNotJournalled && attempt.value().rfind(attempts, 0) == 0) {
-          sequence = last_sequence_;
-        }
-      }
-    }
+    ended_.Renumber(task, kNotJournalled, last_sequence_);
   }
 }
 
@@ -279,13 +247,7 @@
     if (running) {
       context_.commands->SendStop(worker, report.attempt, StopMode::kStop);
     } else {
-      std::vector<std::pair<AttemptId, uint64_t>>& ended = ended_[worker];
-      const bool known = std::any_of(ended.begin(), ended.end(), [&report](const auto& entry) {
-        return entry.first == report.attempt;
-      });
-      if (!known) {
-        ended.emplace_back(report.attempt, 0);
-      }
+      ended_.Add(worker, report.attempt, 0);
     }
     return;
   }
@@ -357,7 +319,7 @@
   } else {
     AttemptLost(ref, /*certainly_not_run=*/false, "The worker stopped the attempt.");
   }
-  ended_[worker].emplace_back(report.attempt, last_sequence_);
+  ended_.Add(worker, report.attempt, last_sequence_);
 }
 
 void TaskLifecycle::HandleMissing(const TaskRef& ref, const WorkerInventory& inventory,
@@ -485,36 +447,16 @@
 }
 
 void TaskLifecycle::UpdateJob(TrackedJob* job) {
-  JobRecord& record = job->record;
-  if (IsFinal(record.state)) {
+  if (IsFinal(job->record.state)) {
     return;
   }
-  bool all_final = true;
-  bool any_active = false;
-  std::set<TaskState> states;
-  for (const TaskStatus& task : record.tasks) {
-    all_final = all_final && IsFinal(task.state);
-    any_active = any_active || OccupiesWorker(task);
-    states.insert(task.state);
-  }
-  if (!all_final) {
-    record.state = any_active ? JobState::kRunning : JobState::kQueued;
-    record.reason = job->cancel_requested ? kStoppingReason : "";
+  JobProgress progress = DeriveProgress(*job);
+  if (IsFinal(progress.state)) {
+    FinishJob(job, progress.state, std::move(progress.reason));
     return;
   }
-  if (states.count(TaskState::kUnknown) > 0) {
-    FinishJob(job, JobState::kUnknown,
-              "The job may have run; it is not run again. Check its effect before submitting it "
-              "with another idempotency key.");
-  } else if (states.count(TaskState::kFailed) > 0) {
-    FinishJob(job, JobState::kFailed, "A task failed; its result tells why.");
-  } else if (states.count(TaskState::kCancelled) > 0) {
-    FinishJob(job, JobState::kCancelled,
-              record.started_at.has_value() ? "The job was cancelled after it had started."
-                                            : "The job was cancelled; it was not run.");
-  } else {
-    FinishJob(job, JobState::kSucceeded, "");
-  }
+  job->record.state = progress.state;
+  job->record.reason = std::move(progress.reason);
 }
 
 void TaskLifecycle::FinishJob(TrackedJob* job, JobState state, std::string reason) {
@@ -531,7 +473,7 @@
       .Job(job.record.id)
       .Customer(job.record.spec.customer)
       .With(event_field::kState, JobStateName(state))
-      .With(event_field::kReason, NotRun(job) ? kNotRunReason : "")
+      .With(event_field::kReason, EndedWithoutRun(job.record) ? kNotRunReason : "")
       .Emit();
 }
 
--- a/packages/shard/task_lifecycle.h
+++ b/packages/shard/task_lifecycle.h
@@ -2,16 +2,14 @@
 #define POMELOTRAY_SHARD_TASK_LIFECYCLE_H_
 
 #include <cstdint>
-#include <map>
 #include <set>
 #include <string>
-#include <utility>
-#include <vector>
 
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "scheduler/shard_scheduler.h"
 #include "shard/command_sink.h"
+#include "shard/ended_attempts.h"
 #include "shard/job_table.h"
 #include "shard/worker_link_listener.h"
 #include "state/journal.h"
@@ -109,8 +107,7 @@
   // Tasks whose latest state the journal had no room for.
   std::set<TaskId> unjournalled_;
   std::set<JobId> ended_jobs_;
-  // Ended attempts by worker, with the journal sequence after which the worker may forget them.
-  std::map<WorkerId, std::vector<std::pair<AttemptId, uint64_t>>> ended_;
+  EndedAttempts ended_;
 };
 
 }  // namespace pomelotray
