--- a/packages/daemon/cluster_service.cc
+++ b/packages/daemon/cluster_service.cc
@@ -19,6 +19,7 @@
 // One forwarded wait lasts at most this long, so that a change of the owner is noticed.
 constexpr absl::Duration kWaitChunk = absl::Seconds(5);
 constexpr absl::Duration kOwnerRetryInterval = absl::Milliseconds(300);
+constexpr absl::Duration kOwnerRetryAfter = absl::Seconds(1);
 
 ShardId HomeShard(const JobSpec& spec, const Contract& contract) {
   std::vector<std::string> domains;
@@ -331,6 +332,12 @@
 
 Result<Contract> ClusterService::RequireContract(const CustomerId& customer) {
   const std::optional<Contract> contract = context_.contracts->Find(customer);
+  if (!contract.has_value() && !context_.contracts->Ready()) {
+    return Fail(ErrorKind::kNotReady,
+                "This instance has not read the configuration yet; nothing was run. Try again "
+                "shortly or on another instance.",
+                kOwnerRetryAfter);
+  }
   if (!contract.has_value()) {
     return Fail(ErrorKind::kNotFound,
                 absl::StrCat("Customer ", customer.value(),
--- a/packages/shard/request_runner.cc
+++ b/packages/shard/request_runner.cc
@@ -43,8 +43,14 @@
     ++in_flight_;
     ++in_flight_by_customer_[request.customer];
   }
-  const Outcome<InteractiveAnswer> answer =
+  Outcome<InteractiveAnswer> answer =
       Capture([&] { return ServeAdmitted(request, key, deadline); });
+  if (!answer.ok() && DidNotRun(answer.error().kind) && !answer.error().retry_after.has_value()) {
+    Error error = answer.error();
+    absl::MutexLock lock(&mutex_);
+    error.retry_after = dispatcher_.RetryAfter(request.customer);
+    answer = error;
+  }
   EventBuilder event = context_.events->Record(answer.ok() ? EventCode::kRequestAnswered
                                                            : EventCode::kRequestRefused);
   event.Request(request.id).Customer(request.customer).Shard(shard_);
