shard: Say outcome_unknown when a retry is refused after a lost answer; restart whole gangs

Cause 1: a request whose first attempt lost its answer and whose retry was refused got the refusal's text, 'was not run'. Cause 2: a gang that may not be repeated was cancelled when the start of one task was refused, although none of its tasks had run; it is queued again as a whole now, and fails with that reason when some had run.

--- a/packages/shard/request_runner.cc
+++ b/packages/shard/request_runner.cc
@@ -21,6 +21,14 @@
          kind == ErrorKind::kFenced || kind == ErrorKind::kDeadlineUnmeetable;
 }
 
+// The answer after an attempt of unknown outcome that no later attempt made up for.
+Error LostAnswer() {
+  return Error{ErrorKind::kOutcomeUnknown,
+               "The answer was lost and no later attempt was answered; the request may have run. "
+               "Check its effect before you send it again.",
+               std::nullopt};
+}
+
 }  // namespace
 
 RequestRunner::RequestRunner(const RequestRunnerContext& context, const ShardId& shard,
@@ -83,16 +91,23 @@
 
 Result<InteractiveAnswer> RequestRunner::ServeAdmitted(const InteractiveRequest& request,
                                                        const RequestId& key, absl::Time deadline) {
+  bool may_have_run = false;
   for (int attempt_number = 1;; ++attempt_number) {
-    BOOST_LEAF_AUTO(executor, AwaitExecutor(request, key, deadline));
+    const Outcome<ExecutorId> assigned =
+        Capture([&] { return AwaitExecutor(request, key, deadline); });
+    if (!assigned.ok()) {
+      return Fail(may_have_run ? LostAnswer() : assigned.error());
+    }
+    const ExecutorId& executor = assigned.value();
     const AttemptId attempt(absl::StrCat(key.value(), "#", epoch_.term, ".", attempt_number));
     const Outcome<ExecutorAnswer> outcome = CallExecutor(request, attempt, executor, deadline);
     NoteOutcome(key, executor, outcome);
     if (outcome.ok()) {
       return InteractiveAnswer{request.id, outcome.value().body, executor};
     }
+    may_have_run = may_have_run || !DidNotRun(outcome.error().kind);
     if (attempt_number == kMaxAttempts || !MayRetry(request, outcome.error(), deadline)) {
-      return Fail(outcome.error());
+      return Fail(may_have_run && DidNotRun(outcome.error().kind) ? LostAnswer() : outcome.error());
     }
     context_.events->Record(EventCode::kRequestRetried)
         .Request(request.id)
--- a/packages/shard/shard_owner.cc
+++ b/packages/shard/shard_owner.cc
@@ -369,7 +369,8 @@
 
 void ShardOwner::QueueStart(const WorkerId& worker, const TaskStart& start) {
   const TrackedJob* const job = jobs_.Find(start.job);
-  if (job == nullptr || job->cancel_requested || !links_.QueueStart(worker, start)) {
+  if (job == nullptr || job->cancel_requested || job->restarting ||
+      !links_.QueueStart(worker, start)) {
     // It has not been sent to the worker, so it cannot run.
     lifecycle_.StartFailed(start);
     return;
--- a/packages/shard/task_lifecycle.cc
+++ b/packages/shard/task_lifecycle.cc
@@ -405,14 +405,20 @@
       std::any_of(job->record.tasks.begin(), job->record.tasks.end(), [](const TaskStatus& task) {
         return IsFinal(task.state) && task.state != TaskState::kSucceeded;
       });
-  const bool restart = !any_failed && job->record.spec.repeatable;
+  const bool any_succeeded =
+      std::any_of(job->record.tasks.begin(), job->record.tasks.end(),
+                  [](const TaskStatus& task) { return task.state == TaskState::kSucceeded; });
+  // A restart runs all tasks again, so a gang that may not be repeated restarts only while none of
+  // them has run.
+  const bool restart = !any_failed && (job->record.spec.repeatable || !any_succeeded);
   if (!restart || !job->restarting) {
     context_.scheduler->Remove(job->record.id);
     for (TaskStatus& task : job->record.tasks) {
       if (OccupiesWorker(task)) {
         StopTask(TaskRef{job, &task}, StopMode::kStop);
       } else if (!restart && task.state == TaskState::kQueued) {
-        task.state = TaskState::kCancelled;
+        task.state = TaskState::kFailed;
+        task.result = "Not started: the gang could not run as a whole.";
       }
     }
   }
@@ -421,6 +427,15 @@
   FinishGangRestart(job);
 }
 
+void TaskLifecycle::AbandonIfPartlyRun(TrackedJob* job) {
+  const bool any_succeeded =
+      std::any_of(job->record.tasks.begin(), job->record.tasks.end(),
+                  [](const TaskStatus& task) { return task.state == TaskState::kSucceeded; });
+  if (any_succeeded) {
+    AbandonGang(job);
+  }
+}
+
 void TaskLifecycle::FinishGangRestart(TrackedJob* job) {
   const bool occupied =
       std::any_of(job->record.tasks.begin(), job->record.tasks.end(), OccupiesWorker);
@@ -428,6 +443,13 @@
     return;
   }
   job->restarting = false;
+  if (!job->record.spec.repeatable) {
+    // A task may have succeeded before it could be stopped.
+    AbandonIfPartlyRun(job);
+    if (job->cancel_requested) {
+      return;
+    }
+  }
   for (TaskStatus& task : job->record.tasks) {
     task.state = TaskState::kQueued;
   }
--- a/packages/shard/task_lifecycle.h
+++ b/packages/shard/task_lifecycle.h
@@ -93,6 +93,9 @@
   void Finish(const TaskRef& ref, TaskState state, const std::string& result);
   void AbandonGang(TrackedJob* job);
   void FinishGangRestart(TrackedJob* job);
+  // Ends a gang that may not be repeated when some of its tasks have succeeded and others cannot
+  // run.
+  void AbandonIfPartlyRun(TrackedJob* job);
   void StopTask(const TaskRef& ref, StopMode mode);
   void UpdateJob(TrackedJob* job);
   void FinishJob(TrackedJob* job, JobState state, std::string reason);
--- a/tests/shard/fault_run.cc
+++ b/tests/shard/fault_run.cc
@@ -27,7 +27,9 @@
 }  // namespace
 
 Resources UnlimitedShard::HoldLimit(const CustomerId& /*customer*/) const {
-  return WorkerCapacity() * 1000;
+  Resources limit = WorkerCapacity() * 1000;
+  limit.slots = SlotCount(1000);
+  return limit;
 }
 double UnlimitedShard::Weight(const CustomerId& /*customer*/) const { return 1; }
 SliceLimits UnlimitedShard::Limits(const CustomerId& customer) const {
--- /dev/null
+++ b/tests/shard/request_runner_test.cc
@@ -0,0 +1,217 @@
+#include "shard/request_runner.h"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "base/system_clock.h"
+#include "boost/test/unit_test.hpp"
+#include "tests/shard/fault_run.h"
+
+namespace pomelotray {
+namespace {
+
+constexpr int64_t kSlots = 2;
+
+// Executors that refuse, lose answers and answer for other requests at random, and count what they
+// ran.
+class FlakyExecutors : public ExecutorPort {
+ public:
+  FlakyExecutors(uint64_t seed, int fault_percent) : random_(seed), fault_percent_(fault_percent) {}
+
+  Result<ExecutorLoad> Fence(const std::string& /*address*/, const Epoch& /*epoch*/) override {
+    return ExecutorLoad{BootId("boot"), false, 0};
+  }
+
+  Result<ExecutorAnswer> Call(const std::string& address, const ExecutorCall& call) override {
+    const int fault = PickFault();
+    if (fault == 1) {
+      return Fail(ErrorKind::kOverloaded, "All slots are busy.");
+    }
+    Begin(address, call.request);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    End(address);
+    if (fault == 2) {
+      return Fail(ErrorKind::kOutcomeUnknown, "The answer was lost.");
+    }
+    const RequestId answered = fault == 3 ? RequestId("another") : call.request;
+    return ExecutorAnswer{answered, call.attempt, "answer to " + call.body, absl::Milliseconds(2)};
+  }
+
+  // The next calls have these faults, one each; see PickFault().
+  void Script(std::vector<int> faults) {
+    absl::MutexLock lock(&mutex_);
+    script_ = std::move(faults);
+  }
+  int64_t Runs(const RequestId& request) {
+    absl::MutexLock lock(&mutex_);
+    return runs_[request];
+  }
+  int64_t most_at_once() {
+    absl::MutexLock lock(&mutex_);
+    return most_at_once_;
+  }
+
+ private:
+  // 0: none, 1: refused, 2: answer lost, 3: misdirected.
+  int PickFault() {
+    absl::MutexLock lock(&mutex_);
+    if (!script_.empty()) {
+      const int fault = script_.front();
+      script_.erase(script_.begin());
+      return fault;
+    }
+    return static_cast<int>(random_() % 100) < fault_percent_ ? 1 + static_cast<int>(random_() % 3)
+                                                              : 0;
+  }
+  void Begin(const std::string& address, const RequestId& request) {
+    absl::MutexLock lock(&mutex_);
+    ++runs_[request];
+    most_at_once_ = std::max(most_at_once_, ++running_[address]);
+  }
+  void End(const std::string& address) {
+    absl::MutexLock lock(&mutex_);
+    --running_[address];
+  }
+
+  absl::Mutex mutex_;
+  std::mt19937_64 random_ ABSL_GUARDED_BY(mutex_);
+  const int fault_percent_;
+  std::vector<int> script_ ABSL_GUARDED_BY(mutex_);
+  std::map<RequestId, int64_t> runs_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, int64_t> running_ ABSL_GUARDED_BY(mutex_);
+  int64_t most_at_once_ ABSL_GUARDED_BY(mutex_) = 0;
+};
+
+struct RunnerFixture {
+  explicit RunnerFixture(uint64_t seed, int fault_percent)
+      : hybrid_clock(&clock),
+        events("owner", &hybrid_clock),
+        executors(seed, fault_percent),
+        runner(RequestRunnerContext{&clock, &events, &executors, &limits},
+               ShardId{FailureDomainId("cuenca"), PoolName("quoting")}, Epoch{1, 0}) {
+    std::vector<VmEntry> vms;
+    for (int i = 0; i < 2; ++i) {
+      VmEntry vm;
+      vm.id = VmId(absl::StrCat("executor-", i));
+      vm.role = VmRole::kExecutor;
+      vm.address = vm.id.value();
+      vm.capacity.slots = SlotCount(kSlots);
+      vm.max_connections = 64;
+      vms.push_back(vm);
+    }
+    runner.UpdateExecutors(vms);
+    while (!AllUsable()) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+  }
+
+  bool AllUsable() {
+    const std::vector<WorkerStatus> statuses = runner.ListExecutors();
+    return std::all_of(statuses.begin(), statuses.end(),
+                       [](const WorkerStatus& status) { return status.state == "usable"; });
+  }
+
+  SystemClock clock;
+  HybridClock hybrid_clock;
+  EventLog events;
+  UnlimitedShard limits;
+  FlakyExecutors executors;
+  RequestRunner runner;
+};
+
+InteractiveRequest MakeRequest(int index, absl::Duration timeout) {
+  InteractiveRequest request;
+  request.id = RequestId(absl::StrCat("request-", index));
+  request.customer = CustomerId("andrade");
+  request.pool = PoolName("quoting");
+  request.body = absl::StrCat("body ", index);
+  request.timeout = timeout;
+  request.repeatable = index % 3 != 0;
+  return request;
+}
+
+// Sends `count` requests from 16 threads and checks every answer and refusal against what the
+// executors ran.
+void CheckRequests(RunnerFixture* fixture, int count, absl::Duration timeout) {
+  std::atomic<int> next{0};
+  std::atomic<int> answered{0};
+  std::vector<std::string> faults;
+  absl::Mutex faults_mutex;
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < 16; ++caller) {
+    callers.emplace_back([&] {
+      for (int index = next++; index < count; index = next++) {
+        const InteractiveRequest request = MakeRequest(index, timeout);
+        const Outcome<InteractiveAnswer> answer =
+            Capture([&] { return fixture->runner.Serve(request); });
+        answered += answer.ok() ? 1 : 0;
+        const int64_t runs = fixture->executors.Runs(request.id);
+        absl::MutexLock lock(&faults_mutex);
+        if (answer.ok() && (answer.value().request != request.id ||
+                            answer.value().body != "answer to " + request.body)) {
+          faults.push_back(absl::StrCat("Request ", index, " got another request's answer."));
+        }
+        if (!request.repeatable && runs > 1) {
+          faults.push_back(absl::StrCat("Request ", index, " ran ", runs, " times."));
+        }
+        const bool says_not_run = !answer.ok() &&
+                                  answer.error().kind != ErrorKind::kOutcomeUnknown &&
+                                  answer.error().kind != ErrorKind::kDeadlineExceeded;
+        if (says_not_run && runs > 0) {
+          faults.push_back(absl::StrCat(
+              "Request ", index, " ran although the caller was told: ", answer.error().message));
+        }
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  for (const std::string& fault : faults) {
+    BOOST_ERROR(fault);
+  }
+  BOOST_TEST(answered > 0);
+  BOOST_TEST(fixture->executors.most_at_once() <= kSlots);
+}
+
+BOOST_AUTO_TEST_SUITE(RequestRunnerTest)
+
+// Guards against wrong answers, repeated runs and false refusals when executors refuse, lose
+// answers and misdirect them.
+BOOST_AUTO_TEST_CASE(FlakyExecutorsNeverMakeTheOwnerLie) {
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    RunnerFixture fixture(seed, 60);
+    CheckRequests(&fixture, 200, absl::Seconds(5));
+  }
+}
+
+// Guards against more requests at an executor than it has slots, and against refusals of requests
+// that ran, in overload.
+BOOST_AUTO_TEST_CASE(OverloadIsRefusedBeforeItRuns) {
+  RunnerFixture fixture(7, 20);
+  CheckRequests(&fixture, 400, absl::Milliseconds(8));
+}
+
+// Guards against "was not run" after an earlier attempt whose outcome is unknown.
+BOOST_AUTO_TEST_CASE(RefusedRetryAfterLostAnswerIsNotCalledNotRun) {
+  RunnerFixture fixture(1, 0);
+  CheckRequests(&fixture, 60, absl::Seconds(5));
+  fixture.executors.Script({2, 1, 1, 1});
+  const InteractiveRequest request = MakeRequest(1000, absl::Seconds(1));
+  const Outcome<InteractiveAnswer> answer =
+      Capture([&] { return fixture.runner.Serve(request); });
+  BOOST_REQUIRE(!answer.ok());
+  BOOST_TEST(fixture.executors.Runs(request.id) == 1);
+  BOOST_TEST(ErrorKindName(answer.error().kind) == "outcome_unknown");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace pomelotray
