--- a/tests/processes/deployment.cc
+++ b/tests/processes/deployment.cc
@@ -81,6 +81,10 @@
   return answer;
 }
 
+std::string RequestBody(const std::string& request, int64_t service_ms) {
+  return nlohmann::json{{"service_ms", service_ms}, {"text", request}}.dump();
+}
+
 nlohmann::json SignShopContract() {
   return {
       {"customer", "sign-shop"},
@@ -159,8 +163,7 @@
 
 Deployment::~Deployment() {
   for (const auto& [name, process] : processes_) {
-    process->Signal(SIGCONT);
-    process->Signal(SIGTERM);
+    process->Signal(SIGKILL);
   }
   processes_.clear();
   if (std::getenv("POMELOTRAY_KEEP_FILES") == nullptr) {
@@ -288,15 +291,24 @@
   return Send(addresses_.at(name), method, path, body.dump(), {});
 }
 
+ApiAnswer Deployment::Ask(const std::string& instance, const std::string& request,
+                          int64_t service_ms) const {
+  return Call(instance, "POST", "/v1/requests/quoting", RequestBody(request, service_ms),
+              {{"Pomelotray-Request-Id", request},
+               {"Pomelotray-Customer", "sign-shop"},
+               {"Pomelotray-Timeout-Ms", "8000"}});
+}
+
+bool Deployment::IsAnswerTo(const std::string& request, int64_t service_ms,
+                            const ApiAnswer& answer) {
+  const std::string digest = Sha256Hex(RequestBody(request, service_ms));
+  return answer.status == 200 &&
+         answer.json == nlohmann::json{{"request", request}, {"digest", digest}};
+}
+
 bool Deployment::AskAndCheck(const std::string& instance, const std::string& request,
                              int64_t service_ms) const {
-  const std::string body = nlohmann::json{{"service_ms", service_ms}, {"text", request}}.dump();
-  const ApiAnswer answer = Call(instance, "POST", "/v1/requests/quoting", body,
-                                {{"Pomelotray-Request-Id", request},
-                                 {"Pomelotray-Customer", "sign-shop"},
-                                 {"Pomelotray-Timeout-Ms", "8000"}});
-  return answer.status == 200 &&
-         answer.json == nlohmann::json{{"request", request}, {"digest", Sha256Hex(body)}};
+  return IsAnswerTo(request, service_ms, Ask(instance, request, service_ms));
 }
 
 std::string Deployment::SubmitUntilAccepted(const std::string& instance, const nlohmann::json& job,
--- a/tests/processes/deployment.h
+++ b/tests/processes/deployment.h
@@ -57,7 +57,10 @@
   ApiAnswer Call(const std::string& instance, const std::string& method, const std::string& path,
                  const std::string& body = "",
                  const std::map<std::string, std::string>& headers = {}) const;
-  // Sends an interactive request; true when the answer carries this request's id and digest.
+  // Sends an interactive request.
+  ApiAnswer Ask(const std::string& instance, const std::string& request, int64_t service_ms) const;
+  // True when the answer carries this request's id and the digest of its body.
+  static bool IsAnswerTo(const std::string& request, int64_t service_ms, const ApiAnswer& answer);
   bool AskAndCheck(const std::string& instance, const std::string& request,
                    int64_t service_ms) const;
   // Submits with the same key until the job is accepted; empty when it is not accepted in time.
