daemon: Ask the owner's domain when neither gossip nor the store names an owner

Cause: an instance of another domain learns owners by gossip within seconds or from the store. When the store goes down before the first gossip, it refused requests with owner_unavailable although the owner was serving. Ruled out: a failing owner, because the other instances were answered at the same time. The instance now asks the live instances of the shard's domain; one that does not own it refuses without effect.

--- a/packages/daemon/shard_router.cc
+++ b/packages/daemon/shard_router.cc
@@ -35,12 +35,18 @@
   bool store_asked = false;
   while (true) {
     if (addresses.empty()) {
-      const std::optional<std::string> found = store_asked ? std::nullopt : OwnerFromStore(shard);
-      store_asked = true;
-      if (!found.has_value() || tried.count(*found) > 0) {
+      if (store_asked) {
         return Fail(NoOwner(shard));
       }
-      addresses.push_back(*found);
+      store_asked = true;
+      const std::optional<std::string> found = OwnerFromStore(shard);
+      if (found.has_value()) {
+        addresses.push_back(*found);
+      } else if (!context_.store->Available()) {
+        // Gossip about another domain's shards takes seconds, and the store cannot be asked.
+        addresses = DomainMembers(shard);
+      }
+      continue;
     }
     const std::string address = addresses.front();
     addresses.erase(addresses.begin());
@@ -72,6 +78,16 @@
   return addresses;
 }
 
+std::vector<std::string> ShardRouter::DomainMembers(const ShardId& shard) const {
+  std::vector<std::string> addresses;
+  for (const Member& member : context_.membership->LiveInDomain(shard.domain)) {
+    if (member.id != context_.self) {
+      addresses.push_back(member.peer_address);
+    }
+  }
+  return addresses;
+}
+
 std::optional<std::string> ShardRouter::OwnerFromStore(const ShardId& shard) {
   if (!context_.store->Available()) {
     return std::nullopt;
--- a/packages/daemon/shard_router.h
+++ b/packages/daemon/shard_router.h
@@ -41,6 +41,8 @@
   // Peer addresses of likely owners, the likeliest first.
   std::vector<std::string> KnownOwners(const ShardId& shard) const;
   std::optional<std::string> OwnerFromStore(const ShardId& shard);
+  // Peer addresses of all live instances of the shard's domain, one of which may own it.
+  std::vector<std::string> DomainMembers(const ShardId& shard) const;
 
   const Context context_;
 };
