shard: Record when a worker is quarantined, probed and restored

Cause: the scheduler quarantined workers, but nothing recorded the events 704 to 706 or set the worker state "quarantined". Ruled out: a missing quarantine, because the jobs of the test end on other workers. Before: WorkerThatFailsEverything found no worker_quarantined event; after: it does.

The tests kill a worker, let one fail everything and drain one.

--- a/packages/scheduler/shard_scheduler.cc
+++ b/packages/scheduler/shard_scheduler.cc
@@ -138,6 +138,10 @@
   return slot.has_value() ? state_->index.At(*slot).reserved : Resources{};
 }
 
+bool ShardScheduler::IsQuarantined(const WorkerId& worker) const {
+  return state_->health.IsQuarantined(worker);
+}
+
 Resources ShardScheduler::CustomerUse(const CustomerId& customer) const {
   return state_->ledger.CustomerUse(customer);
 }
--- a/packages/scheduler/shard_scheduler.h
+++ b/packages/scheduler/shard_scheduler.h
@@ -77,6 +77,7 @@
   // Jobs whose deadline is at or before `now` and of which no task was ever placed or adopted.
   std::vector<JobId> ExpiredJobs(absl::Time now) const;
   Resources Reserved(const WorkerId& worker) const;
+  bool IsQuarantined(const WorkerId& worker) const;
   Resources CustomerUse(const CustomerId& customer) const;
   // Demand of the customer's queued tasks.
   Resources CustomerWanted(const CustomerId& customer) const;
--- a/packages/shard/shard_owner.cc
+++ b/packages/shard/shard_owner.cc
@@ -271,7 +271,8 @@
     status.id = id;
     status.shard = options_.shard;
     status.rack = entry.vm.rack;
-    status.state = entry.StateName();
+    status.state =
+        entry.Usable() && scheduler_->IsQuarantined(id) ? "quarantined" : entry.StateName();
     status.capacity = entry.vm.capacity;
     status.reserved = scheduler_->Reserved(id);
     status.running_attempts = static_cast<int64_t>(jobs_.TasksOn(id).size());
@@ -421,6 +422,9 @@
       .Worker(worker)
       .At(options_.epoch)
       .Emit();
+  if (scheduler_->IsQuarantined(worker)) {
+    context_.events->Record(EventCode::kWorkerProbed).Worker(worker).Task(start.task).Emit();
+  }
   link->second->QueueStart(start);
 }
 
--- a/packages/shard/task_lifecycle.cc
+++ b/packages/shard/task_lifecycle.cc
@@ -327,6 +327,17 @@
   JournalTask(ref);
 }
 
+void TaskLifecycle::RecordHealth(const WorkerId& worker, const JobId& job, bool ok) {
+  const bool was_quarantined = context_.scheduler->IsQuarantined(worker);
+  context_.scheduler->RecordStart(worker, job, ok);
+  if (context_.scheduler->IsQuarantined(worker) != was_quarantined) {
+    context_.events
+        ->Record(was_quarantined ? EventCode::kWorkerRestored : EventCode::kWorkerQuarantined)
+        .Worker(worker)
+        .Emit();
+  }
+}
+
 void TaskLifecycle::NoteEnded(const TaskRef& ref, const AttemptReport& report) {
   const WorkerId worker = ref.task->worker;
   const JobSpec& spec = ref.job->record.spec;
@@ -336,8 +347,7 @@
     ref.job->record.started_at = context_.clock->Now();
   }
   if (report.state == AttemptState::kFailed || report.state == AttemptState::kSucceeded) {
-    context_.scheduler->RecordStart(worker, ref.job->record.id,
-                                    report.state == AttemptState::kSucceeded);
+    RecordHealth(worker, ref.job->record.id, report.state == AttemptState::kSucceeded);
   }
   if (report.state == AttemptState::kSucceeded) {
     context_.scheduler->ObserveRun(spec.customer, spec.pool, report.run_time, report.used);
--- a/packages/shard/task_lifecycle.h
+++ b/packages/shard/task_lifecycle.h
@@ -82,6 +82,8 @@
   void Adopt(const TaskRef& ref, const WorkerId& worker, const WorkerInventory& inventory,
              const AttemptReport& report);
   void NoteRunning(const TaskRef& ref);
+  // Tells the scheduler how an attempt ended and records a change of quarantine.
+  void RecordHealth(const WorkerId& worker, const JobId& job, bool ok);
   void NoteEnded(const TaskRef& ref, const AttemptReport& report);
   void HandleMissing(const TaskRef& ref, const WorkerInventory& inventory, bool after_fence);
   // The attempt is over without a result that counts.
