--- a/packages/shard/job_reader.cc
+++ b/packages/shard/job_reader.cc
@@ -36,7 +36,8 @@
     status.id = id;
     status.shard = context_.shard;
     status.rack = entry.vm.rack;
-    status.state = entry.StateName();
+    status.state =
+        entry.Usable() && context_.scheduler->IsQuarantined(id) ? "quarantined" : entry.StateName();
     status.capacity = entry.vm.capacity;
     status.reserved = context_.scheduler->Reserved(id);
     status.running_attempts = static_cast<int64_t>(context_.jobs->TasksOn(id).size());
--- a/packages/shard/shard_owner.cc
+++ b/packages/shard/shard_owner.cc
@@ -382,6 +382,9 @@
       .Worker(worker)
       .At(options_.epoch)
       .Emit();
+  if (scheduler_->IsQuarantined(worker)) {
+    context_.events->Record(EventCode::kWorkerProbed).Worker(worker).Task(start.task).Emit();
+  }
 }
 
 void ShardOwner::FollowWorker(const WorkerId& worker) {
