load: Add a tool that measures the running processes

pomelotray-load drives a deployment that scripts/load starts on loopback and reports latency against direct calls, job rates, processor time, memory, peer traffic and store calls per phase, so that costs are measured on the shipped programs and not on a model. The stand-ins count the HTTP bytes of their interface, and one worker stand-in process can hold several workers, so that a shard of 100 workers needs one process.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -96,10 +96,12 @@
 pomelotray_help_texts(pomelotray_cli packages/cli/help)
 pomelotray_package(standins DEPENDS pomelotray_adapters PkgConfig::HTTPLIB docopt)
 pomelotray_package(bench DEPENDS pomelotray_scheduler absl::str_format)
+pomelotray_package(load DEPENDS pomelotray_bench pomelotray_adapters)
 
 pomelotray_program(pomelotrayd packages/daemon/main.cc DEPENDS pomelotray_daemon)
 pomelotray_program(pomelotray packages/cli/main.cc DEPENDS pomelotray_cli)
 pomelotray_program(pomelotray-standin packages/standins/main.cc DEPENDS pomelotray_standins)
+pomelotray_program(pomelotray-load packages/load/main.cc DEPENDS pomelotray_load docopt)
 pomelotray_program(pomelotray-bench packages/bench/main.cc DEPENDS pomelotray_bench docopt)
 if(TARGET pomelotrayd AND TARGET pomelotray)
   install(TARGETS pomelotrayd pomelotray)
--- a/packages/bench/samples.h
+++ b/packages/bench/samples.h
@@ -10,6 +10,9 @@
 class Samples {
  public:
   void Add(double value) { values_.push_back(value); }
+  void Merge(const Samples& other) {
+    values_.insert(values_.end(), other.values_.begin(), other.values_.end());
+  }
   size_t count() const { return values_.size(); }
   double Mean() const;
   // The smallest sample that at least this fraction of the samples do not exceed; 0 without
--- /dev/null
+++ b/packages/load/slope_point.h
@@ -0,0 +1,33 @@
+#ifndef POMELOTRAY_LOAD_SLOPE_POINT_H_
+#define POMELOTRAY_LOAD_SLOPE_POINT_H_
+
+#include <map>
+#include <string>
+
+#include "absl/time/time.h"
+#include "base/error.h"
+#include "load/deployment.h"
+
+namespace pomelotray {
+
+// Sizes and figures of one idle window, such as {"workers": 40, "cpu_ms_s": 12.5}.
+using SlopePoint = std::map<std::string, double>;
+
+// Work that is put into the deployment before the window.
+struct HeldWork {
+  // Tasks that run on; together they fill all workers.
+  int running = 0;
+  // Jobs that each need a whole free worker.
+  int queued = 0;
+};
+
+// Measures one idle window. Figures are means over the instances.
+Result<SlopePoint> MeasureSlopePoint(const Deployment& deployment, const HeldWork& work,
+                                     absl::Duration window);
+
+Result<void> WriteSlopePoint(const SlopePoint& point, const std::string& path);
+Result<SlopePoint> ReadSlopePoint(const std::string& path);
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_LOAD_SLOPE_POINT_H_
--- a/packages/standins/main.cc
+++ b/packages/standins/main.cc
@@ -19,6 +19,7 @@
 #include "standins/executor_standin.h"
 #include "standins/store_standin.h"
 #include "standins/vm_list_standin.h"
+#include "standins/worker_group.h"
 #include "standins/worker_standin.h"
 
 namespace pomelotray {
@@ -32,7 +33,7 @@
   pomelotray-standin vmlist [--port=<n>] [--file=<path>] [--lag-ms=<n>]
   pomelotray-standin worker --id=<id> [--port=<n>] [--cpu-milli=<n>] [--memory-mib=<n>]
                      [--accelerators=<n>] [--boot=<id>] [--usage-lag-ms=<n>]
-                     [--fail-all-starts] [--events=<path>]
+                     [--fail-all-starts] [--events=<path>] [--count=<n>]
                      [--region=<id>] [--domain=<id>] [--rack=<id>] [--pool=<name>]
   pomelotray-standin executor --id=<id> [--port=<n>] [--slots=<n>] [--connections=<n>]
                      [--boot=<id>] [--events=<path>]
@@ -49,6 +50,7 @@
   --accelerators=<n>  Accelerators [default: 0].
   --slots=<n>         Requests that run at the same time [default: 8].
   --connections=<n>   Open connections [default: 64].
+  --count=<n>         Workers in this process, named <id>-1 and so on [default: 1].
   --boot=<id>         Boot id; a random one by default.
   --usage-lag-ms=<n>  Time until the use of a task is reported [default: 5000].
   --fail-all-starts   Every task fails as soon as it has started.
@@ -134,6 +136,20 @@
   return Serve(&standin, arguments, signals, {{"standin", "vmlist"}});
 }
 
+int ServeGroup(const WorkerOptions& options, int64_t count, const Arguments& arguments,
+               const sigset_t& signals, const Clock* clock, EventLog* events) {
+  WorkerGroup group(options, count, clock, events);
+  if (!group.Start(static_cast<int>(Number(arguments, "--port")))) {
+    std::cerr << "A port on 127.0.0.1 cannot be bound; leave out --port.\n";
+    return kExitFailure;
+  }
+  std::cout << nlohmann::json{{"workers", group.Rows()}}.dump() << std::endl;
+  int signal = 0;
+  sigwait(&signals, &signal);
+  group.Stop();
+  return 0;
+}
+
 int RunWorker(const Arguments& arguments, const sigset_t& signals, const Clock* clock,
               EventLog* events) {
   WorkerOptions options;
@@ -144,6 +160,10 @@
                                AcceleratorCount(Number(arguments, "--accelerators")), SlotCount(0)};
   options.usage_lag = absl::Milliseconds(Number(arguments, "--usage-lag-ms"));
   options.fail_all_starts = arguments.at("--fail-all-starts").asBool();
+  const int64_t count = Number(arguments, "--count");
+  if (count > 1) {
+    return ServeGroup(options, count, arguments, signals, clock, events);
+  }
   WorkerStandin standin(options, clock, events);
   nlohmann::json row = VmRow(arguments, "worker", "");
   row["capacity"] = {{"cpu_milli", options.capacity.cpu.value()},
--- a/packages/standins/standin_server.cc
+++ b/packages/standins/standin_server.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/numbers.h"
 #include "standins/connection_threads.h"
 #include "standins/fault_injector.h"
+#include "standins/traffic_meter.h"
 
 namespace pomelotray {
 namespace {
@@ -66,6 +67,7 @@
   const Clock* const clock;
   HybridClock* const hybrid_clock;
   FaultInjector faults;
+  TrafficMeter traffic;
   ConnectionThreads threads;
   httplib::Server server;
   std::thread listener;
@@ -128,6 +130,12 @@
   server.set_keep_alive_max_count(1'000'000'000);
   server.set_keep_alive_timeout(kKeepAliveSeconds);
   server.set_payload_max_length(kMaxRequestBytes);
+  server.set_logger([this](const httplib::Request& request, const httplib::Response& response) {
+    impl_->traffic.Add(request, response);
+  });
+  HandleControl("GET", "/traffic", [this](const StandinRequest&) {
+    return StandinResponse{200, impl_->traffic.ToJson()};
+  });
   HandleControl("GET", "/healthz", [](const StandinRequest&) { return StandinResponse{}; });
   HandleControl("POST", "/fault", [this](const StandinRequest& request) {
     const std::string problem = impl_->faults.Set(request.body);
--- a/packages/standins/standin_server.h
+++ b/packages/standins/standin_server.h
@@ -27,7 +27,7 @@
 // A refusal: {"error", "message"}.
 StandinResponse Refuse(int status, const char* error, const std::string& message);
 
-// The HTTP/JSON server of a stand-in on 127.0.0.1, with /healthz and /fault.
+// The HTTP/JSON server of a stand-in on 127.0.0.1, with /healthz, /traffic and /fault.
 class StandinServer {
  public:
   using Handler = std::function<StandinResponse(const StandinRequest&)>;
