daemon: Bound the number of malloc arenas

More than 350 threads may spread over 8 arenas per core, each with free memory of its own; that this is the cause is inferred.

--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -1,4 +1,5 @@
 #include <docopt.h>
+#include <malloc.h>
 
 #include <csignal>
 #include <iostream>
@@ -15,6 +16,9 @@
 constexpr int kExitOk = 0;
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
+// More than 350 threads, most of them idle, would otherwise spread over up to 8 arenas per core,
+// each of which keeps its own free memory.
+constexpr int kMallocArenas = 4;
 
 SettingTable::Flags GivenFlags(const std::map<std::string, docopt::value>& arguments) {
   SettingTable::Flags flags;
@@ -39,6 +43,7 @@
 }
 
 int Run(const DaemonSettings& settings) {
+  mallopt(M_ARENA_MAX, kMallocArenas);
   const sigset_t signals = BlockStopSignals();
   Daemon daemon(settings);
   const Outcome<void> started = Capture([&] { return daemon.Start(); });
