--- a/packages/load/cluster_setup.cc
+++ b/packages/load/cluster_setup.cc
@@ -18,6 +18,8 @@
 constexpr absl::Duration kPollInterval = absl::Milliseconds(200);
 // More than any load here needs, so that no limit of the contract shapes the figures.
 constexpr int64_t kUnlimited = 1'000'000;
+// With 600 s, most of 1,000 queued jobs of unknown run time were refused.
+constexpr int64_t kDeadlineMs = int64_t{100} * 24 * 3600 * 1000;
 
 bool WaitFor(const std::function<bool()>& condition) {
   const absl::Time end = absl::Now() + kReadyTimeout;
@@ -40,8 +42,8 @@
           {"rate_per_second", kUnlimited},
           {"burst", kUnlimited},
           {"max_jobs", kUnlimited},
-          {"default_deadline_ms", 600'000},
-          {"max_deadline_ms", 600'000},
+          {"default_deadline_ms", kDeadlineMs},
+          {"max_deadline_ms", kDeadlineMs},
           {"allow_requests", true},
           {"kinds", {"batch"}},
           {"pools", {kJobPool, kRequestPool}},
--- a/packages/load/job_load.cc
+++ b/packages/load/job_load.cc
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
 #include "adapters/wire_json.h"
@@ -34,16 +35,36 @@
       .dump();
 }
 
+// The kind of the error {"error": {"kind"}}.
+std::string KindOf(const LoadAnswer& answer) {
+  const nlohmann::json json = answer.Json();
+  const auto error = json.find("error");
+  if (!json.is_object() || error == json.end()) {
+    return "none";
+  }
+  return wire::ReadString(*error, "kind").value_or("none");
+}
+
 }  // namespace
 
 int JobLoadResult::Refused() const {
   int refused = 0;
-  for (const auto& [status, count] : refused_by_status) {
+  for (const auto& [kind, count] : refused_by_kind) {
     refused += count;
   }
   return refused;
 }
 
+std::string JobLoadResult::RefusedText() const {
+  if (refused_by_kind.empty()) {
+    return "0";
+  }
+  return absl::StrJoin(refused_by_kind, ", ",
+                       [](std::string* out, const std::pair<const std::string, int>& entry) {
+                         absl::StrAppend(out, entry.second, " ", entry.first);
+                       });
+}
+
 struct JobLoad::Shared {
   std::atomic<int> next{0};
   absl::Mutex mutex;
@@ -77,7 +98,10 @@
     JobLoadResult& result = shared->result;
     const std::optional<std::string> id = wire::ReadString(answer.Json(), "id");
     if (answer.status != kStatusOk || !id) {
-      ++result.refused_by_status[answer.status];
+      ++result.refused_by_kind[KindOf(answer)];
+      if (result.first_refusal.empty()) {
+        result.first_refusal = answer.body;
+      }
       continue;
     }
     result.submitted[*id] = sent;
--- a/packages/load/job_load.h
+++ b/packages/load/job_load.h
@@ -28,9 +28,13 @@
   Samples accept_ms;
   // When each accepted job was sent, by job id.
   std::map<std::string, absl::Time> submitted;
-  std::map<int, int> refused_by_status;
+  // By the kind of the error; "none" without an answer.
+  std::map<std::string, int> refused_by_kind;
+  std::string first_refusal;
 
   int Refused() const;
+  // Such as "256 over_limit", or "0".
+  std::string RefusedText() const;
 };
 
 struct JobStarts {
--- a/packages/load/load_run.cc
+++ b/packages/load/load_run.cc
@@ -1,5 +1,6 @@
 #include "load/load_run.h"
 
+#include <iostream>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -138,6 +139,9 @@
     const JobLoadResult submitted = load.Submit(plan);
     const JobStarts starts = load.WaitForStarts(submitted, kStartTimeout);
     const ClusterReading growth = ClusterProbe::Difference(before, probe_.Read());
+    if (!submitted.first_refusal.empty()) {
+      std::cerr << "The first refused job: " << submitted.first_refusal << "\n";
+    }
     Samples start_ms;
     absl::Time last_start = submitted.begin;
     for (const auto& [job, time] : starts.first) {
@@ -152,7 +156,7 @@
     report_->AddRow(
         "jobs", {{"jobs", plan.key_prefix},
                  {"accepted", accepted},
-                 {"refused", submitted.Refused()},
+                 {"refused", submitted.RefusedText()},
                  {"started", started},
                  {"started_twice", starts.repeated},
                  {"accepted_s", Ratio(accepted, absl::ToDoubleSeconds(submitted.last_accepted -
--- a/packages/load/metrics_text.cc
+++ b/packages/load/metrics_text.cc
@@ -1,5 +1,8 @@
 #include "load/metrics_text.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
@@ -10,12 +13,11 @@
 std::map<std::string, std::string> ParseLabels(absl::string_view text) {
   std::map<std::string, std::string> labels;
   for (absl::string_view part : absl::StrSplit(text, ',', absl::SkipEmpty())) {
-    const std::pair<absl::string_view, absl::string_view> label =
-        absl::StrSplit(part, absl::MaxSplits('=', 1));
+    const std::pair<std::string, std::string> label = absl::StrSplit(part, absl::MaxSplits('=', 1));
     absl::string_view value = label.second;
     absl::ConsumePrefix(&value, "\"");
     absl::ConsumeSuffix(&value, "\"");
-    labels[std::string(label.first)] = std::string(value);
+    labels[label.first].assign(value.data(), value.size());
   }
   return labels;
 }
@@ -38,7 +40,7 @@
     }
     const absl::string_view series = line.substr(0, space);
     const size_t brace = series.find('{');
-    sample.name = std::string(series.substr(0, brace));
+    sample.name.assign(series.data(), std::min(brace, series.size()));
     if (brace != absl::string_view::npos) {
       sample.labels = ParseLabels(series.substr(brace + 1, series.size() - brace - 2));
     }
--- a/packages/load/slope_point.cc
+++ b/packages/load/slope_point.cc
@@ -29,8 +29,8 @@
   const JobLoadResult result = load.Submit(plan);
   if (result.Refused() > 0) {
     return Fail(ErrorKind::kInternal,
-                absl::StrCat(result.Refused(), " of ", jobs, " held jobs were refused with status ",
-                             result.refused_by_status.begin()->first, "."));
+                absl::StrCat(result.RefusedText(), " of ", jobs,
+                             " held jobs were refused: ", result.first_refusal));
   }
   if (!starts) {
     return static_cast<int>(load.WaitForStarts(result, absl::ZeroDuration()).first.size());
