bench: Run a list of seeds and report the range

Each figure is now the median over three seeds, targets name the least and greatest value and are met only with every seed. The seeds of one variant run in threads of their own. Splitting the slots over several dispatchers is a new variant of the request model.

--- a/packages/bench/bench_report.cc
+++ b/packages/bench/bench_report.cc
@@ -23,16 +23,68 @@
   return {};
 }
 
+std::vector<double> ValuesOf(const std::vector<BenchReport::Row>& runs, const std::string& key) {
+  std::vector<double> values;
+  for (const BenchReport::Row& run : runs) {
+    values.push_back(run.at(key).get<double>());
+  }
+  return values;
+}
+
+// The middle value; of an even number of values, the lower of the two middle ones.
+double Median(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  return values[(values.size() - 1) / 2];
+}
+
 }  // namespace
 
 void BenchReport::AddRow(const std::string& table, Row row) {
   tables_[table].push_back(std::move(row));
 }
 
-void BenchReport::AddTarget(const std::string& name, double measured, const std::string& target,
-                            bool met) {
-  targets_.push_back(
-      Row{{"target", name}, {"measured", measured}, {"wanted", target}, {"met", met}});
+void BenchReport::AddMedianRow(const std::string& table, const std::vector<Row>& runs,
+                               const std::vector<std::string>& ranged) {
+  Row merged = runs.front();
+  for (auto& [key, value] : merged.items()) {
+    if (value.is_number()) {
+      value = Median(ValuesOf(runs, key));
+    }
+  }
+  for (const std::string& key : ranged) {
+    const std::vector<double> values = ValuesOf(runs, key);
+    merged[key + "_min"] = *std::min_element(values.begin(), values.end());
+    merged[key + "_max"] = *std::max_element(values.begin(), values.end());
+  }
+  AddRow(table, std::move(merged));
+}
+
+void BenchReport::AddUpperTarget(const std::string& name, const std::vector<double>& by_seed,
+                                 double limit) {
+  const bool met = std::all_of(by_seed.begin(), by_seed.end(),
+                               [limit](double measured) { return measured <= limit; });
+  AddTarget(name, by_seed, absl::StrFormat("<= %g", limit), met);
+}
+
+void BenchReport::AddLowerTarget(const std::string& name, const std::vector<double>& by_seed,
+                                 double limit) {
+  const bool met = std::all_of(by_seed.begin(), by_seed.end(),
+                               [limit](double measured) { return measured >= limit; });
+  AddTarget(name, by_seed, absl::StrFormat(">= %g", limit), met);
+}
+
+void BenchReport::AddTarget(const std::string& name, std::vector<double> by_seed,
+                            const std::string& wanted, bool met) {
+  if (by_seed.empty()) {
+    return;
+  }
+  std::sort(by_seed.begin(), by_seed.end());
+  targets_.push_back(Row{{"target", name},
+                         {"least", by_seed.front()},
+                         {"median", Median(by_seed)},
+                         {"greatest", by_seed.back()},
+                         {"wanted", wanted},
+                         {"met", met}});
 }
 
 std::string BenchReport::FormatCell(const Row& value) {
--- a/packages/bench/bench_report.h
+++ b/packages/bench/bench_report.h
@@ -16,14 +16,21 @@
   using Row = nlohmann::ordered_json;
 
   void AddRow(const std::string& table, Row row);
-  // Records whether a measured figure meets its target.
-  void AddTarget(const std::string& name, double measured, const std::string& target, bool met);
+  // Adds one row for the runs of one variant over several seeds: the median of each number, and
+  // the least and the greatest value of the named ones.
+  void AddMedianRow(const std::string& table, const std::vector<Row>& runs,
+                    const std::vector<std::string>& ranged);
+  // Records whether a figure meets its target with every seed.
+  void AddUpperTarget(const std::string& name, const std::vector<double>& by_seed, double limit);
+  void AddLowerTarget(const std::string& name, const std::vector<double>& by_seed, double limit);
 
   std::string ToText() const;
   // Writes results.json, results.txt and one space-separated <table>.dat per table for the plots.
   Result<void> Write(const std::string& folder) const;
 
  private:
+  void AddTarget(const std::string& name, std::vector<double> by_seed, const std::string& wanted,
+                 bool met);
   static std::string FormatCell(const Row& value);
   static std::string FormatTable(const std::vector<Row>& rows);
 
--- a/packages/bench/decision_bench.cc
+++ b/packages/bench/decision_bench.cc
@@ -158,10 +158,9 @@
         }
         if (workers == 4'100 && std::string(policy) == "packing") {
           const std::string pool = full ? "full pool" : "nearly full pool";
-          report->AddTarget("decisions per second at 4,100 workers, " + pool, rate, ">= 5000",
-                            rate >= 5'000);
-          report->AddTarget("p99 decision time in us at 4,100 workers, " + pool,
-                            times.Quantile(0.99), "< 1000", times.Quantile(0.99) < 1'000);
+          report->AddLowerTarget("decisions per second at 4,100 workers, " + pool, {rate}, 5'000);
+          report->AddUpperTarget("p99 decision time in us at 4,100 workers, " + pool,
+                                 {times.Quantile(0.99)}, 1'000);
         }
       }
     }
@@ -169,8 +168,7 @@
   // The exponent e in cost ~ workers^e.
   const double exponent =
       std::log(mean[{"packing", 4'100}] / mean[{"packing", 35}]) / std::log(4'100.0 / 35);
-  report->AddTarget("growth exponent of decision time, 35 to 4,100 workers", exponent, "< 1",
-                    exponent < 1);
+  report->AddUpperTarget("growth exponent of decision time, 35 to 4,100 workers", {exponent}, 1);
 }
 
 }  // namespace pomelotray
--- a/packages/bench/main.cc
+++ b/packages/bench/main.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
 #include "bench/bench_report.h"
 #include "bench/decision_bench.h"
 #include "bench/packing_bench.h"
@@ -19,12 +20,14 @@
 constexpr char kUsage[] = R"(Measures the scheduler's decisions against its baselines.
 
 Usage:
-  pomelotray-bench (decisions | waiting | packing | requests | all) [--out=FOLDER] [--seed=N]
+  pomelotray-bench (decisions | waiting | packing | requests | all) [--out=FOLDER] [--seeds=LIST]
   pomelotray-bench --help
 
 Options:
   --out=FOLDER  Folder for results.json, results.txt and the plots' data [default: bench-out].
-  --seed=N      Seed of the load model [default: 20261204].
+  --seeds=LIST  Seeds of the load models, separated by commas [default: 20261204,7,1973].
+                Each figure is the median over the seeds; the range is given where it matters.
+                The decisions use the first seed only, because they measure time.
   --help        Show this text.
 
 Exit codes: 0 when the figures were written, 1 when they could not be, 2 for wrong arguments.
@@ -32,24 +35,27 @@
 
 int Run(const std::vector<std::string>& arguments) {
   std::map<std::string, docopt::value> options = docopt::docopt(kUsage, arguments);
-  uint64_t seed = 0;
-  if (!absl::SimpleAtoi(options["--seed"].asString(), &seed)) {
-    std::cerr << "--seed must be a whole number; leave it out for the default.\n";
-    return 2;
+  std::vector<uint64_t> seeds;
+  for (const absl::string_view part : absl::StrSplit(options["--seeds"].asString(), ',')) {
+    if (!absl::SimpleAtoi(part, &seeds.emplace_back())) {
+      std::cerr << "--seeds must be whole numbers separated by commas; leave it out for the "
+                   "default.\n";
+      return 2;
+    }
   }
   const bool all = options["all"].asBool();
   BenchReport report;
   if (all || options["decisions"].asBool()) {
-    RunDecisionBench(seed, &report);
+    RunDecisionBench(seeds.front(), &report);
   }
   if (all || options["packing"].asBool()) {
-    RunPackingBench(seed, &report);
+    RunPackingBench(seeds, &report);
   }
   if (all || options["requests"].asBool()) {
-    RunRequestBench(seed, &report);
+    RunRequestBench(seeds, &report);
   }
   if (all || options["waiting"].asBool()) {
-    RunWaitingBench(seed, &report);
+    RunWaitingBench(seeds, &report);
   }
   std::cout << report.ToText();
   const Outcome<void> written = Capture([&] { return report.Write(options["--out"].asString()); });
--- a/packages/bench/packing_bench.cc
+++ b/packages/bench/packing_bench.cc
@@ -80,43 +80,68 @@
   const char* order;
 };
 
+// The cases of one seed with their optima.
+struct CaseSet {
+  uint64_t seed = 0;
+  std::vector<PackingCase> cases;
+  std::vector<double> best;
+};
+
+CaseSet MakeCaseSet(uint64_t seed) {
+  CaseSet set;
+  set.seed = seed;
+  std::mt19937_64 random(seed);
+  for (int i = 0; i < kCases; ++i) {
+    set.cases.push_back(MakeCase(&random));
+    set.best.push_back(BestPackedValue(set.cases.back().workers, set.cases.back().tasks));
+  }
+  return set;
+}
+
+BenchReport::Row RunCaseSet(const CaseSet& set, const Variant& variant, bool together) {
+  Samples ratios;
+  int reached = 0;
+  for (size_t i = 0; i < set.cases.size(); ++i) {
+    const double value =
+        PackedByPolicy(set.cases[i], variant.placement, variant.order, together, set.seed + i);
+    ratios.Add(value / set.best[i]);
+    reached += value >= kTarget * set.best[i] ? 1 : 0;
+  }
+  return {{"arrivals", together ? "together" : "one_by_one"},
+          {"placement", variant.placement},
+          {"order", variant.order},
+          {"cases", kCases},
+          {"mean_of_optimum", ratios.Mean()},
+          {"p10_of_optimum", ratios.Quantile(0.1)},
+          {"worst_of_optimum", ratios.Quantile(0)},
+          {"cases_at_target", reached}};
+}
+
 }  // namespace
 
-void RunPackingBench(uint64_t seed, BenchReport* report) {
+void RunPackingBench(const std::vector<uint64_t>& seeds, BenchReport* report) {
   constexpr std::array<Variant, 5> kVariants = {{{"packing", "fair-share"},
                                                  {"packing", "fifo"},
                                                  {"first-fit", "fifo"},
                                                  {"least-loaded", "fifo"},
                                                  {"random", "fifo"}}};
-  std::mt19937_64 random(seed);
-  std::vector<PackingCase> cases;
-  std::vector<double> best;
-  for (int i = 0; i < kCases; ++i) {
-    cases.push_back(MakeCase(&random));
-    best.push_back(BestPackedValue(cases.back().workers, cases.back().tasks));
+  std::vector<CaseSet> sets;
+  for (const uint64_t seed : seeds) {
+    sets.push_back(MakeCaseSet(seed));
   }
   for (const bool together : {true, false}) {
     for (const Variant& variant : kVariants) {
-      Samples ratios;
-      int reached = 0;
-      for (size_t i = 0; i < cases.size(); ++i) {
-        const double value =
-            PackedByPolicy(cases[i], variant.placement, variant.order, together, seed + i);
-        ratios.Add(value / best[i]);
-        reached += value >= kTarget * best[i] ? 1 : 0;
+      std::vector<BenchReport::Row> runs;
+      std::vector<double> means;
+      for (const CaseSet& set : sets) {
+        runs.push_back(RunCaseSet(set, variant, together));
+        means.push_back(runs.back()["mean_of_optimum"].get<double>());
       }
-      report->AddRow("packing", {{"arrivals", together ? "together" : "one_by_one"},
-                                 {"placement", variant.placement},
-                                 {"order", variant.order},
-                                 {"cases", kCases},
-                                 {"mean_of_optimum", ratios.Mean()},
-                                 {"p10_of_optimum", ratios.Quantile(0.1)},
-                                 {"worst_of_optimum", ratios.Quantile(0)},
-                                 {"cases_at_target", reached}});
+      report->AddMedianRow("packing", runs, {"mean_of_optimum"});
       if (&variant == &kVariants.front()) {
-        report->AddTarget(absl::StrCat("packing against the exact optimum, arrivals ",
-                                       together ? "together" : "one by one"),
-                          ratios.Mean(), ">= 0.97", ratios.Mean() >= kTarget);
+        report->AddLowerTarget(absl::StrCat("packing against the exact optimum, arrivals ",
+                                            together ? "together" : "one by one"),
+                               means, kTarget);
       }
     }
   }
--- a/packages/bench/packing_bench.h
+++ b/packages/bench/packing_bench.h
@@ -2,13 +2,14 @@
 #define POMELOTRAY_BENCH_PACKING_BENCH_H_
 
 #include <cstdint>
+#include <vector>
 
 #include "bench/bench_report.h"
 
 namespace pomelotray {
 
 // Compares what the placement policies pack onto a few workers with the exact optimum.
-void RunPackingBench(uint64_t seed, BenchReport* report);
+void RunPackingBench(const std::vector<uint64_t>& seeds, BenchReport* report);
 
 }  // namespace pomelotray
 
--- a/packages/bench/plots/plots.gnuplot
+++ b/packages/bench/plots/plots.gnuplot
@@ -16,7 +16,7 @@
   set output "requests.svg"
   set xlabel "offered load (times capacity)"
   set ylabel "goodput (part of capacity)"
-  plot for [v in "dispatcher plain_queue"] \
+  plot for [v in "dispatcher plain_queue split_2 split_4"] \
     "< grep -E '^[0-9.]+ +".v."' requests.dat" using 1:4 with linespoints title v
 }
 if (system("test -e waiting.dat && echo 1") eq "1") {
--- a/packages/bench/request_bench.cc
+++ b/packages/bench/request_bench.cc
@@ -1,8 +1,11 @@
 #include "bench/request_bench.h"
 
 #include <algorithm>
+#include <functional>
 #include <string>
+#include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "bench/request_simulation.h"
 
 namespace pomelotray {
@@ -10,41 +13,61 @@
 
 constexpr double kGoodputTarget = 0.95;
 
-// Goodput per second relative to the capacity of all slots.
-double AddRequestRow(const std::string& variant, double load, const RequestOutcome& outcome,
-                     BenchReport* report) {
+using Simulate = std::function<RequestOutcome(double load, uint64_t seed)>;
+
+BenchReport::Row MakeRow(const std::string& variant, double load, const RequestOutcome& outcome) {
   const double seconds = absl::ToDoubleSeconds(kRequestRun);
   const double goodput = static_cast<double>(outcome.in_time) / seconds / RequestSource::Capacity();
-  report->AddRow("requests", {{"load", load},
-                              {"variant", variant},
-                              {"arrived", outcome.arrived},
-                              {"goodput_of_capacity", goodput},
-                              {"late", outcome.late},
-                              {"refused", outcome.refused},
-                              {"dropped", outcome.dropped},
-                              {"p50_ms", outcome.latency.Quantile(0.5)},
-                              {"p99_ms", outcome.latency.Quantile(0.99)},
-                              {"refusal_p99_ms", outcome.time_to_refusal.Quantile(0.99)},
-                              {"in_time_a", outcome.in_time_by_customer[0]},
-                              {"in_time_b", outcome.in_time_by_customer[1]},
-                              {"in_time_c", outcome.in_time_by_customer[2]}});
-  return goodput;
+  return {{"load", load},
+          {"variant", variant},
+          {"arrived", outcome.arrived},
+          {"goodput_of_capacity", goodput},
+          {"late", outcome.late},
+          {"refused", outcome.refused},
+          {"dropped", outcome.dropped},
+          {"p50_ms", outcome.latency.Quantile(0.5)},
+          {"p99_ms", outcome.latency.Quantile(0.99)},
+          {"refusal_p99_ms", outcome.time_to_refusal.Quantile(0.99)},
+          {"in_time_a", outcome.in_time_by_customer[0]},
+          {"in_time_b", outcome.in_time_by_customer[1]},
+          {"in_time_c", outcome.in_time_by_customer[2]}};
+}
+
+// Goodput of each seed relative to the capacity of all slots.
+std::vector<double> RunVariant(const std::string& variant, double load, const Simulate& simulate,
+                               const std::vector<uint64_t>& seeds, BenchReport* report) {
+  std::vector<BenchReport::Row> runs;
+  std::vector<double> goodputs;
+  for (const uint64_t seed : seeds) {
+    runs.push_back(MakeRow(variant, load, simulate(load, seed)));
+    goodputs.push_back(runs.back()["goodput_of_capacity"].get<double>());
+  }
+  report->AddMedianRow("requests", runs, {"goodput_of_capacity", "p99_ms"});
+  return goodputs;
 }
 
 }  // namespace
 
-void RunRequestBench(uint64_t seed, BenchReport* report) {
-  double peak = 0;
-  double at_ten = 0;
+void RunRequestBench(const std::vector<uint64_t>& seeds, BenchReport* report) {
+  std::vector<double> peaks(seeds.size(), 0);
+  std::vector<double> last_of_peak;
   for (const double load : {0.5, 0.8, 0.95, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0}) {
-    const double goodput =
-        AddRequestRow("dispatcher", load, SimulateDispatcher(load, seed), report);
-    peak = std::max(peak, goodput);
-    at_ten = goodput;
-    AddRequestRow("plain_queue", load, SimulatePlainQueue(load, seed), report);
+    const std::vector<double> goodputs =
+        RunVariant("dispatcher", load, SimulateDispatcher, seeds, report);
+    last_of_peak.clear();
+    for (size_t i = 0; i < seeds.size(); ++i) {
+      peaks[i] = std::max(peaks[i], goodputs[i]);
+      last_of_peak.push_back(goodputs[i] / peaks[i]);
+    }
+    RunVariant("plain_queue", load, SimulatePlainQueue, seeds, report);
+    for (const int parts : {2, 4}) {
+      RunVariant(
+          absl::StrCat("split_", parts), load,
+          [parts](double at, uint64_t seed) { return SimulateSplitDispatchers(parts, at, seed); },
+          seeds, report);
+    }
   }
-  report->AddTarget("goodput at 10 times capacity, of its peak", at_ten / peak, ">= 0.95",
-                    at_ten / peak >= kGoodputTarget);
+  report->AddLowerTarget("goodput at 10 times capacity, of its peak", last_of_peak, kGoodputTarget);
 }
 
 }  // namespace pomelotray
--- a/packages/bench/request_bench.h
+++ b/packages/bench/request_bench.h
@@ -2,6 +2,7 @@
 #define POMELOTRAY_BENCH_REQUEST_BENCH_H_
 
 #include <cstdint>
+#include <vector>
 
 #include "bench/bench_report.h"
 
@@ -9,7 +10,7 @@
 
 // Measures the goodput of interactive requests from half to ten times capacity, against a plain
 // queue without admission.
-void RunRequestBench(uint64_t seed, BenchReport* report);
+void RunRequestBench(const std::vector<uint64_t>& seeds, BenchReport* report);
 
 }  // namespace pomelotray
 
--- a/packages/bench/request_simulation.cc
+++ b/packages/bench/request_simulation.cc
@@ -1,6 +1,7 @@
 #include "bench/request_simulation.h"
 
 #include <deque>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -90,37 +91,50 @@
 
 class DispatcherSimulation : public RequestSimulation {
  public:
-  DispatcherSimulation(double load, uint64_t seed)
-      : RequestSimulation(load, seed), dispatcher_(loop_.clock(), &limits_, seed) {
+  // `parts` must divide the number of slots per executor.
+  DispatcherSimulation(int parts, double load, uint64_t seed) : RequestSimulation(load, seed) {
     Resources capacity;
-    capacity.slots = SlotCount(kBenchSlots);
-    for (int i = 0; i < kBenchExecutors; ++i) {
-      dispatcher_.UpsertExecutor(ExecutorId(absl::StrCat(i)), capacity, 64);
+    capacity.slots = SlotCount(kBenchSlots / parts);
+    for (int part = 0; part < parts; ++part) {
+      dispatchers_.push_back(std::make_unique<RequestDispatcher>(
+          loop_.clock(), &limits_, seed + static_cast<uint64_t>(part)));
+      for (int i = 0; i < kBenchExecutors; ++i) {
+        dispatchers_.back()->UpsertExecutor(ExecutorId(absl::StrCat(i)), capacity,
+                                            kBenchConnections / parts);
+      }
     }
     DropRegularly();
   }
 
  private:
+  static constexpr int kBenchConnections = 64;
+
+  RequestDispatcher* DispatcherOf(const Pending& pending) {
+    return dispatchers_[static_cast<size_t>(pending.arrival.number) % dispatchers_.size()].get();
+  }
+
   void Arrive(const Pending& pending) override {
     const RequestId id(absl::StrCat(pending.arrival.number));
     const CustomerId customer(absl::StrCat("customer", pending.arrival.customer));
+    RequestDispatcher* dispatcher = DispatcherOf(pending);
     const Outcome<void> outcome =
-        Capture([&] { return dispatcher_.Enqueue(id, customer, pending.at + kRequestDeadline); });
+        Capture([&] { return dispatcher->Enqueue(id, customer, pending.at + kRequestDeadline); });
     if (!outcome.ok()) {
       CountRefusal(pending, /*dropped=*/false);
       return;
     }
     pending_.emplace(id, pending);
-    Dispatch();
+    Dispatch(dispatcher);
   }
 
   void Finished(const Pending& pending, int, absl::Duration service) override {
-    dispatcher_.Complete(RequestId(absl::StrCat(pending.arrival.number)), service, true);
-    Dispatch();
+    RequestDispatcher* dispatcher = DispatcherOf(pending);
+    dispatcher->Complete(RequestId(absl::StrCat(pending.arrival.number)), service, true);
+    Dispatch(dispatcher);
   }
 
-  void Dispatch() {
-    for (const Assignment& assignment : dispatcher_.Dispatch()) {
+  void Dispatch(RequestDispatcher* dispatcher) {
+    for (const Assignment& assignment : dispatcher->Dispatch()) {
       int executor = 0;
       if (absl::SimpleAtoi(assignment.executor.value(), &executor)) {
         const auto it = pending_.find(assignment.request);
@@ -132,17 +146,19 @@
 
   void DropRegularly() {
     loop_.After(kDropInterval, [this] {
-      for (const RequestId& request : dispatcher_.DropHopeless()) {
-        const auto it = pending_.find(request);
-        CountRefusal(it->second, /*dropped=*/true);
-        pending_.erase(it);
+      for (const std::unique_ptr<RequestDispatcher>& dispatcher : dispatchers_) {
+        for (const RequestId& request : dispatcher->DropHopeless()) {
+          const auto it = pending_.find(request);
+          CountRefusal(it->second, /*dropped=*/true);
+          pending_.erase(it);
+        }
       }
       DropRegularly();
     });
   }
 
   BenchLimits limits_;
-  RequestDispatcher dispatcher_;
+  std::vector<std::unique_ptr<RequestDispatcher>> dispatchers_;
   absl::flat_hash_map<RequestId, Pending> pending_;
 };
 
@@ -179,7 +195,11 @@
 }  // namespace
 
 RequestOutcome SimulateDispatcher(double load, uint64_t seed) {
-  return DispatcherSimulation(load, seed).Run();
+  return DispatcherSimulation(1, load, seed).Run();
+}
+
+RequestOutcome SimulateSplitDispatchers(int parts, double load, uint64_t seed) {
+  return DispatcherSimulation(parts, load, seed).Run();
 }
 
 RequestOutcome SimulatePlainQueue(double load, uint64_t seed) {
--- a/packages/bench/request_simulation.h
+++ b/packages/bench/request_simulation.h
@@ -32,6 +32,9 @@
 
 // The real RequestDispatcher.
 RequestOutcome SimulateDispatcher(double load, uint64_t seed);
+// The same dispatchers in several instances. Each has an equal part of the slots of every executor
+// and gets every n-th request, as from a load balancer.
+RequestOutcome SimulateSplitDispatchers(int parts, double load, uint64_t seed);
 // Baseline: one queue in order of arrival, any free executor, no admission.
 RequestOutcome SimulatePlainQueue(double load, uint64_t seed);
 
--- a/packages/bench/waiting_bench.cc
+++ b/packages/bench/waiting_bench.cc
@@ -4,6 +4,7 @@
 #include <limits>
 #include <map>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -18,6 +19,8 @@
 }
 constexpr double kJudgedLoad = 0.95;
 constexpr double kUrgentBoundSeconds = 6.3;
+// The design names no figure for fairness; this is the bench's own goal in overload.
+constexpr double kFairShareGoal = 0.9;
 
 std::vector<PolicyChoice> Choices() {
   return {{"fair-share", "packing", false},     {"fair-share", "packing", true},
@@ -26,87 +29,119 @@
           {"fifo", "least-loaded", false},      {"fifo", "random", false}};
 }
 
-void AddWaitingRow(const ShardModel& shard, const LoadChoice& load, const PolicyChoice& choice,
-                   const ClusterOutcome& outcome, BenchReport* report) {
-  report->AddRow("waiting", {{"shard", shard.name},
-                             {"load", load.load},
-                             {"arrivals", load.steady ? "steady" : "peaks"},
-                             {"order", choice.order},
-                             {"placement", choice.placement},
-                             {"admission", choice.admission},
-                             {"jobs", outcome.jobs},
-                             {"refused", outcome.refused},
-                             {"p50_s", outcome.wait.Quantile(0.5)},
-                             {"p99_s", outcome.wait.Quantile(0.99)},
-                             {"p999_s", outcome.wait.Quantile(0.999)},
-                             {"deadline_p50_s", outcome.deadline_wait.Quantile(0.5)},
-                             {"deadline_p99_s", outcome.deadline_wait.Quantile(0.99)},
-                             {"deadline_p999_s", outcome.deadline_wait.Quantile(0.999)},
-                             {"deadline_jobs", outcome.deadline_jobs},
-                             {"misses", outcome.deadline_misses},
-                             {"urgent_max_s", outcome.urgent_wait.Quantile(1)},
-                             {"preemptions", outcome.preemptions},
-                             {"idle_while_waiting", outcome.idle_while_waiting},
-                             {"stranded", outcome.stranded},
-                             {"least_fair", outcome.least_fair_ratio},
-                             {"jain", outcome.jain_index}});
+BenchReport::Row MakeRow(const ShardModel& shard, const LoadChoice& load,
+                         const PolicyChoice& choice, const ClusterOutcome& outcome) {
+  return {{"shard", shard.name},
+          {"load", load.load},
+          {"arrivals", load.steady ? "steady" : "peaks"},
+          {"order", choice.order},
+          {"placement", choice.placement},
+          {"admission", choice.admission},
+          {"jobs", outcome.jobs},
+          {"refused", outcome.refused},
+          {"p50_s", outcome.wait.Quantile(0.5)},
+          {"p99_s", outcome.wait.Quantile(0.99)},
+          {"p999_s", outcome.wait.Quantile(0.999)},
+          {"deadline_p50_s", outcome.deadline_wait.Quantile(0.5)},
+          {"deadline_p99_s", outcome.deadline_wait.Quantile(0.99)},
+          {"deadline_p999_s", outcome.deadline_wait.Quantile(0.999)},
+          {"deadline_jobs", outcome.deadline_jobs},
+          {"misses", outcome.deadline_misses},
+          {"urgent_max_s", outcome.urgent_wait.Quantile(1)},
+          {"preemptions", outcome.preemptions},
+          {"idle_while_waiting", outcome.idle_while_waiting},
+          {"stranded", outcome.stranded},
+          {"least_fair", outcome.least_fair_ratio},
+          {"jain", outcome.jain_index}};
 }
 
-void AddWaitTarget(const ShardModel& shard, const LoadChoice& load, const std::string& order,
-                   double own_p99, double baseline_p99, BenchReport* report) {
-  // Nothing can be judged where the best baseline does not wait.
-  if (baseline_p99 <= 0) {
-    return;
+// One run per seed, in threads of their own: the runs share nothing.
+std::vector<ClusterOutcome> RunSeeds(const ShardModel& shard, const PolicyChoice& choice,
+                                     const LoadChoice& load, const std::vector<uint64_t>& seeds) {
+  std::vector<ClusterOutcome> outcomes(seeds.size());
+  std::vector<std::thread> threads;
+  for (size_t i = 0; i < seeds.size(); ++i) {
+    threads.emplace_back([&, i] {
+      outcomes[i] = ClusterSimulation(shard, choice, load, seeds[i]).Run(LengthAt(load.load));
+    });
   }
-  const double ratio = own_p99 / baseline_p99;
-  report->AddTarget(absl::StrCat("p99 wait of deadline work at 0.95 load of the best baseline's, ",
-                                 load.steady ? "steady" : "peaks", ", ", order, ", ", shard.name),
-                    ratio, "<= 0.5", ratio <= 0.5);
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  return outcomes;
 }
 
-void AddUrgentTarget(const ShardModel& shard, double urgent_max, BenchReport* report) {
-  report->AddTarget(absl::StrCat("longest wait of urgent work in s over all loads, ", shard.name),
-                    urgent_max, "<= 6.3", urgent_max <= kUrgentBoundSeconds);
+// The p99 waits of the seeds by order, and the least ones of the baselines.
+struct JudgedWaits {
+  std::map<std::string, std::vector<double>> own;
+  std::vector<double> baseline;
+};
+
+void AddWaitTargets(const ShardModel& shard, const LoadChoice& load, const JudgedWaits& waits,
+                    BenchReport* report) {
+  for (const auto& [order, own] : waits.own) {
+    std::vector<double> ratios;
+    for (size_t i = 0; i < own.size(); ++i) {
+      // Nothing can be judged where the best baseline does not wait.
+      if (waits.baseline[i] > 0) {
+        ratios.push_back(own[i] / waits.baseline[i]);
+      }
+    }
+    report->AddUpperTarget(
+        absl::StrCat("p99 wait of deadline work at 0.95 load of the best baseline's, ",
+                     load.steady ? "steady" : "peaks", ", ", order, ", ", shard.name),
+        ratios, 0.5);
+  }
 }
 
-// Runs all choices at one load; returns the longest wait of urgent work under the own policies.
-double RunLoad(const ShardModel& shard, const LoadChoice& load, uint64_t seed,
-               BenchReport* report) {
-  std::map<std::string, double> own_p99;
-  double baseline_p99 = std::numeric_limits<double>::infinity();
-  double urgent_max = 0;
+// Runs all choices at one load; adds the longest waits of urgent work under the own policies.
+void RunLoad(const ShardModel& shard, const LoadChoice& load, const std::vector<uint64_t>& seeds,
+             std::vector<double>* urgent_max, BenchReport* report) {
+  JudgedWaits waits;
+  waits.baseline.assign(seeds.size(), std::numeric_limits<double>::infinity());
   for (const PolicyChoice& choice : Choices()) {
-    const ClusterOutcome outcome =
-        ClusterSimulation(shard, choice, load, seed).Run(LengthAt(load.load));
-    AddWaitingRow(shard, load, choice, outcome, report);
-    const double p99 = outcome.deadline_wait.Quantile(0.99);
-    if (choice.order == "fifo" && choice.placement != "packing") {
-      baseline_p99 = std::min(baseline_p99, p99);
+    std::vector<BenchReport::Row> rows;
+    std::vector<double> fairness;
+    const bool own = choice.order != "fifo" && choice.placement == "packing" && !choice.admission;
+    const bool baseline = choice.order == "fifo" && choice.placement != "packing";
+    const std::vector<ClusterOutcome> outcomes = RunSeeds(shard, choice, load, seeds);
+    for (size_t i = 0; i < seeds.size(); ++i) {
+      rows.push_back(MakeRow(shard, load, choice, outcomes[i]));
+      fairness.push_back(outcomes[i].least_fair_ratio);
+      const double p99 = outcomes[i].deadline_wait.Quantile(0.99);
+      if (baseline) {
+        waits.baseline[i] = std::min(waits.baseline[i], p99);
+      }
+      if (own) {
+        waits.own[choice.order].push_back(p99);
+        urgent_max->push_back(outcomes[i].urgent_wait.Quantile(1));
+      }
     }
-    if (choice.order != "fifo" && choice.placement == "packing" && !choice.admission) {
-      own_p99[choice.order] = p99;
-      urgent_max = std::max(urgent_max, outcome.urgent_wait.Quantile(1));
+    report->AddMedianRow("waiting", rows, {"deadline_p99_s", "misses", "least_fair"});
+    if (own && load.load > 1) {
+      report->AddLowerTarget(absl::StrCat("least share of a contract, of its fair one, at ",
+                                          load.load, "x, ", choice.order, ", ", shard.name),
+                             fairness, kFairShareGoal);
     }
   }
   if (load.load == kJudgedLoad) {
-    for (const auto& [order, p99] : own_p99) {
-      AddWaitTarget(shard, load, order, p99, baseline_p99, report);
-    }
+    AddWaitTargets(shard, load, waits, report);
   }
-  return urgent_max;
 }
 
 }  // namespace
 
-void RunWaitingBench(uint64_t seed, BenchReport* report) {
+void RunWaitingBench(const std::vector<uint64_t>& seeds, BenchReport* report) {
   for (const ShardModel& shard : {MakeRenderingShard(), MakeLabelsShard()}) {
-    double urgent_max = 0;
+    std::vector<double> urgent_max;
     for (const LoadChoice& load :
          {LoadChoice{0.5, false}, LoadChoice{0.8, false}, LoadChoice{kJudgedLoad, false},
           LoadChoice{kJudgedLoad, true}, LoadChoice{2.0, false}, LoadChoice{10.0, false}}) {
-      urgent_max = std::max(urgent_max, RunLoad(shard, load, seed, report));
+      RunLoad(shard, load, seeds, &urgent_max, report);
     }
-    AddUrgentTarget(shard, urgent_max, report);
+    report->AddUpperTarget(
+        absl::StrCat("longest wait of urgent work in s over all loads, ", shard.name), urgent_max,
+        kUrgentBoundSeconds);
   }
 }
 
--- a/packages/bench/waiting_bench.h
+++ b/packages/bench/waiting_bench.h
@@ -2,6 +2,7 @@
 #define POMELOTRAY_BENCH_WAITING_BENCH_H_
 
 #include <cstdint>
+#include <vector>
 
 #include "bench/bench_report.h"
 
@@ -9,7 +10,7 @@
 
 // Measures waiting times, deadline misses, idle accelerators and fairness of the policies and the
 // baselines under the load of both users.
-void RunWaitingBench(uint64_t seed, BenchReport* report);
+void RunWaitingBench(const std::vector<uint64_t>& seeds, BenchReport* report);
 
 }  // namespace pomelotray
 
