scheduler: Drain workers for underserved customers

Cause: jobs that need most of a worker found no room while small tasks of other customers took whatever became free. Only one job at a time had workers drained; a late reservation moved to another worker and gave up the room drained so far; and urgent tasks, which ignored reservations, kept filling the drained worker.

--- a/packages/scheduler/drain_reservation.cc
+++ b/packages/scheduler/drain_reservation.cc
@@ -106,6 +106,21 @@
   return false;
 }
 
+bool DrainReservation::CanStillStart(const Request& request, const WorkerIndex& index,
+                                     const ReservationLedger& ledger) const {
+  std::vector<RoomEvent> events;
+  for (const WorkerSlot slot : workers_) {
+    if (index.At(slot).Usable() && request.usable(slot)) {
+      AppendRoomEvents(request, index, ledger, slot, &events);
+    }
+  }
+  int64_t total = 0;
+  for (const RoomEvent& event : events) {
+    total += event.gained;
+  }
+  return total >= request.count;
+}
+
 void DrainReservation::Clear() {
   job_ = JobId();
   workers_.clear();
--- a/packages/scheduler/drain_reservation.h
+++ b/packages/scheduler/drain_reservation.h
@@ -33,6 +33,9 @@
   // Reserves the workers on which the job can start earliest; false when running tasks without an
   // expected end leave too little.
   bool Plan(const Request& request, const WorkerIndex& index, const ReservationLedger& ledger);
+  // True when the reserved workers are still expected to have room for the job at some time.
+  bool CanStillStart(const Request& request, const WorkerIndex& index,
+                     const ReservationLedger& ledger) const;
   void Clear();
 
   bool active() const { return !job_.empty(); }
--- a/packages/scheduler/schedule_pass.cc
+++ b/packages/scheduler/schedule_pass.cc
@@ -18,12 +18,17 @@
 // Jobs for which no workers can be drained at the moment make way for younger ones for this long.
 constexpr absl::Duration kDrainRetryInterval = absl::Seconds(5);
 constexpr int64_t kMaxPreemptionsPerRound = 256;
-// A reservation that is this late is planned anew: tasks outlived their estimates, or urgent work
-// took the room.
+// A reservation that is this late is dropped when its workers cannot be expected to get room any
+// more, for example because services took it.
 constexpr absl::Duration kDrainPatience = absl::Seconds(30);
 // Aged jobs get a reservation at most this often. Otherwise a long overload, in which all jobs are
 // aged, would turn the order into first come first served.
 constexpr absl::Duration kAgedDrainInterval = absl::Seconds(1);
+// A plan looks at every worker; in a full pool one per round would cost more than the placements.
+constexpr absl::Duration kFairDrainInterval = absl::Seconds(1);
+constexpr size_t kMaxJobsWithoutRoom = 16;
+// Bounds the room that stands empty for underserved customers.
+constexpr size_t kWorkersPerFairDrain = 8;
 
 }  // namespace
 
@@ -39,9 +44,13 @@
   }
   state_->preemptions.Escalate(now_, &result_.preemptions);
   PlaceUrgent();
-  UpdateDrain();
-  PlaceDrainHolder();
+  DropStaleDrains();
+  if (!state_->drain.active()) {
+    DrainForOldest();
+  }
+  PlaceDrainHolders();
   PlaceByCustomer();
+  DrainForUnderserved();
   return std::move(result_);
 }
 
@@ -88,9 +97,7 @@
       !health.MayPlace(state_->index.At(slot).id, job.spec.repeatable, now_)) {
     return false;
   }
-  const DrainReservation& drain = state_->drain;
-  return !drain.active() || drain.job() == job.id || ServedAsUrgent(job) ||
-         drain.AllowsBackfill(slot, expected_end);
+  return ignore_drains_ || state_->DrainsAllow(job.id, slot, expected_end);
 }
 
 bool SchedulePass::HasRoomFor(const QueuedJob& job, int64_t count, absl::Time expected_end) const {
@@ -151,7 +158,7 @@
   // The drained workers and the earmarked room are open to this job only, so other jobs' failures
   // say nothing about it.
   const bool has_own_room =
-      state_->drain.job() == job->id || state_->preemptions.EarmarksOf(job->id) > 0;
+      state_->IsDrainedFor(job->id) || state_->preemptions.EarmarksOf(job->id) > 0;
   if (!has_own_room && state_->failed_shapes.Covers(shape)) {
     return Attempt::kNoRoom;
   }
@@ -179,57 +186,162 @@
       attempt = Place(job);
     }
     if (attempt == Attempt::kNoRoom) {
-      PreemptFor(*job);
+      PreemptFor(job);
     } else if (state_->preemptions.Trim(job->id, job->QueuedCount())) {
       state_->RoomChanged();
     }
   }
 }
 
-void SchedulePass::PreemptFor(const QueuedJob& job) {
+void SchedulePass::PlaceOnDrained(QueuedJob* job) {
+  const TaskShape shape = ShapeOf(*job);
+  const bool any_drained = state_->drain.active() || !state_->fair_drains.empty();
+  if (!any_drained || failed_on_drained_.Covers(shape)) {
+    return;
+  }
+  ignore_drains_ = true;
+  while (job->CanBePlaced() && WithinLimit(*job, job->TasksPerPlacement()) && budget_ > 0) {
+    const int64_t count = job->TasksPerPlacement();
+    if (!PlaceTogether(job, count, now_ + shape.run_time)) {
+      failed_on_drained_.Add(shape);
+      break;
+    }
+    budget_ -= count;
+  }
+  ignore_drains_ = false;
+}
+
+void SchedulePass::PreemptFor(QueuedJob* urgent) {
+  const QueuedJob& job = *urgent;
   const TaskShape shape = ShapeOf(job);
   const int64_t waiting = static_cast<int64_t>(job.ready.size());
-  const auto usable = [this](WorkerSlot slot) {
-    return !state_->health.IsQuarantined(state_->index.At(slot).id);
+  const auto usable = [this, &job](WorkerSlot slot) {
+    return !state_->health.IsQuarantined(state_->index.At(slot).id) &&
+           state_->DrainsAllow(job.id, slot, absl::InfiniteFuture());
   };
   int64_t earmarks = state_->preemptions.EarmarksOf(job.id);
   while (earmarks < waiting && WithinLimit(job, earmarks + shape.count) &&
-         static_cast<int64_t>(result_.preemptions.size()) < kMaxPreemptionsPerRound &&
-         !failed_preemptions_.Covers(shape)) {
-    if (!state_->preemptions.Plan(job.id, job.spec.demand, shape.count, now_, usable,
+         static_cast<int64_t>(result_.preemptions.size()) < kMaxPreemptionsPerRound) {
+    if (failed_preemptions_.Covers(shape) ||
+        !state_->preemptions.Plan(job.id, job.spec.demand, shape.count, now_, usable,
                                   &result_.preemptions)) {
       failed_preemptions_.Add(shape);
+      // A stream of urgent work on the drained workers would keep their jobs waiting without end,
+      // so it goes there only when nothing else can be stopped.
+      PlaceOnDrained(urgent);
       return;
     }
     earmarks += shape.count;
   }
 }
 
-bool SchedulePass::TryDrainFor(const QueuedJob& job) {
+bool SchedulePass::CanUseForDrain(const QueuedJob& job, WorkerSlot slot) const {
+  return !state_->health.IsQuarantined(state_->index.At(slot).id) &&
+         state_->preemptions.AllowsPlacement(slot, job.id);
+}
+
+bool SchedulePass::IsStale(const DrainReservation& drain) {
+  const QueuedJob* holder = state_->queue.Find(drain.job());
+  if (holder == nullptr || !holder->listed || !WithinLimit(*holder, holder->TasksPerPlacement())) {
+    return true;
+  }
+  // A reservation that moves to other workers gives up the room drained so far. Tasks that outlive
+  // their estimates are no reason to move: those elsewhere are as uncertain.
+  if (now_ - drain.start() <= kDrainPatience) {
+    return false;
+  }
+  const auto usable = [this, holder](WorkerSlot slot) { return CanUseForDrain(*holder, slot); };
+  const DrainReservation::Request request{holder->id, holder->spec.demand,
+                                          holder->TasksPerPlacement(), now_, usable};
+  return !drain.CanStillStart(request, state_->index, state_->ledger);
+}
+
+void SchedulePass::DropStaleDrains() {
+  if (state_->drain.active() && IsStale(state_->drain)) {
+    state_->drain.Clear();
+    state_->RoomChanged();
+  }
+  const auto stale = std::remove_if(state_->fair_drains.begin(), state_->fair_drains.end(),
+                                    [this](const DrainReservation& each) { return IsStale(each); });
+  if (stale != state_->fair_drains.end()) {
+    state_->fair_drains.erase(stale, state_->fair_drains.end());
+    state_->RoomChanged();
+  }
+}
+
+bool SchedulePass::TryDrainFor(const QueuedJob& job, DrainReservation* drain) {
   const auto usable = [this, &job](WorkerSlot slot) {
-    return !state_->health.IsQuarantined(state_->index.At(slot).id) &&
-           state_->preemptions.AllowsPlacement(slot, job.id);
+    return CanUseForDrain(job, slot) && state_->DrainsAllow(job.id, slot, absl::InfiniteFuture());
   };
   const DrainReservation::Request request{job.id, job.spec.demand, job.TasksPerPlacement(), now_,
                                           usable};
-  const bool planned = state_->drain.Plan(request, state_->index, state_->ledger);
+  const bool planned = drain->Plan(request, state_->index, state_->ledger);
   if (planned) {
     state_->RoomChanged();
   }
   return planned;
 }
 
-void SchedulePass::UpdateDrain() {
-  if (state_->drain.active()) {
-    const QueuedJob* holder = state_->queue.Find(state_->drain.job());
-    const bool late = now_ - state_->drain.start() > kDrainPatience;
-    if (holder != nullptr && holder->listed && !late &&
-        WithinLimit(*holder, holder->TasksPerPlacement())) {
-      return;
+bool SchedulePass::TryDrainForOldest(const QueuedJob& job) {
+  state_->ClearDrainsOf(job.id);
+  if (TryDrainFor(job, &state_->drain)) {
+    return true;
+  }
+  if (state_->fair_drains.empty()) {
+    return false;
+  }
+  // The oldest job must not wait for drains that others got later.
+  state_->fair_drains.clear();
+  state_->RoomChanged();
+  return TryDrainFor(job, &state_->drain);
+}
+
+bool SchedulePass::IsUnderserved(const QueuedJob& job) {
+  const Resources& capacity = state_->index.usable_capacity();
+  const CustomerId& customer = job.spec.customer;
+  Resources use = state_->ledger.CustomerUse(customer) + job.spec.demand * job.TasksPerPlacement();
+  // What is drained for the customer counts as if it were held.
+  for (const DrainReservation& drain : state_->fair_drains) {
+    const QueuedJob* holder = state_->queue.Find(drain.job());
+    if (holder != nullptr && holder->spec.customer == customer) {
+      use += holder->spec.demand * holder->TasksPerPlacement();
     }
-    state_->drain.Clear();
-    state_->RoomChanged();
   }
+  double held = 0;
+  double weights = 0;
+  for (const auto& [id, queue] : state_->queue.customers()) {
+    if (queue->HasWaitingJobs()) {
+      held += DominantShare(state_->ledger.CustomerUse(id), capacity);
+      weights += TermsOf(id).weight;
+    }
+  }
+  return DominantShare(use, capacity) / TermsOf(customer).weight <= held / weights;
+}
+
+void SchedulePass::DrainForUnderserved() {
+  const size_t max_drains = std::max<size_t>(1, state_->index.slot_count() / kWorkersPerFairDrain);
+  if (state_->fair_drains.size() >= max_drains || !state_->queue_policy->PrefersUrgent() ||
+      now_ - state_->last_fair_drain < kFairDrainInterval) {
+    return;
+  }
+  for (const JobId& id : without_room_) {
+    QueuedJob* job = state_->queue.Find(id);
+    if (job == nullptr || !job->listed || now_ < job->no_drain_before || state_->IsDrainedFor(id) ||
+        !IsUnderserved(*job)) {
+      continue;
+    }
+    state_->last_fair_drain = now_;
+    DrainReservation drain;
+    if (TryDrainFor(*job, &drain)) {
+      state_->fair_drains.push_back(std::move(drain));
+    } else {
+      job->no_drain_before = now_ + kDrainRetryInterval;
+    }
+    return;
+  }
+}
+
+void SchedulePass::DrainForOldest() {
   int seen = 0;
   int plans = 0;
   for (const JobOrder& order : state_->queue.drain_candidates()) {
@@ -254,7 +366,7 @@
       continue;
     }
     ++plans;
-    if (TryDrainFor(job)) {
+    if (TryDrainForOldest(job)) {
       if (aged) {
         state_->last_aged_drain = now_;
       }
@@ -264,14 +376,19 @@
   }
 }
 
-void SchedulePass::PlaceDrainHolder() {
-  if (!state_->drain.active()) {
-    return;
+void SchedulePass::PlaceDrainHolders() {
+  std::vector<JobId> holders;
+  if (state_->drain.active()) {
+    holders.push_back(state_->drain.job());
   }
-  QueuedJob* job = state_->queue.Find(state_->drain.job());
-  if (Place(job) == Attempt::kPlaced) {
-    state_->drain.Clear();
-    state_->RoomChanged();
+  for (const DrainReservation& drain : state_->fair_drains) {
+    holders.push_back(drain.job());
+  }
+  for (const JobId& id : holders) {
+    QueuedJob* job = state_->queue.Find(id);
+    if (job != nullptr && job->CanBePlaced() && Place(job) == Attempt::kPlaced) {
+      state_->ClearDrainsOf(id);
+    }
   }
 }
 
@@ -306,6 +423,9 @@
     if (attempt == Attempt::kNoBudget) {
       return;
     }
+    if (attempt == Attempt::kNoRoom && without_room_.size() < kMaxJobsWithoutRoom) {
+      without_room_.push_back(job->id);
+    }
     if (attempt != Attempt::kPlaced) {
       customer->Block(*job, state_->round);
     }
--- a/packages/scheduler/schedule_pass.h
+++ b/packages/scheduler/schedule_pass.h
@@ -2,6 +2,7 @@
 #define POMELOTRAY_SCHEDULER_SCHEDULE_PASS_H_
 
 #include <cstdint>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -40,11 +41,21 @@
   bool HasRoomFor(const QueuedJob& job, int64_t count, absl::Time expected_end) const;
 
   void PlaceUrgent();
-  void PreemptFor(const QueuedJob& job);
-  // Chooses the job for which workers are drained.
-  void UpdateDrain();
-  bool TryDrainFor(const QueuedJob& job);
-  void PlaceDrainHolder();
+  void PreemptFor(QueuedJob* job);
+  void PlaceOnDrained(QueuedJob* job);
+  bool IsStale(const DrainReservation& drain);
+  void DropStaleDrains();
+  // Drains workers for the oldest gang or aged job.
+  void DrainForOldest();
+  bool TryDrainForOldest(const QueuedJob& job);
+  // Drains workers for the first job without room of the most underserved customer.
+  void DrainForUnderserved();
+  bool TryDrainFor(const QueuedJob& job, DrainReservation* drain);
+  bool CanUseForDrain(const QueuedJob& job, WorkerSlot slot) const;
+  // True when the customer stays within its part of what the waiting customers hold, even with
+  // this job.
+  bool IsUnderserved(const QueuedJob& job);
+  void PlaceDrainHolders();
   void PlaceByCustomer();
   double RankOf(const CustomerId& customer, const QueuedJob& head);
 
@@ -53,6 +64,11 @@
   int64_t budget_;
   ScheduleRound result_;
   absl::flat_hash_map<CustomerId, Terms> terms_;
+  // Jobs without room, in the order of the customers' ranks.
+  std::vector<JobId> without_room_;
+  bool ignore_drains_ = false;
+  // Shapes of urgent work that find no room on drained workers either.
+  FailedShapes failed_on_drained_;
   // Shapes for which nothing can be preempted.
   FailedShapes failed_preemptions_;
 };
--- a/packages/scheduler/scheduler_state.cc
+++ b/packages/scheduler/scheduler_state.cc
@@ -14,12 +14,47 @@
       queue(queue_policy.get()),
       preemptions(&index, &ledger),
       last_aged_drain(absl::InfinitePast()),
+      last_fair_drain(absl::InfinitePast()),
       jitter(seed) {}
 
 void SchedulerState::WorkerChanged(WorkerSlot slot) {
   if (drain.Contains(slot)) {
     drain.Clear();
   }
+  fair_drains.erase(
+      std::remove_if(fair_drains.begin(), fair_drains.end(),
+                     [slot](const DrainReservation& each) { return each.Contains(slot); }),
+      fair_drains.end());
+  RoomChanged();
+}
+
+const DrainReservation* SchedulerState::DrainOf(const JobId& job) const {
+  if (drain.active() && drain.job() == job) {
+    return &drain;
+  }
+  const auto it = std::find_if(fair_drains.begin(), fair_drains.end(),
+                               [&job](const DrainReservation& each) { return each.job() == job; });
+  return it != fair_drains.end() ? &*it : nullptr;
+}
+
+bool SchedulerState::DrainsAllow(const JobId& job, WorkerSlot slot, absl::Time expected_end) const {
+  const auto allows = [&](const DrainReservation& each) {
+    return !each.active() || each.job() == job || each.AllowsBackfill(slot, expected_end);
+  };
+  return allows(drain) && std::all_of(fair_drains.begin(), fair_drains.end(), allows);
+}
+
+void SchedulerState::ClearDrainsOf(const JobId& job) {
+  if (!IsDrainedFor(job)) {
+    return;
+  }
+  if (drain.job() == job) {
+    drain.Clear();
+  }
+  fair_drains.erase(
+      std::remove_if(fair_drains.begin(), fair_drains.end(),
+                     [&job](const DrainReservation& each) { return each.job() == job; }),
+      fair_drains.end());
   RoomChanged();
 }
 
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <random>
 #include <utility>
+#include <vector>
 
 #include "base/clock.h"
 #include "scheduler/drain_reservation.h"
@@ -34,6 +35,12 @@
   bool Unreserve(const TaskId& task);
   // A worker that changed can no longer be counted on by the job that it is drained for.
   void WorkerChanged(WorkerSlot slot);
+  // True when workers are drained for the job.
+  bool IsDrainedFor(const JobId& job) const { return DrainOf(job) != nullptr; }
+  const DrainReservation* DrainOf(const JobId& job) const;
+  // True when no drain of another job keeps a task that ends at `expected_end` from the worker.
+  bool DrainsAllow(const JobId& job, WorkerSlot slot, absl::Time expected_end) const;
+  void ClearDrainsOf(const JobId& job);
   // Must be called whenever room may have become free in another way.
   void RoomChanged() { failed_shapes.Clear(); }
 
@@ -50,11 +57,15 @@
   JobQueue queue;
   RunTimeEstimator estimator;
   WorkerHealth health;
+  // For the oldest gang or aged job.
   DrainReservation drain;
+  // For jobs of underserved customers.
+  std::vector<DrainReservation> fair_drains;
   PreemptionPlanner preemptions;
   FailedShapes failed_shapes;
-  // When an aged job last got a reservation.
+  // When an aged job, and a job of an underserved customer, last got a reservation.
   absl::Time last_aged_drain;
+  absl::Time last_fair_drain;
   uint64_t round = 0;
   mutable std::mt19937_64 jitter;
 };
--- a/packages/scheduler/shard_scheduler.cc
+++ b/packages/scheduler/shard_scheduler.cc
@@ -104,10 +104,7 @@
   if (state_->preemptions.Trim(job, 0)) {
     state_->RoomChanged();
   }
-  if (state_->drain.active() && state_->drain.job() == job) {
-    state_->drain.Clear();
-    state_->RoomChanged();
-  }
+  state_->ClearDrainsOf(job);
 }
 
 void ShardScheduler::RecordStart(const WorkerId& worker, const JobId& job, bool ok) {
--- a/packages/scheduler/shard_scheduler.h
+++ b/packages/scheduler/shard_scheduler.h
@@ -27,6 +27,9 @@
 //   With n such jobs before it, a job that is within its customer's limit starts within kAgingBound
 //   plus n + 1 times (1 s plus the longest run time of a task in the shard). Not counted: urgent
 //   work, and workers that leave. Services that hold all room that a job could use are not drained.
+// - Workers are also drained, at most one job for each eight of them, for jobs that find no room
+//   though their customer holds less than its part by weight. Urgent work goes to a drained worker
+//   only when it can neither be placed nor preempt elsewhere.
 // - Urgent work precedes all other work; its customers' HoldLimits bound what it can take. In a
 //   full pool it preempts batch tasks and services that are repeatable and not urgent, never a task
 //   of a gang. Schedule must then be called at least every second.
--- a/packages/scheduler/wait_estimator.cc
+++ b/packages/scheduler/wait_estimator.cc
@@ -134,10 +134,10 @@
     return absl::StrCat("Customer ", spec.customer.value(), " would hold ", ToText(use),
                         " of its limit ", ToText(limit), " in this shard.");
   }
-  const DrainReservation& drain = state_->drain;
-  if (drain.active() && drain.job() == job.id) {
+  const DrainReservation* drain = state_->DrainOf(job.id);
+  if (drain != nullptr) {
     return absl::StrCat("Workers are being drained for the job; it is expected to start at ",
-                        absl::FormatTime(drain.start(), absl::UTCTimeZone()), ".");
+                        absl::FormatTime(drain->start(), absl::UTCTimeZone()), ".");
   }
   if (state_->preemptions.EarmarksOf(job.id) > 0) {
     return "Tasks of lower priority are being stopped to make room.";
--- a/tests/scheduler/shard_scheduler_test.cc
+++ b/tests/scheduler/shard_scheduler_test.cc
@@ -177,6 +177,79 @@
   BOOST_TEST(round <= 9);
 }
 
+// Guards against large jobs of a customer that gets nothing while the small tasks of the others
+// take all room that becomes free.
+BOOST_AUTO_TEST_CASE(UnderservedCustomerNeedNotAge) {
+  AddWorker("w1", MakeResources(4, 8));
+  AddWorker("w2", MakeResources(4, 8));
+  scheduler->Enqueue(Job("small", "a", MakeResources(1, 1), 8));
+  Schedule();
+  scheduler->Enqueue(Job("more", "a", MakeResources(1, 1), 20));
+  scheduler->Enqueue(Job("large", "b", MakeResources(4, 1)));
+  std::string placed = Schedule();
+  for (int i = 0; i < 8; ++i) {
+    clock.Advance(absl::Seconds(1));
+    scheduler->Release(TaskId(absl::StrCat("small/", i)));
+    placed += Schedule() + " ";
+  }
+  BOOST_TEST(placed.find("large/0@") != std::string::npos);
+}
+
+// Guards against a stream of urgent tasks that fills the workers drained for another job.
+BOOST_AUTO_TEST_CASE(UrgentWorkLeavesDrainedWorkersAlone) {
+  AddWorker("w1", MakeResources(4, 8));
+  AddWorker("w2", MakeResources(4, 8));
+  scheduler->Enqueue(Job("small", "a", MakeResources(1, 1), 8));
+  Schedule();
+  scheduler->Enqueue(Job("more", "a", MakeResources(1, 1), 20));
+  scheduler->Enqueue(Job("large", "b", MakeResources(4, 1)));
+  std::string placed = Schedule();
+  for (int i = 0; i < 4; ++i) {
+    clock.Advance(absl::Seconds(1));
+    JobRecord urgent = Job(absl::StrCat("u", i), "c", MakeResources(1, 1));
+    urgent.spec.priority = Priority::kUrgent;
+    scheduler->Enqueue(urgent);
+    scheduler->Release(TaskId(absl::StrCat("small/", i)));
+    scheduler->Release(TaskId(absl::StrCat("small/", i + 4)));
+    const ScheduleRound round = scheduler->Schedule(1000);
+    for (const Preemption& preemption : round.preemptions) {
+      scheduler->Requeue(preemption.task);
+    }
+    absl::StrAppend(&placed, ToText(round), " ", Schedule(), " ");
+  }
+  BOOST_TEST(placed.find("large/0@") != std::string::npos);
+  BOOST_TEST(placed.find("u0/0@") != std::string::npos);
+}
+
+// Guards against a reservation that moves to another worker when a task outlives its estimate, and
+// so gives up the room drained so far.
+BOOST_AUTO_TEST_CASE(LateReservationKeepsItsWorker) {
+  AddWorker("w1", MakeResources(2, 8));
+  JobRecord late = Job("late", "a", MakeResources(1, 1));
+  late.spec.expected_run = absl::Seconds(10);
+  scheduler->Enqueue(late);
+  Schedule();
+  JobRecord filler = Job("filler", "a", MakeResources(1, 1));
+  filler.spec.expected_run = absl::Seconds(1000);
+  scheduler->Enqueue(filler);
+  Schedule();
+  scheduler->Release(TaskId("filler/0"));
+  AddWorker("w2", MakeResources(2, 8));
+  JobRecord other = Job("other", "a", MakeResources(2, 1));
+  other.spec.expected_run = absl::Seconds(45);
+  scheduler->Enqueue(other);
+  BOOST_TEST(Schedule() == "other/0@w2");
+  JobRecord gang = Job("g", "b", MakeResources(2, 1));
+  gang.spec.kind = JobKind::kGang;
+  scheduler->Enqueue(gang);
+  scheduler->Enqueue(Job("small", "a", MakeResources(1, 1)));
+  BOOST_TEST(Schedule() == "");
+  clock.Advance(absl::Seconds(41));
+  BOOST_TEST(Schedule() == "");
+  scheduler->Release(TaskId("late/0"));
+  BOOST_TEST(Schedule() == "g/0@w1");
+}
+
 // Guards against jobs that cannot get a drained worker and keep all younger ones from it.
 BOOST_AUTO_TEST_CASE(JobsThatCannotBeDrainedForMakeWay) {
   AddWorker("w1", MakeResources(4, 8));
