scheduler: Stop gangs whole for urgent work, let it use gang reservations

Gangs were never preempted, so urgent work waited for a task to end in a pool that gangs fill. A repeatable gang is now stopped with all its tasks in one round, is stopped to the end even when the urgent job is cancelled, and starts again whole once its last task has stopped.

--- a/packages/bench/waiting_bench.cc
+++ b/packages/bench/waiting_bench.cc
@@ -132,6 +132,11 @@
 }  // namespace
 
 void RunWaitingBench(const std::vector<uint64_t>& seeds, BenchReport* report) {
+  const ShardModel gangs = MakeGangShard();
+  std::vector<double> gangs_urgent_max;
+  RunLoad(gangs, LoadChoice{2.0, false}, seeds, &gangs_urgent_max, report);
+  report->AddUpperTarget("longest wait of urgent work in s in a pool full of gangs, 2x",
+                         gangs_urgent_max, kUrgentBoundSeconds);
   for (const ShardModel& shard : {MakeRenderingShard(), MakeLabelsShard()}) {
     std::vector<double> urgent_max;
     for (const LoadChoice& load :
--- a/packages/bench/workload.cc
+++ b/packages/bench/workload.cc
@@ -95,6 +95,20 @@
   return shard;
 }
 
+ShardModel MakeGangShard() {
+  ShardModel shard;
+  shard.name = "gangs";
+  shard.workers = MakeWorkers(13, 3, MakeCapacity(64, 256, 8));
+  shard.weights = {{"counter", 3}, {"research", 1}};
+  shard.classes = {
+      MakeClass("research", MakeCapacity(16, 64, 4), absl::ZeroDuration(), absl::Minutes(5), 0.99),
+      MakeClass("counter", MakeCapacity(4, 16, 1), absl::Minutes(2), absl::Seconds(10), 0.01)};
+  shard.classes[0].kind = JobKind::kGang;
+  shard.classes[0].tasks = 3;
+  shard.classes[1].priority = Priority::kUrgent;
+  return shard;
+}
+
 Workload::Workload(const ShardModel& shard, double load, bool steady, uint64_t seed)
     : shard_(shard), load_(load), steady_(steady), random_(seed) {}
 
--- a/packages/bench/workload.h
+++ b/packages/bench/workload.h
@@ -42,6 +42,9 @@
 // Market association: tag printing and origin sheets on 35 workers without accelerators.
 ShardModel MakeLabelsShard();
 
+// Accelerator workers that gangs fill alone, beside a little urgent work.
+ShardModel MakeGangShard();
+
 struct SimulatedJob {
   JobRecord record;
   // Real run time of each task; the declared one is up to ten times too long or too short.
--- a/packages/scheduler/job_queue.cc
+++ b/packages/scheduler/job_queue.cc
@@ -85,6 +85,7 @@
 void JobQueue::DropReserved(const TaskId& task) {
   const auto it = tasks_.find(task);
   QueuedJob* job = it->second.job;
+  job->stopping -= it->second.stopping ? 1 : 0;
   tasks_.erase(it);
   --job->reserved;
   Refresh(job);
@@ -98,12 +99,24 @@
     return;
   }
   entry.place = TaskPlace::kReady;
+  job->stopping -= entry.stopping ? 1 : 0;
+  entry.stopping = false;
   --job->reserved;
   job->ready.insert(task);
   CountQueued(*job, 1);
   Refresh(job);
 }
 
+void JobQueue::MarkStopping(const TaskId& task) {
+  const auto it = tasks_.find(task);
+  if (it == tasks_.end() || it->second.place != TaskPlace::kReserved || it->second.stopping) {
+    return;
+  }
+  it->second.stopping = true;
+  ++it->second.job->stopping;
+  Refresh(it->second.job);
+}
+
 void JobQueue::SetHeld(const TaskId& task, bool held) {
   const auto it = tasks_.find(task);
   const TaskPlace from = held ? TaskPlace::kReady : TaskPlace::kHeld;
--- a/packages/scheduler/job_queue.h
+++ b/packages/scheduler/job_queue.h
@@ -44,6 +44,8 @@
   void DropReserved(const TaskId& task);
   // Queues a reserved task again; drops it when its job was removed.
   void ReturnReserved(const TaskId& task);
+  // The reserved task was told to stop.
+  void MarkStopping(const TaskId& task);
   void SetHeld(const TaskId& task, bool held);
   void RemoveQueued(QueuedJob* job);
   // Stops placing jobs whose deadline passed before their first start.
@@ -67,6 +69,7 @@
   struct TaskEntry {
     QueuedJob* job = nullptr;
     TaskPlace place = TaskPlace::kReady;
+    bool stopping = false;
   };
 
   bool ServedAsUrgent(const QueuedJob& job) const {
--- a/packages/scheduler/preemption_planner.cc
+++ b/packages/scheduler/preemption_planner.cc
@@ -11,11 +11,13 @@
 // Workers compared per plan; the best of a few is close to the best of all.
 constexpr int kMaxCandidateWorkers = 16;
 
-// Batch tasks go before services, then those that lose the least work.
+int CostRank(const Reservation& reservation) {
+  return reservation.kind == JobKind::kBatch ? 0 : reservation.kind == JobKind::kService ? 1 : 2;
+}
+
+// Batch tasks go before services and those before gangs, then those that lose the least work.
 bool CheaperVictim(const Reservation* a, const Reservation* b) {
-  const bool a_service = a->kind == JobKind::kService;
-  const bool b_service = b->kind == JobKind::kService;
-  return a_service != b_service ? b_service : a->since > b->since;
+  return CostRank(*a) != CostRank(*b) ? CostRank(*a) < CostRank(*b) : a->since > b->since;
 }
 
 }  // namespace
@@ -83,7 +85,7 @@
       continue;
     }
     ++candidates;
-    if (!best.has_value() || choice->size() < best->size()) {
+    if (!best.has_value() || StopCount(*choice) < StopCount(*best)) {
       best = std::move(choice);
       best_slot = slot;
     }
@@ -120,14 +122,17 @@
                                    const Choice& victims, absl::Time now,
                                    std::vector<Preemption>* preemptions) {
   Earmark earmark{job, slot, demand, now, false, {}};
-  SlotPlan& plan = slots_[slot];
-  ++plan.earmarks;
-  plan.earmarked += demand;
+  // Without a reference: victims on other workers may move the entry.
+  ++slots_[slot].earmarks;
+  slots_[slot].earmarked += demand;
   for (const Reservation* reservation : victims) {
-    const Victim victim{reservation->task, reservation->job, slot, reservation->demand, false};
-    plan.freeing += victim.demand;
-    victims_.emplace(victim.task, victim);
-    preemptions->push_back(Order(victim, StopMode::kCheckpoint, job));
+    if (reservation->kind != JobKind::kGang) {
+      AddVictim(*reservation, now, job, preemptions);
+      continue;
+    }
+    for (const Reservation* member : ledger_->OfGang(reservation->job)) {
+      AddVictim(*member, now, job, preemptions);
+    }
   }
   // Includes victims of earlier earmarks, whose stop this earmark counts on as well.
   for (const auto& [task, victim] : victims_) {
@@ -138,11 +143,35 @@
   earmarks_.push_back(std::move(earmark));
 }
 
-Preemption PreemptionPlanner::Order(const Victim& victim, StopMode mode,
-                                    const JobId& urgent_job) const {
+void PreemptionPlanner::AddVictim(const Reservation& reservation, absl::Time now,
+                                  const JobId& urgent_job, std::vector<Preemption>* preemptions) {
+  const Victim victim{reservation.task,
+                      reservation.job,
+                      reservation.slot,
+                      reservation.demand,
+                      urgent_job,
+                      reservation.kind == JobKind::kGang,
+                      false,
+                      now};
+  if (!victims_.emplace(victim.task, victim).second) {
+    return;
+  }
+  slots_[victim.slot].freeing += victim.demand;
+  preemptions->push_back(Order(victim, StopMode::kCheckpoint));
+}
+
+size_t PreemptionPlanner::StopCount(const Choice& victims) const {
+  size_t count = 0;
+  for (const Reservation* victim : victims) {
+    count += victim->kind == JobKind::kGang ? ledger_->OfGang(victim->job).size() : 1;
+  }
+  return count;
+}
+
+Preemption PreemptionPlanner::Order(const Victim& victim, StopMode mode) const {
   return Preemption{
       victim.job, victim.task, index_->At(victim.slot).id, mode,
-      absl::StrCat("Stopped to make room for the urgent job ", urgent_job.value(), ".")};
+      absl::StrCat("Stopped to make room for the urgent job ", victim.urgent_job.value(), ".")};
 }
 
 void PreemptionPlanner::Escalate(absl::Time now, std::vector<Preemption>* preemptions) {
@@ -155,10 +184,19 @@
       const auto it = victims_.find(task);
       if (it != victims_.end() && !it->second.stop_ordered) {
         it->second.stop_ordered = true;
-        preemptions->push_back(Order(it->second, StopMode::kStop, earmark.job));
+        it->second.ordered_at = now;
+        preemptions->push_back(Order(it->second, StopMode::kStop));
       }
     }
   }
+  for (auto& [task, victim] : victims_) {
+    const absl::Duration patience = victim.stop_ordered ? kEarmarkLifetime : kCheckpointGrace;
+    if (victim.gang && now - victim.ordered_at >= patience) {
+      victim.stop_ordered = true;
+      victim.ordered_at = now;
+      preemptions->push_back(Order(victim, StopMode::kStop));
+    }
+  }
 }
 
 bool PreemptionPlanner::ExpireEarmarks(absl::Time now) {
--- a/packages/scheduler/preemption_planner.h
+++ b/packages/scheduler/preemption_planner.h
@@ -18,7 +18,8 @@
 
 namespace pomelotray {
 
-// Makes room for urgent tasks by stopping repeatable tasks of lower priority. The room is
+// Makes room for urgent tasks by stopping repeatable tasks of lower priority, gangs as a whole. The
+// room is
 // earmarked: until the urgent task is placed, other jobs get nothing on that worker.
 class PreemptionPlanner {
  public:
@@ -35,7 +36,8 @@
   // there is too little to stop.
   bool Plan(const JobId& job, const Resources& demand, int64_t count, absl::Time now,
             absl::FunctionRef<bool(WorkerSlot)> usable, std::vector<Preemption>* preemptions);
-  // Orders a stop of the tasks that have not checkpointed in time.
+  // Orders a stop of the tasks that have not checkpointed in time. A gang is stopped to the last
+  // task even when the urgent job needs no room any more: half of a gang is of no use.
   void Escalate(absl::Time now, std::vector<Preemption>* preemptions);
   // Drops earmarks that are too old; true when there were any.
   bool ExpireEarmarks(absl::Time now);
@@ -55,7 +57,10 @@
     JobId job;
     WorkerSlot slot = 0;
     Resources demand;
+    JobId urgent_job;
+    bool gang = false;
     bool stop_ordered = false;
+    absl::Time ordered_at;
   };
   struct Earmark {
     JobId job;
@@ -81,8 +86,12 @@
                absl::FunctionRef<bool(WorkerSlot)> usable, std::vector<Preemption>* preemptions);
   void AddEarmark(const JobId& job, const Resources& demand, WorkerSlot slot, const Choice& victims,
                   absl::Time now, std::vector<Preemption>* preemptions);
+  void AddVictim(const Reservation& reservation, absl::Time now, const JobId& urgent_job,
+                 std::vector<Preemption>* preemptions);
+  // The number of tasks that stop when these do.
+  size_t StopCount(const Choice& victims) const;
   void DropEarmark(size_t position);
-  Preemption Order(const Victim& victim, StopMode mode, const JobId& urgent_job) const;
+  Preemption Order(const Victim& victim, StopMode mode) const;
 
   const WorkerIndex* index_;
   const ReservationLedger* ledger_;
--- a/packages/scheduler/queued_job.h
+++ b/packages/scheduler/queued_job.h
@@ -33,6 +33,8 @@
   absl::btree_set<TaskId> held;
   int64_t reserved = 0;
   bool ever_placed = false;
+  // Reserved tasks that are being stopped for urgent work.
+  int64_t stopping = 0;
   // Cancelled: its reserved tasks are not queued again.
   bool removed = false;
   // Its deadline passed before a start: it is not placed any more.
@@ -49,8 +51,11 @@
   bool IsGang() const { return spec.kind == JobKind::kGang; }
   bool IsUrgent() const { return spec.priority == Priority::kUrgent; }
   int64_t QueuedCount() const { return static_cast<int64_t>(ready.size() + held.size()); }
-  // A gang waits until none of its queued tasks is held.
-  bool CanBePlaced() const { return !parked && !ready.empty() && (!IsGang() || held.empty()); }
+  // A gang waits until none of its queued tasks is held and none is still being stopped; otherwise
+  // it would start in part.
+  bool CanBePlaced() const {
+    return !parked && !ready.empty() && (!IsGang() || (held.empty() && stopping == 0));
+  }
   // Tasks that are placed together.
   int64_t TasksPerPlacement() const { return IsGang() ? static_cast<int64_t>(ready.size()) : 1; }
 };
--- a/packages/scheduler/reservation_ledger.cc
+++ b/packages/scheduler/reservation_ledger.cc
@@ -24,6 +24,9 @@
     worker.preemptible += entry->demand;
   }
   by_customer_[entry->customer] += entry->demand;
+  if (entry->kind == JobKind::kGang) {
+    gangs_[entry->job].insert(task);
+  }
 }
 
 void ReservationLedger::Remove(const TaskId& task) {
@@ -45,6 +48,13 @@
   if (use->second.IsZero()) {
     by_customer_.erase(use);
   }
+  const auto gang = gangs_.find(reservation->job);
+  if (gang != gangs_.end()) {
+    gang->second.erase(task);
+    if (gang->second.empty()) {
+      gangs_.erase(gang);
+    }
+  }
   by_task_.erase(it);
 }
 
@@ -53,6 +63,17 @@
   return slot < by_worker_.size() ? by_worker_[slot].reservations : *kNone;
 }
 
+std::vector<const Reservation*> ReservationLedger::OfGang(const JobId& job) const {
+  std::vector<const Reservation*> reservations;
+  const auto it = gangs_.find(job);
+  if (it != gangs_.end()) {
+    for (const TaskId& task : it->second) {
+      reservations.push_back(Find(task));
+    }
+  }
+  return reservations;
+}
+
 const Resources& ReservationLedger::PreemptibleOn(WorkerSlot slot) const {
   static const Resources kNothing;
   return slot < by_worker_.size() ? by_worker_[slot].preemptible : kNothing;
--- a/packages/scheduler/reservation_ledger.h
+++ b/packages/scheduler/reservation_ledger.h
@@ -28,10 +28,8 @@
   // Infinite for services.
   absl::Time expected_end;
 
-  // Urgent work may have it stopped. Stopping one task of a gang would waste the others.
-  bool Preemptible() const {
-    return repeatable && priority == Priority::kNormal && kind != JobKind::kGang;
-  }
+  // Urgent work may have it stopped; a task of a gang only together with all others of the gang.
+  bool Preemptible() const { return repeatable && priority == Priority::kNormal; }
 };
 
 // The reservations of a shard by task, by worker and by customer. Thread-compatible.
@@ -43,6 +41,8 @@
 
   // Tasks with a reservation on the worker, in no particular order.
   const std::vector<const Reservation*>& OnWorker(WorkerSlot slot) const;
+  // Reservations of the gang's tasks, in no particular order.
+  std::vector<const Reservation*> OfGang(const JobId& job) const;
   // Sum over the preemptible reservations on the worker.
   const Resources& PreemptibleOn(WorkerSlot slot) const;
   Resources CustomerUse(const CustomerId& customer) const;
@@ -57,6 +57,8 @@
   absl::flat_hash_map<TaskId, std::unique_ptr<Reservation>> by_task_;
   std::vector<WorkerEntry> by_worker_;
   absl::flat_hash_map<CustomerId, Resources> by_customer_;
+  // Of gangs only.
+  absl::flat_hash_map<JobId, absl::flat_hash_set<TaskId>> gangs_;
 };
 
 }  // namespace pomelotray
--- a/packages/scheduler/schedule_pass.cc
+++ b/packages/scheduler/schedule_pass.cc
@@ -44,6 +44,7 @@
   }
   state_->preemptions.Escalate(now_, &result_.preemptions);
   PlaceUrgent();
+  NotePreemptions();
   DropStaleDrains();
   if (!state_->drain.active()) {
     DrainForOldest();
@@ -54,6 +55,12 @@
   return std::move(result_);
 }
 
+void SchedulePass::NotePreemptions() {
+  for (const Preemption& preemption : result_.preemptions) {
+    state_->queue.MarkStopping(preemption.task);
+  }
+}
+
 const SchedulePass::Terms& SchedulePass::TermsOf(const CustomerId& customer) {
   const auto [it, inserted] = terms_.try_emplace(customer);
   if (inserted) {
@@ -97,7 +104,10 @@
       !health.MayPlace(state_->index.At(slot).id, job.spec.repeatable, now_)) {
     return false;
   }
-  return ignore_drains_ || state_->DrainsAllow(job.id, slot, expected_end);
+  if (ServedAsUrgent(job)) {
+    return ignore_drains_ || state_->FairDrainsAllow(job.id, slot, expected_end);
+  }
+  return state_->DrainsAllow(job.id, slot, expected_end);
 }
 
 bool SchedulePass::HasRoomFor(const QueuedJob& job, int64_t count, absl::Time expected_end) const {
@@ -128,6 +138,7 @@
   };
   const PlacementQuery query{job->spec.demand, job->spec.kind, allowed, tasks_in_rack,
                              tasks_on_worker};
+  std::vector<WorkerSlot> slots;
   for (int64_t i = 0; i < count; ++i) {
     const std::optional<WorkerSlot> slot = state_->placement_policy->Choose(state_->index, query);
     if (!slot.has_value()) {
@@ -136,11 +147,16 @@
     const TaskId task = *job->ready.begin();
     const WorkerId worker = state_->index.At(*slot).id;
     state_->Reserve(job, task, *slot, now_);
-    if (state_->preemptions.RecordPlacement(job->id, *slot)) {
+    slots.push_back(*slot);
+    result_.placements.push_back(Placement{job->id, task, worker, job->spec.demand});
+  }
+  // Only now, because it may close the worker to the rest of a gang that counts on it: a probed
+  // worker, or one on which another job has an earmark too.
+  for (const WorkerSlot slot : slots) {
+    state_->health.RecordPlacement(state_->index.At(slot).id, now_);
+    if (state_->preemptions.RecordPlacement(job->id, slot)) {
       state_->RoomChanged();
     }
-    state_->health.RecordPlacement(worker, now_);
-    result_.placements.push_back(Placement{job->id, task, worker, job->spec.demand});
   }
   return true;
 }
@@ -195,7 +211,7 @@
 
 void SchedulePass::PlaceOnDrained(QueuedJob* job) {
   const TaskShape shape = ShapeOf(*job);
-  const bool any_drained = state_->drain.active() || !state_->fair_drains.empty();
+  const bool any_drained = !state_->fair_drains.empty();
   if (!any_drained || failed_on_drained_.Covers(shape)) {
     return;
   }
@@ -217,7 +233,7 @@
   const int64_t waiting = static_cast<int64_t>(job.ready.size());
   const auto usable = [this, &job](WorkerSlot slot) {
     return !state_->health.IsQuarantined(state_->index.At(slot).id) &&
-           state_->DrainsAllow(job.id, slot, absl::InfiniteFuture());
+           state_->FairDrainsAllow(job.id, slot, absl::InfiniteFuture());
   };
   int64_t earmarks = state_->preemptions.EarmarksOf(job.id);
   while (earmarks < waiting && WithinLimit(job, earmarks + shape.count) &&
--- a/packages/scheduler/schedule_pass.h
+++ b/packages/scheduler/schedule_pass.h
@@ -41,6 +41,8 @@
   bool HasRoomFor(const QueuedJob& job, int64_t count, absl::Time expected_end) const;
 
   void PlaceUrgent();
+  // Keeps gangs that are being stopped from starting in part.
+  void NotePreemptions();
   void PreemptFor(QueuedJob* job);
   void PlaceOnDrained(QueuedJob* job);
   bool IsStale(const DrainReservation& drain);
--- a/packages/scheduler/scheduler_state.cc
+++ b/packages/scheduler/scheduler_state.cc
@@ -37,11 +37,17 @@
   return it != fair_drains.end() ? &*it : nullptr;
 }
 
+bool SchedulerState::FairDrainsAllow(const JobId& job, WorkerSlot slot,
+                                     absl::Time expected_end) const {
+  return std::all_of(fair_drains.begin(), fair_drains.end(), [&](const DrainReservation& each) {
+    return each.job() == job || each.AllowsBackfill(slot, expected_end);
+  });
+}
+
 bool SchedulerState::DrainsAllow(const JobId& job, WorkerSlot slot, absl::Time expected_end) const {
-  const auto allows = [&](const DrainReservation& each) {
-    return !each.active() || each.job() == job || each.AllowsBackfill(slot, expected_end);
-  };
-  return allows(drain) && std::all_of(fair_drains.begin(), fair_drains.end(), allows);
+  const bool allowed =
+      !drain.active() || drain.job() == job || drain.AllowsBackfill(slot, expected_end);
+  return allowed && FairDrainsAllow(job, slot, expected_end);
 }
 
 void SchedulerState::ClearDrainsOf(const JobId& job) {
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -40,6 +40,9 @@
   const DrainReservation* DrainOf(const JobId& job) const;
   // True when no drain of another job keeps a task that ends at `expected_end` from the worker.
   bool DrainsAllow(const JobId& job, WorkerSlot slot, absl::Time expected_end) const;
+  // Urgent work may take the room drained for a gang or an aged job, but not a fair drain's: on a
+  // small pool, stopping other work in its stead cost more than the wait for the next drain.
+  bool FairDrainsAllow(const JobId& job, WorkerSlot slot, absl::Time expected_end) const;
   void ClearDrainsOf(const JobId& job);
   // Must be called whenever room may have become free in another way.
   void RoomChanged() { failed_shapes.Clear(); }
--- a/packages/scheduler/shard_scheduler.h
+++ b/packages/scheduler/shard_scheduler.h
@@ -31,8 +31,8 @@
 //   though their customer holds less than its part by weight. Urgent work goes to a drained worker
 //   only when it can neither be placed nor preempt elsewhere.
 // - Urgent work precedes all other work; its customers' HoldLimits bound what it can take. In a
-//   full pool it preempts batch tasks and services that are repeatable and not urgent, never a task
-//   of a gang. Schedule must then be called at least every second.
+//   full pool it preempts batch tasks and services that are repeatable and not urgent, and such
+//   gangs with all their tasks. Schedule must then be called at least every second.
 class ShardScheduler {
  public:
   explicit ShardScheduler(std::unique_ptr<SchedulerState> state);
--- a/tests/scheduler/scheduler_model.cc
+++ b/tests/scheduler/scheduler_model.cc
@@ -126,6 +126,7 @@
   for (const Preemption& preemption : round.preemptions) {
     CheckPreemption(preemption);
   }
+  CheckStoppedGangs(round);
   for (const Placement& placement : round.placements) {
     CheckPlacement(placement);
   }
@@ -181,6 +182,22 @@
   RC_ASSERT(spec.repeatable && spec.priority == Priority::kNormal);
 }
 
+void SchedulerModel::CheckStoppedGangs(const ScheduleRound& round) const {
+  std::set<TaskId> stopped;
+  std::set<JobId> gangs;
+  for (const Preemption& preemption : round.preemptions) {
+    stopped.insert(preemption.task);
+    if (preemption.mode == StopMode::kCheckpoint &&
+        jobs_.at(preemption.job).spec.kind == JobKind::kGang) {
+      gangs.insert(preemption.job);
+    }
+  }
+  for (const auto& [id, task] : tasks_) {
+    RC_ASSERT(gangs.count(task.job) == 0 || task.place != Place::kReserved ||
+              stopped.count(id) == 1);
+  }
+}
+
 void SchedulerModel::EndTask(const Step& step, bool requeue) {
   const TaskId* picked = Pick(Place::kReserved, step.first);
   if (picked == nullptr) {
--- a/tests/scheduler/scheduler_model.h
+++ b/tests/scheduler/scheduler_model.h
@@ -47,6 +47,8 @@
   void CheckPlacement(const Placement& placement);
   void CheckGangs(const ScheduleRound& round, const std::map<TaskId, Task>& before) const;
   void CheckPreemption(const Preemption& preemption) const;
+  // A gang is stopped with all its running tasks.
+  void CheckStoppedGangs(const ScheduleRound& round) const;
   void EndTask(const Step& step, bool requeue);
   void Hold(const Step& step);
   void RemoveJob(const Step& step);
--- a/tests/scheduler/shard_scheduler_test.cc
+++ b/tests/scheduler/shard_scheduler_test.cc
@@ -138,6 +138,51 @@
   BOOST_TEST(scheduler->QueuedTasks() == 1u);
 }
 
+// Guards against urgent work that waits for ever in a pool full of gangs, and against a gang of
+// which a part is stopped or started again.
+BOOST_AUTO_TEST_CASE(UrgentWorkStopsAGangAsAWhole) {
+  AddWorker("w1", MakeResources(2, 8));
+  AddWorker("w2", MakeResources(2, 8));
+  JobRecord gang = Job("g", "a", MakeResources(2, 1), 2);
+  gang.spec.kind = JobKind::kGang;
+  scheduler->Enqueue(gang);
+  BOOST_TEST(scheduler->Schedule(1000).placements.size() == 2u);
+  JobRecord urgent = Job("urgent", "b", MakeResources(1, 1));
+  urgent.spec.priority = Priority::kUrgent;
+  scheduler->Enqueue(urgent);
+  BOOST_TEST(scheduler->Schedule(1000).preemptions.size() == 2u);
+  scheduler->Requeue(TaskId("g/0"));
+  scheduler->Requeue(TaskId("g/1"));
+  BOOST_TEST(scheduler->Schedule(1000).placements.size() == 1u);
+  scheduler->Release(TaskId("urgent/0"));
+  BOOST_TEST(scheduler->Schedule(1000).placements.size() == 2u);
+}
+
+// Guards against a gang that starts in part while its last task is still being stopped, and against
+// a gang that stays half stopped because the urgent job was cancelled.
+BOOST_AUTO_TEST_CASE(HalfStoppedGangIsStoppedToTheEnd) {
+  AddWorker("w1", MakeResources(2, 8));
+  AddWorker("w2", MakeResources(2, 8));
+  JobRecord gang = Job("g", "a", MakeResources(2, 1), 2);
+  gang.spec.kind = JobKind::kGang;
+  scheduler->Enqueue(gang);
+  Schedule();
+  JobRecord urgent = Job("urgent", "b", MakeResources(1, 1));
+  urgent.spec.priority = Priority::kUrgent;
+  scheduler->Enqueue(urgent);
+  BOOST_TEST(scheduler->Schedule(1000).preemptions.size() == 2u);
+  scheduler->Remove(JobId("urgent"));
+  scheduler->Requeue(TaskId("g/0"));
+  BOOST_TEST(Schedule() == "");
+  clock.Advance(absl::Seconds(3));
+  const ScheduleRound round = scheduler->Schedule(1000);
+  BOOST_REQUIRE(round.preemptions.size() == 1u);
+  BOOST_TEST(round.preemptions[0].task.value() == "g/1");
+  BOOST_TEST((round.preemptions[0].mode == StopMode::kStop));
+  scheduler->Requeue(TaskId("g/1"));
+  BOOST_TEST(scheduler->Schedule(1000).placements.size() == 2u);
+}
+
 // Guards against room that was freed for urgent work and taken by other work.
 BOOST_AUTO_TEST_CASE(FreedRoomIsKeptForUrgentWork) {
   AddWorker("w1", MakeResources(2, 8));
@@ -294,6 +339,19 @@
   BOOST_TEST(Schedule() == "once/0@w1 probe/1@w1");
 }
 
+// Guards against a gang that is placed in part because its first task closes the probed worker.
+BOOST_AUTO_TEST_CASE(GangProbesAQuarantinedWorkerAsAWhole) {
+  AddWorker("w1", MakeResources(4, 8));
+  for (const char* job : {"x", "x", "y"}) {
+    scheduler->RecordStart(WorkerId("w1"), JobId(job), false);
+  }
+  clock.Advance(absl::Seconds(31));
+  JobRecord gang = Job("g", "a", MakeResources(1, 1), 2);
+  gang.spec.kind = JobKind::kGang;
+  scheduler->Enqueue(gang);
+  BOOST_TEST(Schedule() == "g/0@w1 g/1@w1");
+}
+
 // Guards against held tasks that start, and against a cancelled job that comes back.
 BOOST_AUTO_TEST_CASE(HoldRemoveAndRequeue) {
   AddWorker("w1", MakeResources(4, 8));
