--- a/packages/bench/bench_report.cc
+++ b/packages/bench/bench_report.cc
@@ -25,6 +25,7 @@
 
 std::vector<double> ValuesOf(const std::vector<BenchReport::Row>& runs, const std::string& key) {
   std::vector<double> values;
+  values.reserve(runs.size());
   for (const BenchReport::Row& run : runs) {
     values.push_back(run.at(key).get<double>());
   }
--- a/packages/bench/packing_bench.cc
+++ b/packages/bench/packing_bench.cc
@@ -126,6 +126,7 @@
                                                  {"least-loaded", "fifo"},
                                                  {"random", "fifo"}}};
   std::vector<CaseSet> sets;
+  sets.reserve(seeds.size());
   for (const uint64_t seed : seeds) {
     sets.push_back(MakeCaseSet(seed));
   }
