--- a/tests/shard/owner_faults_test.cc
+++ b/tests/shard/owner_faults_test.cc
@@ -67,6 +67,15 @@
 
 BOOST_AUTO_TEST_SUITE(OwnerFaultsTest)
 
+// Guards against a deposed owner that fences a restarted worker again.
+BOOST_AUTO_TEST_CASE(ZombieOwnersAndReboots) {
+  FaultPlan plan;
+  plan.zombie_owners = true;
+  plan.worker_cuts = true;
+  plan.worker_reboots = true;
+  CheckPlan(plan);
+}
+
 // Guards against jobs that are lost or never end without any fault.
 BOOST_AUTO_TEST_CASE(NoFaults) { CheckPlan(FaultPlan{}); }
 
