shard: Record the end of a job before a caller sees it

The processes tests ended deployments at once after the last answer, and 3 of 9 missed final states, because the event waited for the next round.

--- a/packages/shard/shard_owner.cc
+++ b/packages/shard/shard_owner.cc
@@ -114,7 +114,7 @@
                                " was used for another job; use a new key for new work."));
     }
     if (job != nullptr && job->accepted) {
-      return reader_.Visible(*job);
+      return Show(*job);
     }
     if (job == nullptr) {
       BOOST_LEAF_CHECK(CheckSubmission(spec));
@@ -161,7 +161,7 @@
   }
   if (durable.ok()) {
     AcceptDurableJobs();
-    return reader_.Visible(*tracked);
+    return Show(*tracked);
   }
   // After kFenced the record may be known to the new owner, so only a record that can never be
   // written is refused.
@@ -180,14 +180,14 @@
 
 Result<JobRecord> ShardOwner::GetJob(const JobId& job) {
   absl::MutexLock lock(&mutex_);
-  const TrackedJob* const tracked = jobs_.Find(job);
+  TrackedJob* const tracked = jobs_.Find(job);
   if (tracked == nullptr || !tracked->accepted) {
     return Fail(
         ErrorKind::kNotFound,
         absl::StrCat("Job ", job.value(),
                      " does not exist or ended longer ago than jobs are kept; check the id."));
   }
-  return reader_.Visible(*tracked);
+  return Show(*tracked);
 }
 
 Result<JobRecord> ShardOwner::CancelJob(const JobId& job) {
@@ -458,6 +458,12 @@
   }
 }
 
+JobRecord ShardOwner::Show(const TrackedJob& job) {
+  // An end is recorded before anyone is told of it.
+  AnnounceDurableEnds();
+  return reader_.Visible(job);
+}
+
 void ShardOwner::AnnounceDurableEnds() {
   const uint64_t durable = journal_->durable_sequence();
   std::set<JobId>* const ended = lifecycle_.ended_jobs();
--- a/packages/shard/shard_owner.h
+++ b/packages/shard/shard_owner.h
@@ -106,6 +106,7 @@
 
   void Run();
   void RunRound();
+  JobRecord Show(const TrackedJob& job) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Records the ends of jobs that have become durable.
   void AnnounceDurableEnds() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void AcceptDurableJobs() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
--- a/tests/shard/fault_run.cc
+++ b/tests/shard/fault_run.cc
@@ -92,11 +92,16 @@
       const JobId id = MakeJobId(TestShard(), client->spec.customer, client->spec.key);
       const std::shared_ptr<Owner> owner = Current();
       const Outcome<JobRecord> record = Capture([&] { return owner->owner->GetJob(id); });
+      std::string tasks;
+      if (record.ok()) {
+        for (const TaskStatus& task : record.value().tasks) {
+          absl::StrAppend(&tasks, " ", std::string(TaskStateName(task.state)), "#",
+                          task.attempt_number, "@", task.worker.value());
+        }
+      }
       unfinished_.push_back(
-          absl::StrCat(id.value(), " accepted=", client->accepted ? 1 : 0, " ",
-                       record.ok() ? absl::StrCat(std::string(JobStateName(record.value().state)),
-                                                  " ", record.value().reason)
-                                   : record.error().message));
+          absl::StrCat(id.value(), client->accepted ? " accepted" : " not accepted", tasks, " ",
+                       record.ok() ? record.value().reason : record.error().message));
     }
   }
 }
--- a/tests/shard/request_runner_test.cc
+++ b/tests/shard/request_runner_test.cc
@@ -204,8 +204,7 @@
   CheckRequests(&fixture, 60, absl::Seconds(5));
   fixture.executors.Script({2, 1, 1, 1});
   const InteractiveRequest request = MakeRequest(1000, absl::Seconds(1));
-  const Outcome<InteractiveAnswer> answer =
-      Capture([&] { return fixture.runner.Serve(request); });
+  const Outcome<InteractiveAnswer> answer = Capture([&] { return fixture.runner.Serve(request); });
   BOOST_REQUIRE(!answer.ok());
   BOOST_TEST(fixture.executors.Runs(request.id) == 1);
   BOOST_TEST(ErrorKindName(answer.error().kind) == "outcome_unknown");
