shard: Do not call a job 'not run' while an earlier owner may have started it

Cause: a job inherited as queued may run where the former owner started it last without a durable record. Ruled out: late starts, refused submissions. Such a task now ends only when its whereabouts are known.

--- a/packages/shard/shard_owner.cc
+++ b/packages/shard/shard_owner.cc
@@ -429,7 +429,7 @@
   FollowStoreState();
   for (const JobId& id : scheduler_->ExpiredJobs(context_.clock->Now())) {
     TrackedJob* const job = jobs_.Find(id);
-    if (job != nullptr) {
+    if (job != nullptr && !lifecycle_.MayRunUnrecorded(*job)) {
       lifecycle_.Expire(job);
     }
   }
--- a/packages/shard/task_lifecycle.cc
+++ b/packages/shard/task_lifecycle.cc
@@ -71,10 +71,17 @@
   takeover_complete_ = true;
   for (const TaskId& task : held_) {
     const std::optional<TaskRef> ref = context_.jobs->FindTask(task);
-    if (ref.has_value() && ref->task->state == TaskState::kQueued) {
-      ref->task->attempt_number += kTakeoverAttemptGap;
-      context_.scheduler->Unhold(task);
+    if (!ref.has_value() || ref->task->state != TaskState::kQueued) {
+      continue;
+    }
+    if (ref->job->cancel_requested) {
+      ref->task->state = TaskState::kCancelled;
+      UpdateJob(ref->job);
+      JournalTask(*ref);
+      continue;
     }
+    ref->task->attempt_number += kTakeoverAttemptGap;
+    context_.scheduler->Unhold(task);
   }
   held_.clear();
 }
@@ -129,7 +136,7 @@
   context_.scheduler->Remove(job->record.id);
   for (TaskStatus& task : job->record.tasks) {
     const TaskRef ref{job, &task};
-    if (task.state == TaskState::kQueued) {
+    if (task.state == TaskState::kQueued && held_.count(task.task) == 0) {
       task.state = TaskState::kCancelled;
     } else if (OccupiesWorker(task)) {
       StopTask(ref, StopMode::kStop);
@@ -230,6 +237,11 @@
   return MakeAttemptId(ref.task->task, ref.task->attempt_number) == attempt;
 }
 
+bool TaskLifecycle::MayRunUnrecorded(const TrackedJob& job) const {
+  return std::any_of(job.record.tasks.begin(), job.record.tasks.end(),
+                     [this](const TaskStatus& task) { return held_.count(task.task) > 0; });
+}
+
 bool TaskLifecycle::IsUnrecordedStart(const TaskRef& ref, const AttemptId& attempt) const {
   return !takeover_complete_ && ref.job->inherited && ref.job->record.spec.repeatable &&
          !IsFinal(ref.task->state) && AttemptNumber(attempt) > ref.task->attempt_number;
@@ -280,6 +292,9 @@
   context_.scheduler->Adopt(ref.job->record, ref.task->task, worker);
   context_.jobs->Occupy(*ref.task);
   TaskEvent(EventCode::kTaskAdopted, ref).Emit();
+  if (ref.job->cancel_requested) {
+    StopTask(ref, StopMode::kStop);
+  }
 }
 
 void TaskLifecycle::NoteRunning(const TaskRef& ref) {
--- a/packages/shard/task_lifecycle.h
+++ b/packages/shard/task_lifecycle.h
@@ -49,7 +49,11 @@
   // Starts the placed task on a worker of the given boot.
   void Place(const Placement& placement, const BootId& boot);
   void Preempt(const Preemption& preemption);
+  // A task that an earlier owner may have started without a durable record ends as cancelled only
+  // when its whereabouts are known.
   void Cancel(TrackedJob* job);
+  // True while a task of the job may run somewhere although it counts as queued.
+  bool MayRunUnrecorded(const TrackedJob& job) const;
   void Expire(TrackedJob* job);
 
   void StartConfirmed(const TaskStart& start);
--- a/packages/standins/worker_state.cc
+++ b/packages/standins/worker_state.cc
@@ -46,6 +46,9 @@
 }
 
 WorkerVerdict WorkerState::Admit(const TaskStart& start) const {
+  if (shutdown_) {
+    return WorkerVerdict::kWrongBoot;
+  }
   if (start.epoch < epoch_) {
     return WorkerVerdict::kFenced;
   }
--- a/tests/shard/faulty_ports.cc
+++ b/tests/shard/faulty_ports.cc
@@ -85,7 +85,8 @@
 
 Result<void> FaultyWorkerPort::Start(const std::string& address, const TaskStart& start) {
   BOOST_LEAF_AUTO(worker, Reach(address));
-  if (Delay([worker, start] { worker->Start(start); })) {
+  // A delayed command reaches the process that has the address by then.
+  if (Delay([this, address, start] { fleet_->Find(address)->Start(start); })) {
     return Fail(AnswerLost());
   }
   BOOST_LEAF_CHECK(ToResult(worker->Start(start)));
@@ -98,7 +99,7 @@
 Result<WorkerInventory> FaultyWorkerPort::Heartbeat(const std::string& address,
                                                     const WorkerHeartbeat& heartbeat) {
   BOOST_LEAF_AUTO(worker, Reach(address));
-  if (Delay([worker, heartbeat] { worker->Heartbeat(heartbeat); })) {
+  if (Delay([this, address, heartbeat] { fleet_->Find(address)->Heartbeat(heartbeat); })) {
     return Fail(AnswerLost());
   }
   BOOST_LEAF_CHECK(ToResult(worker->Heartbeat(heartbeat)));
--- a/tests/shard/owner_faults_test.cc
+++ b/tests/shard/owner_faults_test.cc
@@ -1,10 +1,13 @@
 #include <cstdlib>
+#include <fstream>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 #include "boost/test/unit_test.hpp"
+#include "history/merge_timelines.h"
 #include "tests/shard/fault_run.h"
 
 namespace pomelotray {
@@ -22,6 +25,15 @@
   return text != nullptr && absl::SimpleAtoi(text, &parsed) ? parsed : value;
 }
 
+// Writes the whole history of a run with faults to POMELOTRAY_FAULT_DIR, if it is set.
+void WriteHistory(const FaultRun& run, const SeedResult& result) {
+  const char* const folder = std::getenv("POMELOTRAY_FAULT_DIR");
+  if (folder != nullptr && !result.faults.empty()) {
+    std::ofstream file(absl::StrCat(folder, "/seed-", result.seed, ".txt"));
+    file << RenderTimeline(MergeTimelines({run.history()}));
+  }
+}
+
 SeedResult RunSeed(uint64_t seed, const FaultPlan& plan) {
   SeedResult result;
   result.seed = seed;
@@ -32,8 +44,9 @@
   const HistoryReport report =
       HistoryChecker::Builder().SetComplete(false).Build().Check(run.history());
   for (const Violation& violation : report.violations) {
-    result.faults.push_back(violation.message);
+    result.faults.push_back(violation.message + "\n" + RenderTimeline(violation.events));
   }
+  WriteHistory(run, result);
   return result;
 }
 
