--- a/packages/shard/request_runner.cc
+++ b/packages/shard/request_runner.cc
@@ -174,8 +174,7 @@
       .Attempt(attempt)
       .Executor(executor)
       .Emit();
-  const Outcome<ExecutorAnswer> answer =
-      Capture([&] { return context_.executors->Call(address, call); });
+  Outcome<ExecutorAnswer> answer = Capture([&] { return context_.executors->Call(address, call); });
   if (answer.ok() && (answer.value().request != request.id || answer.value().attempt != attempt)) {
     context_.events->Record(EventCode::kStaleAnswerDropped)
         .Request(request.id)
--- a/tests/cli/program_test.cc
+++ b/tests/cli/program_test.cc
@@ -136,8 +136,8 @@
   const SilentServer silent(true);
   const std::string addresses = "--address=" + refusing.address() + "," + not_ready.address + "," +
                                 silent.address() + "," + serving.address;
-  const std::string all = addresses;
-  BOOST_TEST(serving.Run({all, "submit", "--customer=a", "--key=k", "--pool=rendering"}).code == 0);
+  BOOST_TEST(
+      serving.Run({addresses, "submit", "--customer=a", "--key=k", "--pool=rendering"}).code == 0);
   BOOST_TEST(serving.service.submissions() == 1);
   Expect(serving.Run({"--address=" + not_ready.address + "," + refusing.address(), "nodes"}), 3, "",
          "error: not_ready: No configuration yet.\nRetry after 1000 ms.\n");
--- a/tests/fakes/fake_store.cc
+++ b/tests/fakes/fake_store.cc
@@ -138,7 +138,8 @@
 }
 
 void FakeStore::EndLease(const StoreLeaseId& lease) {
-  const StoreLeaseId ended = lease;
+  // A copy, because `lease` may refer to the entry that is erased.
+  const StoreLeaseId ended = lease;  // NOLINT(performance-unnecessary-copy-initialization)
   leases_.erase(ended);
   std::vector<std::string> keys;
   for (const auto& [key, item] : items_) {
@@ -245,7 +246,7 @@
 Result<StoreLeaseId> FakeStore::GrantLease(absl::Duration ttl) {
   BOOST_LEAF_AUTO(fault, Begin(Call{"grant", "", true}));
   absl::MutexLock lock(&mutex_);
-  const StoreLeaseId id("lease-" + std::to_string(next_lease_++));
+  StoreLeaseId id("lease-" + std::to_string(next_lease_++));
   leases_[id] = Lease{ttl, clock_->Now() + ttl};
   if (fault == StoreFault::kAnswerLost) {
     return Unknown();
