peer, shard: Keep one copy of the member state names and of a gang check

The names of member states stood in the daemon and in the tests of peer, and the search for a succeeded task twice in TaskLifecycle.

--- a/packages/daemon/cluster_service.cc
+++ b/packages/daemon/cluster_service.cc
@@ -39,20 +39,6 @@
   return *shard;
 }
 
-const char* MemberStateName(MemberState state) {
-  switch (state) {
-    case MemberState::kLive:
-      return "live";
-    case MemberState::kSuspect:
-      return "suspect";
-    case MemberState::kLeaving:
-      return "leaving";
-    case MemberState::kDead:
-      return "dead";
-  }
-  return "dead";
-}
-
 // True when the request did not run and another shard may be able to serve it.
 bool AnotherShardMayServe(ErrorKind kind) {
   return kind == ErrorKind::kOwnerUnavailable || kind == ErrorKind::kOverloaded ||
--- a/packages/peer/member.h
+++ b/packages/peer/member.h
@@ -14,6 +14,8 @@
 
 enum class MemberState { kLive, kSuspect, kLeaving, kDead };
 
+const char* MemberStateName(MemberState state);
+
 // One instance as this instance knows it.
 struct Member {
   InstanceId id;
--- a/packages/shard/task_lifecycle.cc
+++ b/packages/shard/task_lifecycle.cc
@@ -27,6 +27,11 @@
   return number;
 }
 
+bool AnySucceeded(const JobRecord& record) {
+  return std::any_of(record.tasks.begin(), record.tasks.end(),
+                     [](const TaskStatus& task) { return task.state == TaskState::kSucceeded; });
+}
+
 }  // namespace
 
 TaskLifecycle::TaskLifecycle(const Context& context) : context_(context) {}
@@ -435,12 +440,9 @@
       std::any_of(job->record.tasks.begin(), job->record.tasks.end(), [](const TaskStatus& task) {
         return IsFinal(task.state) && task.state != TaskState::kSucceeded;
       });
-  const bool any_succeeded =
-      std::any_of(job->record.tasks.begin(), job->record.tasks.end(),
-                  [](const TaskStatus& task) { return task.state == TaskState::kSucceeded; });
   // A restart runs all tasks again, so a gang that may not be repeated restarts only while none of
   // them has run.
-  const bool restart = !any_failed && (job->record.spec.repeatable || !any_succeeded);
+  const bool restart = !any_failed && (job->record.spec.repeatable || !AnySucceeded(job->record));
   if (!restart || !job->restarting) {
     context_.scheduler->Remove(job->record.id);
     for (TaskStatus& task : job->record.tasks) {
@@ -458,10 +460,7 @@
 }
 
 void TaskLifecycle::AbandonIfPartlyRun(TrackedJob* job) {
-  const bool any_succeeded =
-      std::any_of(job->record.tasks.begin(), job->record.tasks.end(),
-                  [](const TaskStatus& task) { return task.state == TaskState::kSucceeded; });
-  if (any_succeeded) {
+  if (AnySucceeded(job->record)) {
     AbandonGang(job);
   }
 }
--- a/tests/peer/fake_network.cc
+++ b/tests/peer/fake_network.cc
@@ -17,20 +17,6 @@
 constexpr absl::Duration kStopPatience = absl::Milliseconds(200);
 constexpr absl::Duration kStep = absl::Milliseconds(500);
 
-std::string StateName(MemberState state) {
-  switch (state) {
-    case MemberState::kLive:
-      return "live";
-    case MemberState::kSuspect:
-      return "suspect";
-    case MemberState::kLeaving:
-      return "leaving";
-    case MemberState::kDead:
-      return "dead";
-  }
-  return "invalid";
-}
-
 }  // namespace
 
 void FakeNetwork::Attach(const std::string& address, Membership* membership) {
@@ -242,7 +228,7 @@
 std::string FakeCluster::StateOf(const std::string& observer, const std::string& id) {
   for (const Member& member : nodes[observer].membership->Members()) {
     if (member.id.value() == id) {
-      return StateName(member.state);
+      return MemberStateName(member.state);
     }
   }
   return "unknown";
