--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -3,13 +3,21 @@
 # Defines the static library pomelotray_<name> from packages/<name>/*.cc. Files named main.cc and *_main.cc
 # are left for the programs. A package without sources becomes an interface library.
 function(pomelotray_package name)
+  pomelotray_folder(${name} packages/${name} ${ARGN})
+endfunction()
+
+# pomelotray_folder(<name> <folder> DEPENDS <targets...>)
+#
+# The same for a folder outside of packages/.
+function(pomelotray_folder name folder)
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
   set(target pomelotray_${name})
-  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/packages/${name}/*.cc)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${folder}/*.cc)
   list(FILTER sources EXCLUDE REGEX "main\\.cc$")
   if(sources)
     add_library(${target} STATIC ${sources})
-    target_include_directories(${target} PUBLIC ${CMAKE_SOURCE_DIR}/packages)
+    target_include_directories(${target} PUBLIC ${CMAKE_SOURCE_DIR}/packages
+      ${CMAKE_SOURCE_DIR})
     target_link_libraries(${target} PUBLIC ${ARG_DEPENDS})
   else()
     add_library(${target} INTERFACE)
@@ -93,13 +101,15 @@
   prometheus-cpp::core)
 pomelotray_package(daemon DEPENDS pomelotray_shard pomelotray_api pomelotray_adapters pomelotray_peer
   docopt PkgConfig::XXHASH)
+pomelotray_package(cell DEPENDS pomelotray_peer pomelotray_state)
+pomelotray_folder(platform platform DEPENDS pomelotray_cell pomelotray_api PkgConfig::HTTPLIB)
 pomelotray_package(cli DEPENDS pomelotray_history pomelotray_model PkgConfig::HTTPLIB docopt)
 pomelotray_help_texts(pomelotray_cli packages/cli/help)
 pomelotray_package(standins DEPENDS pomelotray_adapters PkgConfig::HTTPLIB docopt)
 pomelotray_package(bench DEPENDS pomelotray_scheduler absl::str_format)
 pomelotray_package(load DEPENDS pomelotray_bench pomelotray_adapters)
 
-pomelotray_program(pomelotrayd packages/daemon/main.cc DEPENDS pomelotray_daemon)
+pomelotray_program(pomelotrayd packages/daemon/main.cc DEPENDS pomelotray_daemon pomelotray_platform)
 pomelotray_program(pomelotray packages/cli/main.cc DEPENDS pomelotray_cli)
 pomelotray_program(pomelotray-standin packages/standins/main.cc DEPENDS pomelotray_standins)
 pomelotray_program(pomelotray-load packages/load/main.cc DEPENDS pomelotray_load docopt)
@@ -108,6 +118,10 @@
   install(TARGETS pomelotrayd pomelotray)
 endif()
 
+if(NOT POMELOTRAY_TESTS)
+  return()
+endif()
+
 # Fakes of the ports and generators of model values that several test folders use.
 file(GLOB fakes CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/fakes/*.cc
   ${CMAKE_SOURCE_DIR}/tests/model/model_generators.cc)
--- a/packages/api/connection_server.cc
+++ b/packages/api/connection_server.cc
@@ -3,9 +3,11 @@
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -16,9 +18,8 @@
 namespace {
 
 constexpr int kBacklog = 256;
-// Interval at which the accepting thread checks for Stop(), and its pause when the process has no
-// file descriptors left.
-constexpr int kAcceptPollMs = 50;
+// Pause of the accepting thread when the process has no file descriptors left.
+constexpr int kNoDescriptorPauseMs = 50;
 
 // Fills `storage` and returns its length.
 socklen_t FillAddress(const SocketAddress& address, sockaddr_storage* storage) {
@@ -66,6 +67,12 @@
                              std::strerror(error),  // NOLINT(concurrency-mt-unsafe)
                              "; choose a free local address with --listen-address."));
   }
+  wake_ = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+  if (wake_ < 0) {
+    close(fd);
+    return Fail(ErrorKind::kUnavailable,
+                "No file descriptor is left for the listener; raise the limit of the process.");
+  }
   listener_ = fd;
   port_ = BoundPort(fd);
   accept_thread_ = std::thread([this] { AcceptLoop(); });
@@ -74,8 +81,8 @@
 
 void ConnectionServer::AcceptLoop() {
   while (!stopping_) {
-    pollfd entry{listener_, POLLIN, 0};
-    if (poll(&entry, 1, kAcceptPollMs) <= 0) {
+    std::array<pollfd, 2> entries{pollfd{listener_, POLLIN, 0}, pollfd{wake_, POLLIN, 0}};
+    if (poll(entries.data(), entries.size(), -1) <= 0 || entries[0].revents == 0) {
       continue;
     }
     const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
@@ -84,7 +91,7 @@
       setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
       Dispatch(fd);
     } else if (errno == EMFILE || errno == ENFILE || errno == ENOMEM || errno == ENOBUFS) {
-      poll(nullptr, 0, kAcceptPollMs);
+      poll(nullptr, 0, kNoDescriptorPauseMs);
     }
   }
 }
@@ -112,7 +119,7 @@
     {
       absl::MutexLock lock(&mutex_);
       while (waiting_.empty() && !stopping_) {
-        changed_.WaitWithTimeout(&mutex_, absl::Seconds(1));
+        changed_.Wait(&mutex_);
       }
       if (waiting_.empty()) {
         return;
@@ -134,6 +141,11 @@
 
 void ConnectionServer::Stop() {
   stopping_ = true;
+  if (wake_ >= 0) {
+    const uint64_t one = 1;
+    // An eventfd that cannot be written is already readable.
+    (void)!write(wake_, &one, sizeof(one));
+  }
   if (accept_thread_.joinable()) {
     accept_thread_.join();
   }
@@ -141,6 +153,10 @@
     close(listener_);
     listener_ = -1;
   }
+  if (wake_ >= 0) {
+    close(wake_);
+    wake_ = -1;
+  }
   std::vector<std::thread> threads;
   {
     absl::MutexLock lock(&mutex_);
--- a/packages/api/connection_server.h
+++ b/packages/api/connection_server.h
@@ -46,6 +46,8 @@
   const Handler serve_;
   const Handler refuse_;
   int listener_ = -1;
+  // Ends the accepting thread's wait.
+  int wake_ = -1;
   int port_ = 0;
   std::thread accept_thread_;
   std::atomic<bool> stopping_{false};
--- a/packages/api/http_engine.cc
+++ b/packages/api/http_engine.cc
@@ -29,7 +29,8 @@
 }
 
 bool IsMethodSupported(const std::string& method) {
-  return method == "GET" || method == "HEAD" || method == "POST" || method == "PUT";
+  return method == "GET" || method == "HEAD" || method == "POST" || method == "PUT" ||
+         method == "DELETE";
 }
 
 // Finds requests whose end cannot be told safely or whose body is encoded.
@@ -63,7 +64,7 @@
 std::optional<Refusal> CheckRequest(const httplib::Request& request, const HttpLimits& limits) {
   if (!IsMethodSupported(request.method)) {
     return Refuse(
-        405, absl::StrCat("Method ", request.method, " is not supported; use GET, POST or PUT."));
+        405, absl::StrCat("Method ", request.method, " is not supported; use GET, POST, PUT or DELETE."));
   }
   // The path is matched by a regular expression, whose stack use grows with its length.
   if (request.path.size() > limits.max_path_bytes) {
@@ -140,6 +141,7 @@
     Get("/.*", handle);
     Post("/.*", handle);
     Put("/.*", handle);
+    Delete("/.*", handle);
     set_error_handler([this](const httplib::Request& request, httplib::Response& response) {
       if (response.body.empty()) {
         WriteRefusal(ParserRefusal(response.status, limits_), request, &response);
--- a/packages/base/event_catalog.h
+++ b/packages/base/event_catalog.h
@@ -19,6 +19,9 @@
   kProcessStopped = 103,
   kOpenListenerWithoutToken = 104,
   kInvalidInputRefused = 105,
+  kSettingsReloaded = 106,
+  kLogLinesDropped = 107,
+  kReadinessChanged = 108,
 
   kPeerLive = 200,
   kPeerSuspect = 201,
@@ -53,6 +56,9 @@
   kTaskRequeued = 411,
   kTaskPreempted = 412,
   kGangReserved = 413,
+  kAdviceReceived = 414,
+  kAdviceFailed = 415,
+  kJobStateTold = 416,
 
   kRequestReceived = 500,
   kRequestSent = 501,
@@ -66,6 +72,7 @@
   kContractConflict = 602,
   kSliceChanged = 603,
   kStaleConfigurationIgnored = 604,
+  kUnreadableEntry = 605,
 
   kWorkerFenced = 700,
   kWorkerUnreachable = 701,
--- /dev/null
+++ b/packages/cell/advice_desk.h
@@ -0,0 +1,79 @@
+#ifndef POMELOTRAY_CELL_ADVICE_DESK_H_
+#define POMELOTRAY_CELL_ADVICE_DESK_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "cell/cell_membership.h"
+#include "cell/cell_ports.h"
+#include "cell/schedule_round.h"
+#include "ports/peer_port.h"
+
+namespace pomelotray {
+
+// Puts questions to the adviser by way of all instances, because the adviser serves one call at a
+// time for each calling VM. One thread for each instance takes the most urgent question; long
+// questions leave at least half of the instances to short ones.
+class AdviceDesk {
+ public:
+  using Done = std::function<void(const AdviceRequest&, const std::optional<Advice>&)>;
+
+  AdviceDesk(InstanceId self, Adviser* adviser, PeerPort* peers, const Clock* clock,
+             EventLog* events);
+  ~AdviceDesk();
+
+  void SetMembers(const std::vector<CellMember>& members);
+  // `done` runs on a thread of the desk, also when the question fails.
+  void Submit(AdviceRequest request, Done done);
+  void Stop();
+
+  // Answers a question of another instance.
+  Result<nlohmann::json> Answer(const nlohmann::json& body);
+
+ private:
+  struct Question {
+    AdviceRequest request;
+    Done done;
+  };
+  struct Caller {
+    CellMember member;
+    bool retired = false;
+    std::thread thread;
+  };
+  // Lower priority numbers first, then the order of arrival.
+  using Queue = std::map<std::pair<int, int64_t>, Question>;
+
+  void Run(Caller* caller);
+  Queue::iterator Next() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  std::optional<Advice> Ask(const CellMember& member, const AdviceRequest& request);
+  Result<Advice> AskPeer(const CellMember& member, const AdviceRequest& request,
+                         absl::Duration timeout);
+
+  const InstanceId self_;
+  Adviser* const adviser_;
+  PeerPort* const peers_;
+  const Clock* const clock_;
+  EventLog* const events_;
+  absl::Mutex mutex_;
+  absl::CondVar changed_;
+  bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+  int64_t next_number_ ABSL_GUARDED_BY(mutex_) = 0;
+  int long_calls_ ABSL_GUARDED_BY(mutex_) = 0;
+  size_t active_callers_ ABSL_GUARDED_BY(mutex_) = 0;
+  Queue queue_ ABSL_GUARDED_BY(mutex_);
+  std::vector<std::unique_ptr<Caller>> callers_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_CELL_ADVICE_DESK_H_
--- /dev/null
+++ b/packages/cell/cell_job.cc
@@ -0,0 +1,62 @@
+#include "cell/cell_job.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+namespace pomelotray {
+namespace {
+
+// A job that took three times its objective no longer earns anything (the contract's rule).
+constexpr int kWorthlessFactor = 3;
+
+}  // namespace
+
+CellJob MakeCellJob(JobIntake intake) {
+  CellJob job;
+  const WorkflowSpec& spec = intake.spec;
+  const int occurrences = std::max(spec.occurrences, 1);
+  for (int occurrence = 0; occurrence < occurrences; ++occurrence) {
+    for (size_t step = 0; step < spec.steps.size(); ++step) {
+      StepRun run;
+      run.occurrence = occurrence;
+      run.step = static_cast<int>(step);
+      if (spec.occurrences > 0) {
+        run.due = spec.first_due + spec.interval * occurrence;
+      }
+      run.tasks.resize(spec.steps[step].task_count);
+      run.waiting = spec.steps[step].task_count;
+      job.runs.push_back(std::move(run));
+    }
+  }
+  const absl::Duration objective =
+      CriticalPath(spec) * intake.policy.stretch + intake.policy.target_latency;
+  const absl::Time start = spec.occurrences > 0 ? spec.first_due : intake.accepted;
+  job.objective = start + objective;
+  job.worthless_after = start + objective * kWorthlessFactor;
+  job.intake = std::move(intake);
+  return job;
+}
+
+std::string StepName(const CellJob& job, const StepRun& run) {
+  return absl::StrCat(job.intake.id.value(), ".", run.occurrence, ".", run.step);
+}
+
+std::string TaskName(const CellJob& job, const StepRun& run, int index) {
+  return absl::StrCat(job.intake.id.value(), ".", run.occurrence, ".", run.step, ".", index);
+}
+
+bool ParseTaskName(const std::string& name, TaskNameParts* parts) {
+  const std::vector<std::string> fields = absl::StrSplit(name, '.');
+  if (fields.size() != 4) {
+    return false;
+  }
+  parts->job = fields[0];
+  return absl::SimpleAtoi(fields[1], &parts->occurrence) &&
+         absl::SimpleAtoi(fields[2], &parts->step) && absl::SimpleAtoi(fields[3], &parts->index);
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/cell/cell_membership.cc
@@ -0,0 +1,438 @@
+#include "cell/cell_membership.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "absl/hash/hash.h"
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "cell/cell_keys.h"
+
+namespace pomelotray {
+namespace {
+
+using nlohmann::json;
+
+// Time without a renewal after which the others take over: four renewals, and more than a slow
+// store needs for one.
+constexpr absl::Duration kLeaseTtl = absl::Seconds(2);
+constexpr absl::Duration kRenewInterval = absl::Milliseconds(500);
+// A renewal waits at most 0.8 s (the store client's limit), so checks are at most 1.3 s apart.
+constexpr absl::Duration kMaxCheckAge = absl::Milliseconds(1600);
+// All instances start within 0.3 s; after this time each knows the others.
+constexpr absl::Duration kSettleTime = absl::Milliseconds(700);
+// An instance that is not the first choice waits this long for the one that is.
+constexpr absl::Duration kSecondChoiceDelay = absl::Milliseconds(600);
+
+uint64_t Weight(const PoolName& pool, const InstanceId& id) {
+  // FNV-1a: the same in every process, unlike absl::Hash.
+  uint64_t hash = 14695981039346656037U;
+  for (const char c : absl::StrCat(pool.value(), "/", id.value())) {
+    hash = (hash ^ static_cast<uint8_t>(c)) * 1099511628211U;
+  }
+  return hash ^ (hash >> 29);
+}
+
+std::optional<json> ParseObject(const std::string& text) {
+  json value = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (!value.is_object()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+CellMember ReadMember(const json& value) {
+  return CellMember{InstanceId(value.value("instance", "")), value.value("peer_address", "")};
+}
+
+}  // namespace
+
+std::map<PoolName, InstanceId> AssignPools(const std::vector<PoolName>& pools,
+                                           const std::vector<CellMember>& members) {
+  std::map<PoolName, InstanceId> assigned;
+  if (members.empty()) {
+    return assigned;
+  }
+  std::vector<PoolName> sorted = pools;
+  std::sort(sorted.begin(), sorted.end());
+  std::map<InstanceId, int> load;
+  for (const PoolName& pool : sorted) {
+    const CellMember* best = nullptr;
+    for (const CellMember& member : members) {
+      const auto key = [&](const CellMember& m) {
+        return std::make_pair(-load[m.id], Weight(pool, m.id));
+      };
+      if (best == nullptr || key(member) > key(*best)) {
+        best = &member;
+      }
+    }
+    assigned[pool] = best->id;
+    ++load[best->id];
+  }
+  return assigned;
+}
+
+CellMembership::CellMembership(CellMember self, std::string incarnation, TransactionalStore* store,
+                               const Clock* clock, EventLog* events, Callbacks callbacks)
+    : self_(std::move(self)),
+      incarnation_(std::move(incarnation)),
+      store_(store),
+      clock_(clock),
+      events_(events),
+      callbacks_(std::move(callbacks)) {}
+
+CellMembership::~CellMembership() { Stop(); }
+
+void CellMembership::Start() {
+  mirror_ = std::make_unique<PrefixMirror>(
+      store_, cell_keys::kControlPrefix, clock_, events_,
+      [this](const WatchBatch& batch, bool complete) { Apply(batch, complete); });
+  mirror_->Start();
+  keeper_ = std::thread([this] { Keep(); });
+}
+
+void CellMembership::Stop() {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (stopping_) {
+      return;
+    }
+    stopping_ = true;
+    changed_.SignalAll();
+  }
+  if (keeper_.joinable()) {
+    keeper_.join();
+  }
+  if (mirror_ != nullptr) {
+    mirror_->Stop();
+  }
+  ReleaseClaims();
+}
+
+void CellMembership::ReleaseClaims() {
+  StoreTransaction release;
+  std::optional<StoreLeaseId> lease;
+  {
+    absl::MutexLock lock(&mutex_);
+    for (const auto& [pool, claim] : claims_) {
+      if (IsOwn(claim)) {
+        release.conditions.push_back(StoreCondition{cell_keys::Claim(pool), claim.revision});
+        release.removals.push_back(cell_keys::Claim(pool));
+      }
+    }
+    lease = lease_;
+  }
+  if (!release.removals.empty()) {
+    const Outcome<Revision> released = Capture([&] { return store_->Commit(release); });
+    for (const std::string& key : release.removals) {
+      events_->Record(EventCode::kShardReleased)
+          .With("claim", key)
+          .With(event_field::kReason, released.ok() ? "stopping" : released.error().message)
+          .Emit();
+    }
+  }
+  if (lease.has_value()) {
+    // If this fails, the lease runs out by itself.
+    const Outcome<void> revoked = Capture([&] { return store_->RevokeLease(*lease); });
+    (void)revoked;
+  }
+}
+
+void CellMembership::SetPools(const std::vector<PoolName>& pools) {
+  absl::MutexLock lock(&mutex_);
+  pools_ = pools;
+  changed_.SignalAll();
+}
+
+std::vector<CellMember> CellMembership::members() const {
+  absl::MutexLock lock(&mutex_);
+  std::vector<CellMember> members;
+  for (const auto& [id, member] : members_) {
+    members.push_back(member);
+  }
+  return members;
+}
+
+std::optional<PoolClaim> CellMembership::ClaimOf(const PoolName& pool) const {
+  absl::MutexLock lock(&mutex_);
+  const auto it = claims_.find(pool);
+  if (it == claims_.end()) {
+    return std::nullopt;
+  }
+  return it->second;
+}
+
+bool CellMembership::CheckedRecently() const {
+  absl::MutexLock lock(&mutex_);
+  return clock_->Now() - last_checked_ < kMaxCheckAge;
+}
+
+bool CellMembership::StoreAnswers() const {
+  absl::MutexLock lock(&mutex_);
+  return store_answers_;
+}
+
+void CellMembership::ReportFenced(const PoolName& pool) {
+  {
+    absl::MutexLock lock(&mutex_);
+    const auto it = claims_.find(pool);
+    if (it != claims_.end() && IsOwn(it->second)) {
+      claims_.erase(it);
+      unowned_since_[pool] = clock_->Now();
+    }
+  }
+  Reconcile();
+}
+
+bool CellMembership::IsOwn(const PoolClaim& claim) const {
+  return claim.owner.id == self_.id && claim.incarnation == incarnation_;
+}
+
+void CellMembership::Keep() {
+  for (;;) {
+    KeepOnce();
+    ConsiderClaims();
+    absl::MutexLock lock(&mutex_);
+    const absl::Time next = clock_->Now() + kRenewInterval;
+    // Woken early when the view changes, to claim at once; renewals stay on their interval.
+    if (!stopping_) {
+      clock_->WaitUntil(&changed_, &mutex_, next);
+    }
+    if (stopping_) {
+      return;
+    }
+  }
+}
+
+void CellMembership::KeepOnce() {
+  std::optional<StoreLeaseId> lease;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (lease_.has_value() && clock_->Now() - last_checked_ < kRenewInterval) {
+      return;
+    }
+    // The store may take this instance's entries away although its lease goes on.
+    if (view_complete_ && members_.count(self_.id) == 0 &&
+        clock_->Now() - registered_at_ > kSettleTime) {
+      lease_.reset();
+    }
+    lease = lease_;
+  }
+  bool answered = false;
+  if (!lease.has_value()) {
+    answered = Register();
+  } else {
+    const Outcome<void> renewed = Capture([&] { return store_->KeepAlive(*lease); });
+    answered = renewed.ok() || renewed.error().kind == ErrorKind::kNotFound;
+    if (!renewed.ok() && answered) {
+      events_->Record(EventCode::kInstanceLeaseLost).With("lease", lease->value()).Emit();
+      {
+        absl::MutexLock lock(&mutex_);
+        lease_.reset();
+        for (auto it = claims_.begin(); it != claims_.end();) {
+          it = IsOwn(it->second) ? claims_.erase(it) : std::next(it);
+        }
+      }
+      Reconcile();
+      answered = Register();
+    }
+  }
+  absl::MutexLock lock(&mutex_);
+  last_checked_ = clock_->Now();
+  store_answers_ = answered;
+}
+
+bool CellMembership::Register() {
+  const Outcome<StoreLeaseId> lease = Capture([this] { return store_->GrantLease(kLeaseTtl); });
+  if (!lease.ok()) {
+    return false;
+  }
+  const json value = {{"instance", self_.id.value()}, {"peer_address", self_.peer_address}};
+  StoreTransaction transaction;
+  transaction.writes.push_back(
+      StoreWrite{cell_keys::Member(self_.id), value.dump(), lease.value()});
+  const Outcome<Revision> written = Capture([&] { return store_->Commit(transaction); });
+  if (!written.ok()) {
+    return false;
+  }
+  events_->Record(EventCode::kInstanceLeaseGranted).With("lease", lease.value().value()).Emit();
+  absl::MutexLock lock(&mutex_);
+  lease_ = lease.value();
+  registered_at_ = clock_->Now();
+  return true;
+}
+
+bool CellMembership::MayClaim(const PoolName& pool, absl::Time now) {
+  const auto claim = claims_.find(pool);
+  if (claim != claims_.end()) {
+    // This VM's process before the present one is gone for good.
+    return claim->second.owner.id == self_.id && !IsOwn(claim->second);
+  }
+  const absl::Time unowned = unowned_since_.emplace(pool, now).first->second;
+  std::vector<CellMember> members;
+  for (const auto& [id, member] : members_) {
+    members.push_back(member);
+  }
+  const std::map<PoolName, InstanceId> assigned = AssignPools(pools_, members);
+  const auto choice = assigned.find(pool);
+  return (choice != assigned.end() && choice->second == self_.id) ||
+         now - unowned > kSecondChoiceDelay;
+}
+
+void CellMembership::ConsiderClaims() {
+  std::vector<PoolName> wanted;
+  {
+    absl::MutexLock lock(&mutex_);
+    const absl::Time now = clock_->Now();
+    if (!view_complete_ || !lease_.has_value() || !store_answers_ ||
+        now - registered_at_ < kSettleTime) {
+      return;
+    }
+    for (const PoolName& pool : pools_) {
+      if (MayClaim(pool, now)) {
+        wanted.push_back(pool);
+      }
+    }
+  }
+  for (const PoolName& pool : wanted) {
+    TryClaim(pool);
+  }
+}
+
+void CellMembership::TryClaim(const PoolName& pool) {
+  StoreTransaction transaction;
+  PoolClaim claim;
+  {
+    absl::MutexLock lock(&mutex_);
+    const auto stale = claims_.find(pool);
+    const TermEntry term = terms_[pool];
+    claim = PoolClaim{pool, self_, incarnation_, term.term + 1, Revision(0)};
+    const json value = {{"instance", self_.id.value()},
+                        {"peer_address", self_.peer_address},
+                        {"incarnation", incarnation_},
+                        {"term", claim.term}};
+    transaction.conditions = {
+        StoreCondition{cell_keys::Claim(pool),
+                       stale == claims_.end() ? Revision(0) : stale->second.revision},
+        StoreCondition{cell_keys::Term(pool), term.revision}};
+    transaction.writes = {
+        StoreWrite{cell_keys::Claim(pool), value.dump(), lease_},
+        StoreWrite{cell_keys::Term(pool), std::to_string(claim.term), std::nullopt}};
+  }
+  // Whatever the answer was, the mirror shows whether the claim was made.
+  const Outcome<Revision> written = Capture([&] { return store_->Commit(transaction); });
+  if (written.ok()) {
+    {
+      absl::MutexLock lock(&mutex_);
+      claim.revision = written.value();
+      claims_[pool] = claim;
+      terms_[pool] = TermEntry{claim.term, written.value()};
+      unowned_since_.erase(pool);
+    }
+    Reconcile();
+  }
+}
+
+void CellMembership::ApplyEntry(const StoreEntry& entry) {
+  if (absl::StartsWith(entry.key, cell_keys::kTermPrefix)) {
+    const PoolName pool(entry.key.substr(sizeof(cell_keys::kTermPrefix) - 1));
+    TermEntry term;
+    term.term = std::strtoll(entry.value.c_str(), nullptr, 10);
+    term.revision = entry.revision;
+    if (terms_[pool].revision < term.revision) {
+      terms_[pool] = term;
+    }
+    return;
+  }
+  const std::optional<json> value = ParseObject(entry.value);
+  if (!value.has_value()) {
+    events_->Record(EventCode::kUnreadableEntry).With("key", entry.key).Emit();
+    return;
+  }
+  if (absl::StartsWith(entry.key, cell_keys::kMemberPrefix)) {
+    const CellMember member = ReadMember(*value);
+    members_[member.id] = member;
+  } else if (absl::StartsWith(entry.key, cell_keys::kClaimPrefix)) {
+    const PoolName pool(entry.key.substr(sizeof(cell_keys::kClaimPrefix) - 1));
+    PoolClaim claim{pool, ReadMember(*value), value->value("incarnation", ""),
+                    value->value("term", int64_t{0}), entry.revision};
+    const auto known = claims_.find(pool);
+    if (known == claims_.end() || known->second.revision < claim.revision) {
+      claims_[pool] = claim;
+      unowned_since_.erase(pool);
+    }
+  }
+}
+
+void CellMembership::Apply(const WatchBatch& batch, bool complete) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (complete) {
+      view_complete_ = true;
+      members_.clear();
+      std::set<std::string> present;
+      for (const StoreEntry& entry : batch.changed) {
+        present.insert(entry.key);
+      }
+      for (auto it = claims_.begin(); it != claims_.end();) {
+        const bool kept = present.count(cell_keys::Claim(it->first)) > 0 ||
+                          it->second.revision > batch.next;
+        it = kept ? std::next(it) : claims_.erase(it);
+      }
+    }
+    for (const StoreEntry& entry : batch.changed) {
+      ApplyEntry(entry);
+    }
+    for (const std::string& key : batch.deleted) {
+      if (absl::StartsWith(key, cell_keys::kMemberPrefix)) {
+        members_.erase(InstanceId(key.substr(sizeof(cell_keys::kMemberPrefix) - 1)));
+      } else if (absl::StartsWith(key, cell_keys::kClaimPrefix)) {
+        const PoolName pool(key.substr(sizeof(cell_keys::kClaimPrefix) - 1));
+        const auto claim = claims_.find(pool);
+        // A claim newer than this batch was made after the deletion.
+        if (claim != claims_.end() && claim->second.revision <= batch.next) {
+          claims_.erase(claim);
+          unowned_since_[pool] = clock_->Now();
+        }
+      }
+    }
+    changed_.SignalAll();
+  }
+  Reconcile();
+}
+
+void CellMembership::Reconcile() {
+  absl::MutexLock reconcile(&reconcile_mutex_);
+  std::vector<PoolClaim> won;
+  std::vector<PoolName> lost;
+  {
+    absl::MutexLock lock(&mutex_);
+    for (auto it = owned_.begin(); it != owned_.end();) {
+      const auto claim = claims_.find(it->first);
+      const bool kept = claim != claims_.end() && IsOwn(claim->second) &&
+                        claim->second.term == it->second;
+      if (kept) {
+        ++it;
+      } else {
+        lost.push_back(it->first);
+        it = owned_.erase(it);
+      }
+    }
+    for (const auto& [pool, claim] : claims_) {
+      if (IsOwn(claim) && owned_.count(pool) == 0 && !stopping_) {
+        owned_[pool] = claim.term;
+        won.push_back(claim);
+      }
+    }
+  }
+  for (const PoolName& pool : lost) {
+    callbacks_.lost(pool);
+  }
+  for (const PoolClaim& claim : won) {
+    callbacks_.claimed(claim);
+  }
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/cell/cell_membership.h
@@ -0,0 +1,127 @@
+#ifndef POMELOTRAY_CELL_CELL_MEMBERSHIP_H_
+#define POMELOTRAY_CELL_CELL_MEMBERSHIP_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "base/strong_id.h"
+#include "cell/prefix_mirror.h"
+#include "ports/transactional_store.h"
+
+namespace pomelotray {
+
+struct CellMember {
+  InstanceId id;
+  std::string peer_address;
+
+  friend bool operator==(const CellMember& a, const CellMember& b) {
+    return a.id == b.id && a.peer_address == b.peer_address;
+  }
+};
+
+// Who owns a pool, as the store says.
+struct PoolClaim {
+  PoolName pool;
+  CellMember owner;
+  // Differs for each start of the owner's process.
+  std::string incarnation;
+  // Rises with each claim; the fencing token of the owner.
+  int64_t term = 0;
+  // Of the claim's entry: a condition of each of the owner's writes.
+  Revision revision;
+};
+
+// Chooses the instance that should own each pool: spreads pools over members, stable while the
+// members stay.
+std::map<PoolName, InstanceId> AssignPools(const std::vector<PoolName>& pools,
+                                           const std::vector<CellMember>& members);
+
+// Keeps this instance's lease, shows it to the others, and claims pools that have no owner. A claim
+// lasts as long as its instance's lease and carries a term that no other claim of the pool has.
+class CellMembership {
+ public:
+  struct Callbacks {
+    // Called on the membership's threads, in order for each pool.
+    std::function<void(const PoolClaim&)> claimed;
+    std::function<void(const PoolName&)> lost;
+  };
+
+  CellMembership(CellMember self, std::string incarnation, TransactionalStore* store,
+                 const Clock* clock, EventLog* events, Callbacks callbacks);
+  ~CellMembership();
+
+  void Start();
+  // Gives up all claims, so that others take over at once, and leaves.
+  void Stop();
+
+  void SetPools(const std::vector<PoolName>& pools);
+  std::vector<CellMember> members() const;
+  std::optional<PoolClaim> ClaimOf(const PoolName& pool) const;
+  // The last contact with the store, or the last try, is recent. False after this process stood
+  // still: another instance may have claimed its pools meanwhile, so nothing may be ordered.
+  bool CheckedRecently() const;
+  // The last call of the lease's keeper was answered.
+  bool StoreAnswers() const;
+  // A worker has seen a newer owner of the pool.
+  void ReportFenced(const PoolName& pool);
+
+ private:
+  struct TermEntry {
+    int64_t term = 0;
+    Revision revision;
+  };
+
+  void Keep();
+  void KeepOnce();
+  bool Register();
+  void ConsiderClaims();
+  void TryClaim(const PoolName& pool);
+  void Apply(const WatchBatch& batch, bool complete);
+  void ApplyEntry(const StoreEntry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Tells the callbacks about claims that were won or lost since the last call.
+  void Reconcile();
+  bool IsOwn(const PoolClaim& claim) const;
+  bool MayClaim(const PoolName& pool, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void ReleaseClaims();
+
+  const CellMember self_;
+  const std::string incarnation_;
+  TransactionalStore* const store_;
+  const Clock* const clock_;
+  EventLog* const events_;
+  const Callbacks callbacks_;
+  std::unique_ptr<PrefixMirror> mirror_;
+  std::thread keeper_;
+
+  // Serializes Reconcile().
+  absl::Mutex reconcile_mutex_;
+  mutable absl::Mutex mutex_;
+  absl::CondVar changed_;
+  bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+  bool view_complete_ ABSL_GUARDED_BY(mutex_) = false;
+  std::optional<StoreLeaseId> lease_ ABSL_GUARDED_BY(mutex_);
+  absl::Time registered_at_ ABSL_GUARDED_BY(mutex_) = absl::InfiniteFuture();
+  absl::Time last_checked_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  bool store_answers_ ABSL_GUARDED_BY(mutex_) = false;
+  std::vector<PoolName> pools_ ABSL_GUARDED_BY(mutex_);
+  std::map<InstanceId, CellMember> members_ ABSL_GUARDED_BY(mutex_);
+  std::map<PoolName, PoolClaim> claims_ ABSL_GUARDED_BY(mutex_);
+  std::map<PoolName, TermEntry> terms_ ABSL_GUARDED_BY(mutex_);
+  // Since when a pool has had no owner.
+  std::map<PoolName, absl::Time> unowned_since_ ABSL_GUARDED_BY(mutex_);
+  // Pools that the callbacks know to be owned by this instance, with their terms.
+  std::map<PoolName, int64_t> owned_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_CELL_CELL_MEMBERSHIP_H_
--- /dev/null
+++ b/packages/cell/cell_node.cc
@@ -0,0 +1,238 @@
+#include "cell/cell_node.h"
+
+#include <utility>
+
+#include "cell/cell_keys.h"
+#include "state/nonce.h"
+
+namespace pomelotray {
+namespace {
+
+// How often new members are given to the advice desk.
+constexpr absl::Duration kMaintenanceInterval = absl::Milliseconds(500);
+constexpr absl::Duration kPeerKeyRetry = absl::Milliseconds(200);
+
+PeerLimits MakePeerLimits() {
+  PeerLimits limits;
+  // Calls that block: one question to the adviser for each of a few owners, and writes for others.
+  limits.worker_threads = 6;
+  limits.heartbeat_threads = 0;
+  limits.connect_timeout = absl::Milliseconds(500);
+  // Half of the time after which a restarted owner counts as reachable again.
+  limits.stall_timeout = absl::Seconds(2);
+  limits.drain_timeout = absl::Seconds(2);
+  return limits;
+}
+
+}  // namespace
+
+CellNode::CellNode(CellNodeContext context) : context_(std::move(context)) {}
+
+CellNode::~CellNode() { Stop(); }
+
+Result<void> CellNode::Start() {
+  BOOST_LEAF_CHECK(StartPeers());
+  advice_ = std::make_unique<AdviceDesk>(context_.id, context_.adviser, peer_client_.get(),
+                                         context_.clock, context_.events);
+  membership_ = std::make_unique<CellMembership>(
+      CellMember{context_.id, context_.peer_address}, MakeNonceText(), context_.store, context_.clock,
+      context_.events,
+      CellMembership::Callbacks{[this](const PoolClaim& claim) { PoolClaimed(claim); },
+                                [this](const PoolName& pool) { PoolLost(pool); }});
+  std::unique_ptr<CellService> service = std::make_unique<CellService>(
+      context_.id, context_.store, peer_client_.get(), membership_.get(), context_.clock,
+      context_.events, [this](const PoolName& pool) { return FindOwner(pool); });
+  {
+    // Peers may call already.
+    absl::MutexLock lock(&mutex_);
+    service_ = std::move(service);
+  }
+  membership_->Start();
+  maintenance_ = std::thread([this] { MaintenanceLoop(); });
+  return {};
+}
+
+Result<std::string> CellNode::SharedPeerKey() {
+  const std::string proposal = MakeNonceText() + MakeNonceText();
+  for (;;) {
+    const Outcome<std::optional<StoreEntry>> entry =
+        Capture([this] { return context_.store->Get(cell_keys::kPeerKey); });
+    if (entry.ok() && entry.value().has_value()) {
+      return entry.value()->value;
+    }
+    if (entry.ok()) {
+      StoreTransaction create;
+      create.conditions = {StoreCondition{cell_keys::kPeerKey, Revision(0)}};
+      create.writes = {StoreWrite{cell_keys::kPeerKey, proposal, std::nullopt}};
+      // Whether or not this succeeds, the entry is read back.
+      const Outcome<Revision> written =
+          Capture([&] { return context_.store->Commit(create); });
+      (void)written;
+    }
+    absl::MutexLock lock(&mutex_);
+    if (stopping_) {
+      return Fail(ErrorKind::kUnavailable, "The instance stopped before it knew the peers' key.");
+    }
+    if (!entry.ok()) {
+      context_.clock->WaitUntil(&changed_, &mutex_, context_.clock->Now() + kPeerKeyRetry);
+    }
+  }
+}
+
+Result<void> CellNode::StartPeers() {
+  BOOST_LEAF_AUTO(key, SharedPeerKey());
+  BOOST_LEAF_ASSIGN(peer_client_, PeerClient::Builder()
+                                      .Instance(context_.id)
+                                      .SharedKey(key)
+                                      .Time(context_.hybrid_clock, context_.clock)
+                                      .Events(context_.events)
+                                      .Limits(MakePeerLimits())
+                                      .Build());
+  BOOST_LEAF_ASSIGN(peer_server_,
+                    PeerServer::Builder()
+                        .ListenAddress(context_.peer_address)
+                        .Instance(context_.id)
+                        .SharedKey(key)
+                        .Time(context_.hybrid_clock, context_.clock)
+                        .Events(context_.events)
+                        .Handler([this](const PeerCall& call) { return AnswerPeer(call); })
+                        .Limits(MakePeerLimits())
+                        .Build());
+  return {};
+}
+
+Result<nlohmann::json> CellNode::AnswerPeer(const PeerCall& call) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (service_ == nullptr) {
+      return Fail(ErrorKind::kNotReady, "The instance is starting; call again later.");
+    }
+  }
+  return call.method == "advise" ? advice_->Answer(call.body) : service_->AnswerPeer(call);
+}
+
+void CellNode::Stop() {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (stopping_) {
+      return;
+    }
+    stopping_ = true;
+    changed_.SignalAll();
+    for (const auto& [pool, owner] : owners_) {
+      owner->Halt();
+    }
+  }
+  if (membership_ != nullptr) {
+    membership_->Stop();
+  }
+  if (maintenance_.joinable()) {
+    maintenance_.join();
+  }
+  if (service_ != nullptr) {
+    service_->Stop();
+  }
+  if (advice_ != nullptr) {
+    advice_->Stop();
+  }
+  std::map<PoolName, std::shared_ptr<PoolOwner>> owners;
+  {
+    absl::MutexLock lock(&mutex_);
+    owners.swap(owners_);
+    starting_.clear();
+    retired_.clear();
+  }
+  owners.clear();
+  if (peer_server_ != nullptr) {
+    peer_server_->Stop();
+  }
+  if (peer_client_ != nullptr) {
+    peer_client_->Stop();
+  }
+}
+
+void CellNode::ApplyConfiguration(std::shared_ptr<const CellConfiguration> configuration) {
+  const std::shared_ptr<const CellConfiguration> present = service_->configuration();
+  if (present != nullptr && present->version >= configuration->version) {
+    return;
+  }
+  context_.events->Record(EventCode::kContractInForce)
+      .With("version", configuration->version)
+      .With("routes", static_cast<int64_t>(configuration->routes.size()))
+      .Emit();
+  membership_->SetPools(configuration->pools);
+  service_->SetConfiguration(std::move(configuration));
+}
+
+bool CellNode::IsReady() const {
+  return service_ != nullptr && service_->configuration() != nullptr &&
+         membership_->StoreAnswers();
+}
+
+void CellNode::PoolClaimed(const PoolClaim& claim) {
+  context_.events->Record(EventCode::kShardClaimed)
+      .With("pool", claim.pool.value())
+      .With("term", claim.term)
+      .Emit();
+  PoolOwnerContext owner_context;
+  owner_context.store = context_.store;
+  owner_context.directory = context_.directory;
+  owner_context.connector = context_.connector;
+  owner_context.advice = advice_.get();
+  owner_context.membership = membership_.get();
+  owner_context.clock = context_.clock;
+  owner_context.events = context_.events;
+  owner_context.deposed = [this](const PoolName& pool) { membership_->ReportFenced(pool); };
+  const std::shared_ptr<PoolOwner> owner =
+      std::make_shared<PoolOwner>(claim, context_.limits, std::move(owner_context));
+  absl::MutexLock lock(&mutex_);
+  if (stopping_) {
+    return;
+  }
+  owners_[claim.pool] = owner;
+  starting_.push_back(owner);
+  changed_.SignalAll();
+}
+
+void CellNode::PoolLost(const PoolName& pool) {
+  absl::MutexLock lock(&mutex_);
+  const auto it = owners_.find(pool);
+  if (it == owners_.end()) {
+    return;
+  }
+  it->second->Halt();
+  retired_.push_back(std::move(it->second));
+  owners_.erase(it);
+  changed_.SignalAll();
+}
+
+std::shared_ptr<PoolOwner> CellNode::FindOwner(const PoolName& pool) const {
+  absl::MutexLock lock(&mutex_);
+  const auto it = owners_.find(pool);
+  return it == owners_.end() ? nullptr : it->second;
+}
+
+void CellNode::MaintenanceLoop() {
+  for (;;) {
+    std::vector<std::shared_ptr<PoolOwner>> starting;
+    std::vector<std::shared_ptr<PoolOwner>> retired;
+    {
+      absl::MutexLock lock(&mutex_);
+      if (stopping_) {
+        return;
+      }
+      if (starting_.empty() && retired_.empty()) {
+        context_.clock->WaitUntil(&changed_, &mutex_,
+                                  context_.clock->Now() + kMaintenanceInterval);
+      }
+      starting.swap(starting_);
+      retired.swap(retired_);
+    }
+    for (const std::shared_ptr<PoolOwner>& owner : starting) {
+      owner->Start();
+    }
+    advice_->SetMembers(membership_->members());
+  }
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/cell/cell_service.cc
@@ -0,0 +1,194 @@
+#include "cell/cell_service.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "cell/cell_keys.h"
+
+namespace pomelotray {
+namespace {
+
+using nlohmann::json;
+
+// An owner answers from memory; after this time the store is asked instead.
+constexpr absl::Duration kOwnerTimeout = absl::Milliseconds(600);
+// When an owner was lost, the next serves within the lease's time and a second for reading.
+constexpr absl::Duration kOwnerRetryAfter = absl::Seconds(2);
+// Longest wait for a peer that writes on behalf of this instance.
+constexpr absl::Duration kPeerWriteTimeout = absl::Seconds(1);
+constexpr size_t kPeersTried = 2;
+
+std::optional<CellJobState> ParseState(const json& value) {
+  for (const CellJobState state :
+       {CellJobState::kQueued, CellJobState::kRunning, CellJobState::kCompleted,
+        CellJobState::kFailed, CellJobState::kCancelled}) {
+    if (value == CellJobStateName(state)) {
+      return state;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+CellService::CellService(InstanceId self, TransactionalStore* store, PeerPort* peers,
+                         const CellMembership* membership, const Clock* clock, EventLog* events,
+                         FindOwner find_owner)
+    : self_(std::move(self)),
+      store_(store),
+      peers_(peers),
+      membership_(membership),
+      clock_(clock),
+      events_(events),
+      find_owner_(std::move(find_owner)),
+      writer_(store, clock) {}
+
+void CellService::SetConfiguration(std::shared_ptr<const CellConfiguration> configuration) {
+  absl::MutexLock lock(&mutex_);
+  configuration_ = std::move(configuration);
+}
+
+std::shared_ptr<const CellConfiguration> CellService::configuration() const {
+  absl::MutexLock lock(&mutex_);
+  return configuration_;
+}
+
+Result<void> CellService::Submit(const QueueRoute& route, const JobId& id, WorkflowSpec spec,
+                                 absl::Time deadline) {
+  BOOST_LEAF_CHECK(CheckWorkflow(spec, WorkflowLimits()));
+  const JobIntake intake{id, route.policy, std::move(spec), clock_->Now()};
+  return CreateEntry(cell_keys::Job(route.policy.pool, id), EncodeIntake(intake), deadline);
+}
+
+Result<void> CellService::CreateEntry(const std::string& key, const std::string& value,
+                                      absl::Time deadline) {
+  if (!membership_->StoreAnswers()) {
+    return CreateByPeer(key, value, deadline);
+  }
+  const Outcome<void> created = Capture([&] { return writer_.Create(key, value, deadline); });
+  if (!created.ok() && created.error().kind == ErrorKind::kStoreUnavailable) {
+    return CreateByPeer(key, value, deadline);
+  }
+  return created.ToResult();
+}
+
+Result<void> CellService::CreateByPeer(const std::string& key, const std::string& value,
+                                       absl::Time deadline) {
+  const json body = {{"key", key}, {"value", value}};
+  bool maybe_written = false;
+  size_t tried = 0;
+  for (const CellMember& member : membership_->members()) {
+    if (member.id == self_ || tried >= kPeersTried) {
+      continue;
+    }
+    ++tried;
+    const absl::Duration timeout = std::min(kPeerWriteTimeout, deadline - clock_->Now());
+    const Outcome<json> answer =
+        Capture([&] { return peers_->Call(member.peer_address, "create", body, timeout); });
+    if (answer.ok()) {
+      return {};
+    }
+    const ErrorKind kind = answer.error().kind;
+    maybe_written = maybe_written ||
+                    (kind != ErrorKind::kStoreUnavailable && kind != ErrorKind::kUnavailable);
+  }
+  if (maybe_written) {
+    return Fail(ErrorKind::kOutcomeUnknown,
+                "No instance confirmed the write in time; send the same request again.");
+  }
+  return Fail(ErrorKind::kStoreUnavailable,
+              "The store takes no writes at present; send the request again later.",
+              kOwnerRetryAfter);
+}
+
+Result<json> CellService::CallOwner(const PoolName& pool, const std::string& method, json body,
+                                    absl::Time deadline) {
+  const std::optional<PoolClaim> claim = membership_->ClaimOf(pool);
+  if (!claim.has_value()) {
+    return Fail(ErrorKind::kOwnerUnavailable, "No instance owns the pool now; ask again later.",
+                kOwnerRetryAfter);
+  }
+  body["pool"] = pool.value();
+  if (claim->owner.id == self_) {
+    return AnswerPeer(PeerCall{self_, method, std::move(body), deadline});
+  }
+  return peers_->Call(claim->owner.peer_address, method, body,
+                      std::min(kOwnerTimeout, deadline - clock_->Now()));
+}
+
+Result<std::optional<CellJobState>> CellService::StateFromOwner(const PoolName& pool,
+                                                                const JobId& id,
+                                                                absl::Time deadline) {
+  BOOST_LEAF_AUTO(answer, CallOwner(pool, "state", {{"job", id.value()}}, deadline));
+  return ParseState(answer.value("state", json()));
+}
+
+Result<CellJobState> CellService::StateFromStore(const PoolName& pool, const JobId& id) {
+  BOOST_LEAF_AUTO(progress, store_->Get(cell_keys::Progress(pool, id)));
+  if (progress.has_value()) {
+    return DecodeProgressState(progress->value);
+  }
+  BOOST_LEAF_AUTO(intake, store_->Get(cell_keys::Job(pool, id)));
+  if (intake.has_value()) {
+    return CellJobState::kQueued;
+  }
+  return Fail(ErrorKind::kNotFound, "No such job; check the queue and the id.");
+}
+
+Result<CellJobState> CellService::State(const QueueRoute& route, const JobId& id,
+                                        absl::Time deadline) {
+  const PoolName& pool = route.policy.pool;
+  const Outcome<std::optional<CellJobState>> told =
+      Capture([&] { return StateFromOwner(pool, id, deadline); });
+  const bool known = told.ok() && told.value().has_value();
+  const Outcome<CellJobState> state = known ? Outcome<CellJobState>(*told.value())
+                                            : Capture([&] { return StateFromStore(pool, id); });
+  events_->Record(EventCode::kJobStateTold)
+      .Job(id)
+      .With(event_field::kState,
+            state.ok() ? CellJobStateName(state.value()) : ErrorKindName(state.error().kind))
+      .With("source", known ? "owner" : "store")
+      .Emit();
+  return state.ToResult();
+}
+
+Result<void> CellService::Cancel(const QueueRoute& route, const JobId& id, absl::Time deadline) {
+  const PoolName& pool = route.policy.pool;
+  BOOST_LEAF_CHECK(State(route, id, deadline));
+  BOOST_LEAF_CHECK(CreateEntry(cell_keys::Cancel(pool, id), "1", deadline));
+  events_->Record(EventCode::kJobCancelled).Job(id).Emit();
+  return {};
+}
+
+Result<int64_t> CellService::Pending(const QueueRoute& route, absl::Time deadline) {
+  BOOST_LEAF_AUTO(answer, CallOwner(route.policy.pool, "pending", json::object(), deadline));
+  return answer.value("queues", json::object()).value(route.policy.name, int64_t{0});
+}
+
+Result<json> CellService::AnswerPeer(const PeerCall& call) {
+  const auto text = [&call](const char* field) { return call.body.value(field, std::string()); };
+  if (call.method == "create") {
+    if (!membership_->StoreAnswers()) {
+      return Fail(ErrorKind::kStoreUnavailable, "The store does not answer here either.");
+    }
+    BOOST_LEAF_CHECK(writer_.Create(text("key"), text("value"), call.deadline));
+    return json::object();
+  }
+  const std::shared_ptr<PoolOwner> owner = find_owner_(PoolName(text("pool")));
+  if (owner == nullptr || !owner->IsServing()) {
+    return Fail(ErrorKind::kOwnerUnavailable,
+                "This instance does not own the pool now; ask again later.", kOwnerRetryAfter);
+  }
+  if (call.method == "state") {
+    const std::optional<CellJobState> state = owner->StateOf(JobId(text("job")));
+    return json{{"state", state.has_value() ? json(CellJobStateName(*state)) : json()}};
+  }
+  if (call.method == "pending") {
+    return json{{"queues", owner->PendingByQueue()}};
+  }
+  return Fail(ErrorKind::kInvalidArgument, "Unknown method " + call.method + "; check versions.");
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/cell/job_record.h
@@ -0,0 +1,41 @@
+#ifndef POMELOTRAY_CELL_JOB_RECORD_H_
+#define POMELOTRAY_CELL_JOB_RECORD_H_
+
+#include <string>
+#include <string_view>
+
+#include "base/error.h"
+#include "cell/cell_job.h"
+
+namespace pomelotray {
+
+// What an owner stores about a job's progress.
+struct ProgressRecord {
+  JobId job;
+  int64_t version = 0;
+  std::string text;
+  // Callers may be told this state once the record is stored.
+  CellJobState state = CellJobState::kQueued;
+};
+
+std::string_view CellJobStateName(CellJobState state);
+
+// Stored form of an accepted job (JSON).
+std::string EncodeIntake(const JobIntake& intake);
+Result<JobIntake> DecodeIntake(const JobId& id, const std::string& text);
+
+// Stored form of a job's progress (JSON): the state and, while it is not final, each step run that
+// has results.
+std::string EncodeProgress(const CellJob& job);
+// Applies a stored progress to a job that MakeCellJob() built.
+Result<void> ApplyProgress(const std::string& text, CellJob* job);
+// The state alone.
+Result<CellJobState> DecodeProgressState(const std::string& text);
+
+// Stored form of a worker in the roster.
+std::string EncodeRoster(const std::vector<WorkerDescription>& workers);
+Result<std::vector<WorkerDescription>> DecodeRoster(const std::string& text);
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_CELL_JOB_RECORD_H_
--- /dev/null
+++ b/packages/cell/pool_owner.cc
@@ -0,0 +1,502 @@
+#include "cell/pool_owner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "cell/cell_keys.h"
+
+namespace pomelotray {
+namespace {
+
+// Events within this time are answered by one scheduling round.
+constexpr absl::Duration kRoundInterval = absl::Milliseconds(8);
+// Rounds without an event, for what becomes due, stalls or runs out.
+constexpr absl::Duration kIdleRound = absl::Milliseconds(200);
+// Ends within this time share a transaction.
+constexpr absl::Duration kCommitInterval = absl::Milliseconds(25);
+constexpr absl::Duration kCommitRetry = absl::Milliseconds(100);
+// The directory is read five times within the time in which a draining worker must be noticed.
+constexpr absl::Duration kDirectoryInterval = absl::Milliseconds(500);
+constexpr absl::Duration kLoadRetry = absl::Milliseconds(200);
+// How long a worker waits for an end before it answers a hold; also the age of a report.
+constexpr absl::Duration kHoldWait = absl::Milliseconds(1000);
+// How long a hold waits for ends to be stored, so that it can acknowledge them.
+constexpr absl::Duration kStoreWait = absl::Milliseconds(400);
+constexpr absl::Duration kPermissionPoll = absl::Milliseconds(50);
+// A purged job has three keys.
+constexpr size_t kPurgeBatch = (kMaxTransactionEntries - 1) / 3;
+
+std::string IdBelow(const std::string& key, const std::string& prefix) {
+  return key.substr(prefix.size());
+}
+
+}  // namespace
+
+PoolOwner::PoolOwner(PoolClaim claim, PoolLimits limits, PoolOwnerContext context)
+    : claim_(std::move(claim)),
+      limits_(limits),
+      context_(std::move(context)),
+      scheduler_(claim_.pool, claim_.term, limits_, context_.events) {}
+
+PoolOwner::~PoolOwner() {
+  Halt();
+  if (intake_ != nullptr) {
+    intake_->Stop();
+  }
+  for (std::thread* thread : {&schedule_thread_, &commit_thread_, &directory_thread_}) {
+    if (thread->joinable()) {
+      thread->join();
+    }
+  }
+  std::map<WorkerId, std::unique_ptr<WorkerSession>> sessions;
+  {
+    absl::MutexLock lock(&mutex_);
+    sessions.swap(sessions_);
+  }
+  for (const auto& [id, session] : sessions) {
+    session->RequestStop();
+  }
+}
+
+void PoolOwner::Halt() {
+  absl::MutexLock lock(&mutex_);
+  halted_ = true;
+  serving_ = false;
+  changed_.SignalAll();
+  work_.SignalAll();
+  stored_.SignalAll();
+  for (const auto& [id, session] : sessions_) {
+    session->RequestStop();
+  }
+}
+
+bool PoolOwner::Pause(absl::Duration pause) {
+  absl::MutexLock lock(&mutex_);
+  const absl::Time end = context_.clock->Now() + pause;
+  while (!halted_ && context_.clock->Now() < end) {
+    context_.clock->WaitUntil(&changed_, &mutex_, end);
+  }
+  return !halted_;
+}
+
+void PoolOwner::Start() {
+  for (;;) {
+    const Outcome<void> loaded = Capture([this] { return Load(); });
+    if (loaded.ok()) {
+      break;
+    }
+    context_.events->Record(EventCode::kJournalRecovered)
+        .With("pool", claim_.pool.value())
+        .With(event_field::kReason, loaded.error().message)
+        .Emit();
+    if (!Pause(kLoadRetry)) {
+      return;
+    }
+  }
+  absl::MutexLock lock(&mutex_);
+  if (halted_) {
+    return;
+  }
+  serving_ = true;
+  schedule_thread_ = std::thread([this] { ScheduleLoop(); });
+  commit_thread_ = std::thread([this] { CommitLoop(); });
+  directory_thread_ = std::thread([this] { DirectoryLoop(); });
+}
+
+Result<void> PoolOwner::Load() {
+  BOOST_LEAF_AUTO(roster_entry, context_.store->Get(cell_keys::Roster(claim_.pool)));
+  std::vector<WorkerDescription> roster;
+  if (roster_entry.has_value()) {
+    roster_revision_ = roster_entry->revision;
+    BOOST_LEAF_ASSIGN(roster, DecodeRoster(roster_entry->value));
+  }
+  const std::string progress_prefix = cell_keys::ProgressPrefix(claim_.pool);
+  BOOST_LEAF_AUTO(progress_listing, context_.store->ListAll(progress_prefix));
+  BOOST_LEAF_AUTO(intake, context_.store->ListAll(cell_keys::IntakePrefix(claim_.pool)));
+  std::map<JobId, std::string> progress;
+  for (StoreEntry& entry : progress_listing.entries) {
+    progress.emplace(JobId(IdBelow(entry.key, progress_prefix)), std::move(entry.value));
+  }
+  const std::string job_prefix = cell_keys::JobPrefix(claim_.pool);
+  const std::string cancel_prefix = cell_keys::CancelPrefix(claim_.pool);
+  std::vector<JobIntake> jobs;
+  std::vector<JobId> cancelled;
+  for (const StoreEntry& entry : intake.entries) {
+    if (absl::StartsWith(entry.key, cancel_prefix)) {
+      cancelled.emplace_back(IdBelow(entry.key, cancel_prefix));
+    } else if (absl::StartsWith(entry.key, job_prefix)) {
+      BOOST_LEAF_AUTO(job, DecodeIntake(JobId(IdBelow(entry.key, job_prefix)), entry.value));
+      jobs.push_back(std::move(job));
+    }
+  }
+  for (const WorkerDescription& worker : roster) {
+    stored_roster_.insert(worker.id);
+  }
+  const absl::Time now = context_.clock->Now();
+  context_.events->Record(EventCode::kJournalRecovered)
+      .With("pool", claim_.pool.value())
+      .With("term", claim_.term)
+      .With("jobs", static_cast<int64_t>(jobs.size()))
+      .With("roster", static_cast<int64_t>(roster.size()))
+      .Emit();
+  absl::MutexLock lock(&mutex_);
+  scheduler_.Inherit(std::move(jobs), progress, roster, now);
+  for (const JobId& id : cancelled) {
+    scheduler_.CancelJob(id, now);
+  }
+  has_changes_ = true;
+  intake_ = std::make_unique<PrefixMirror>(
+      context_.store, cell_keys::IntakePrefix(claim_.pool), context_.clock, context_.events,
+      [this](const WatchBatch& batch, bool) { ApplyIntake(batch); });
+  intake_->Start(intake.as_of);
+  return {};
+}
+
+void PoolOwner::ApplyIntake(const WatchBatch& batch) {
+  const std::string job_prefix = cell_keys::JobPrefix(claim_.pool);
+  const std::string cancel_prefix = cell_keys::CancelPrefix(claim_.pool);
+  std::vector<JobIntake> jobs;
+  for (const StoreEntry& entry : batch.changed) {
+    if (!absl::StartsWith(entry.key, job_prefix)) {
+      continue;
+    }
+    Outcome<JobIntake> job = Capture(
+        [&] { return DecodeIntake(JobId(IdBelow(entry.key, job_prefix)), entry.value); });
+    if (job.ok()) {
+      jobs.push_back(std::move(job.value()));
+    } else {
+      context_.events->Record(EventCode::kUnreadableEntry)
+          .With("key", entry.key)
+          .With(event_field::kReason, job.error().message)
+          .Emit();
+    }
+  }
+  absl::MutexLock lock(&mutex_);
+  const absl::Time now = context_.clock->Now();
+  for (JobIntake& job : jobs) {
+    scheduler_.AddJob(std::move(job), now);
+  }
+  for (const StoreEntry& entry : batch.changed) {
+    if (absl::StartsWith(entry.key, cancel_prefix)) {
+      scheduler_.CancelJob(JobId(IdBelow(entry.key, cancel_prefix)), now);
+    }
+  }
+  Wake();
+}
+
+void PoolOwner::Wake() {
+  wake_ = true;
+  has_changes_ = true;
+  work_.Signal();
+  stored_.SignalAll();
+}
+
+void PoolOwner::ScheduleLoop() {
+  for (;;) {
+    {
+      absl::MutexLock lock(&mutex_);
+      const absl::Time idle_end = context_.clock->Now() + kIdleRound;
+      while (!halted_ && !wake_ && context_.clock->Now() < idle_end) {
+        context_.clock->WaitUntil(&work_, &mutex_, idle_end);
+      }
+      if (halted_) {
+        return;
+      }
+      wake_ = false;
+    }
+    if (!WaitForPermission()) {
+      return;
+    }
+    ScheduleOnce();
+    if (!Pause(kRoundInterval)) {
+      return;
+    }
+  }
+}
+
+void PoolOwner::ScheduleOnce() {
+  ScheduledOrders scheduled;
+  {
+    absl::MutexLock lock(&mutex_);
+    scheduled = scheduler_.Schedule(context_.clock->Now());
+    for (auto& [worker, order] : scheduled.orders) {
+      const auto session = sessions_.find(worker);
+      if (session != sessions_.end()) {
+        session->second->Send(std::move(order));
+      } else if (order.kind == WorkerOrder::Kind::kStart) {
+        scheduler_.StartFinished(worker, order.key, OrderOutcome{std::nullopt, true},
+                                 context_.clock->Now());
+      }
+    }
+  }
+  // An answer may arrive after this owner is gone.
+  const std::weak_ptr<PoolOwner> weak = weak_from_this();
+  for (AdviceRequest& request : scheduled.advice) {
+    context_.advice->Submit(
+        std::move(request), [weak](const AdviceRequest& asked, const std::optional<Advice>& advice) {
+          const std::shared_ptr<PoolOwner> self = weak.lock();
+          if (self != nullptr) {
+            self->ApplyAdvice(asked, advice);
+          }
+        });
+  }
+}
+
+void PoolOwner::ApplyAdvice(const AdviceRequest& request, const std::optional<Advice>& advice) {
+  absl::MutexLock lock(&mutex_);
+  scheduler_.AdviceFinished(request, advice, context_.clock->Now());
+  Wake();
+}
+
+void PoolOwner::CommitLoop() {
+  for (;;) {
+    {
+      absl::MutexLock lock(&mutex_);
+      while (!halted_ && !has_changes_) {
+        stored_.Wait(&mutex_);
+      }
+      if (halted_) {
+        return;
+      }
+      has_changes_ = false;
+    }
+    const bool stored = CommitBatch();
+    if (!Pause(stored ? kCommitInterval : kCommitRetry)) {
+      return;
+    }
+  }
+}
+
+bool PoolOwner::CommitBatch() {
+  std::vector<ProgressRecord> records;
+  {
+    absl::MutexLock lock(&mutex_);
+    records = scheduler_.TakeChanged(kMaxTransactionEntries - 1);
+  }
+  if (records.empty()) {
+    return true;
+  }
+  StoreTransaction transaction;
+  transaction.conditions = {StoreCondition{cell_keys::Claim(claim_.pool), claim_.revision}};
+  for (const ProgressRecord& record : records) {
+    transaction.writes.push_back(
+        StoreWrite{cell_keys::Progress(claim_.pool, record.job), record.text, std::nullopt});
+  }
+  const Outcome<Revision> written = Capture([&] { return context_.store->Commit(transaction); });
+  {
+    absl::MutexLock lock(&mutex_);
+    has_changes_ = true;
+    if (written.ok()) {
+      scheduler_.Committed(records);
+      stored_.SignalAll();
+      return true;
+    }
+    scheduler_.CommitFailed(records);
+  }
+  if (written.error().kind == ErrorKind::kConflict) {
+    Depose("a write found another claim");
+  }
+  return false;
+}
+
+void PoolOwner::DirectoryLoop() {
+  do {
+    const Outcome<std::vector<WorkerDescription>> listed =
+        Capture([this] { return context_.directory->List(); });
+    if (listed.ok()) {
+      absl::MutexLock lock(&mutex_);
+      scheduler_.UpdateDirectory(listed.value(), context_.clock->Now());
+    }
+    SyncSessions();
+    if (SyncRoster()) {
+      absl::MutexLock lock(&mutex_);
+      Wake();
+    }
+    Purge();
+  } while (Pause(kDirectoryInterval));
+}
+
+void PoolOwner::SyncSessions() {
+  for (const std::unique_ptr<WorkerSession>& session : retired_) {
+    session->RequestStop();
+  }
+  retired_.clear();
+  absl::MutexLock lock(&mutex_);
+  if (halted_) {
+    return;
+  }
+  for (auto it = sessions_.begin(); it != sessions_.end();) {
+    if (scheduler_.workers().count(it->first) == 0) {
+      it->second->RequestStop();
+      retired_.push_back(std::move(it->second));
+      it = sessions_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  WorkerSessionListener* const listener = this;
+  for (const auto& [id, worker] : scheduler_.workers()) {
+    if (sessions_.count(id) == 0) {
+      sessions_.emplace(id, std::make_unique<WorkerSession>(worker.description, context_.connector,
+                                                            context_.clock, listener));
+    }
+  }
+}
+
+bool PoolOwner::SyncRoster() {
+  std::vector<WorkerDescription> workers;
+  std::set<WorkerId> ids;
+  {
+    absl::MutexLock lock(&mutex_);
+    for (const auto& [id, worker] : scheduler_.workers()) {
+      workers.push_back(worker.description);
+      ids.insert(id);
+    }
+  }
+  if (ids == stored_roster_) {
+    absl::MutexLock lock(&mutex_);
+    scheduler_.ConfirmRoster(std::vector<WorkerId>(ids.begin(), ids.end()));
+    return false;
+  }
+  StoreTransaction transaction;
+  transaction.conditions = {StoreCondition{cell_keys::Claim(claim_.pool), claim_.revision}};
+  transaction.writes = {
+      StoreWrite{cell_keys::Roster(claim_.pool), EncodeRoster(workers), std::nullopt}};
+  const Outcome<Revision> written = Capture([&] { return context_.store->Commit(transaction); });
+  if (!written.ok()) {
+    if (written.error().kind == ErrorKind::kConflict) {
+      Depose("the roster's write found another claim");
+    }
+    return false;
+  }
+  stored_roster_ = ids;
+  absl::MutexLock lock(&mutex_);
+  scheduler_.ConfirmRoster(std::vector<WorkerId>(ids.begin(), ids.end()));
+  return true;
+}
+
+void PoolOwner::Purge() {
+  std::vector<JobId> expired;
+  {
+    absl::MutexLock lock(&mutex_);
+    expired = scheduler_.TakeExpired(context_.clock->Now(), kPurgeBatch);
+  }
+  if (expired.empty()) {
+    return;
+  }
+  StoreTransaction transaction;
+  transaction.conditions = {StoreCondition{cell_keys::Claim(claim_.pool), claim_.revision}};
+  for (const JobId& id : expired) {
+    transaction.removals.push_back(cell_keys::Job(claim_.pool, id));
+    transaction.removals.push_back(cell_keys::Cancel(claim_.pool, id));
+    transaction.removals.push_back(cell_keys::Progress(claim_.pool, id));
+  }
+  // A later owner purges what remains after a failure.
+  const Outcome<Revision> written = Capture([&] { return context_.store->Commit(transaction); });
+  (void)written;
+}
+
+void PoolOwner::Depose(const char* reason) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (deposed_ || halted_) {
+      return;
+    }
+    deposed_ = true;
+  }
+  context_.events->Record(EventCode::kShardDeposed)
+      .With("pool", claim_.pool.value())
+      .With("term", claim_.term)
+      .With(event_field::kReason, reason)
+      .Emit();
+  context_.deposed(claim_.pool);
+}
+
+std::optional<CellJobState> PoolOwner::StateOf(const JobId& id) const {
+  absl::MutexLock lock(&mutex_);
+  return serving_ ? scheduler_.VisibleState(id) : std::nullopt;
+}
+
+bool PoolOwner::IsServing() const {
+  absl::MutexLock lock(&mutex_);
+  return serving_;
+}
+
+std::map<std::string, int64_t> PoolOwner::PendingByQueue() const {
+  absl::MutexLock lock(&mutex_);
+  return scheduler_.PendingByQueue();
+}
+
+bool PoolOwner::WaitForPermission() {
+  while (!context_.membership->CheckedRecently()) {
+    if (!Pause(kPermissionPoll)) {
+      return false;
+    }
+  }
+  absl::MutexLock lock(&mutex_);
+  return !halted_;
+}
+
+HoldOrder PoolOwner::NextHold(const WorkerId& id) {
+  absl::MutexLock lock(&mutex_);
+  // Ends that are not stored cannot be acknowledged, and the worker would answer at once again.
+  const absl::Time end = context_.clock->Now() + kStoreWait;
+  while (!halted_ && scheduler_.HasUnacknowledged(id) && context_.clock->Now() < end) {
+    context_.clock->WaitUntil(&stored_, &mutex_, end);
+  }
+  HoldOrder order;
+  order.token = token();
+  order.acknowledged = scheduler_.Acknowledged(id);
+  const std::optional<WorkerTime> lease_end = scheduler_.ExtendLease(id, context_.clock->Now());
+  order.lease_end = lease_end.value_or(WorkerTime(0));
+  // Without a lease's end the worker is not known well; it answers at once.
+  order.wait = lease_end.has_value() ? kHoldWait : absl::ZeroDuration();
+  return order;
+}
+
+void PoolOwner::HoldAnswered(const WorkerId& id, const Outcome<HoldAnswer>& answer,
+                             absl::Time sent, absl::Time received) {
+  const bool accepted = answer.ok() && answer.value().answer == OrderAnswer::kAccepted;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (halted_) {
+      return;
+    }
+    if (accepted) {
+      scheduler_.ApplyReport(id, answer.value().report, sent, received);
+    } else {
+      scheduler_.HoldFailed(id, received);
+    }
+    Wake();
+  }
+  if (answer.ok() && answer.value().answer == OrderAnswer::kFenced) {
+    Depose("a worker has seen a newer owner");
+  }
+}
+
+std::optional<WorkerTime> PoolOwner::PrepareStart(const WorkerId& id, const AttemptKey& key) {
+  absl::MutexLock lock(&mutex_);
+  return halted_ ? std::nullopt : scheduler_.PrepareStart(id, key, context_.clock->Now());
+}
+
+void PoolOwner::OrderAnswered(const WorkerId& id, const WorkerOrder& order,
+                              const OrderOutcome& outcome) {
+  {
+    absl::MutexLock lock(&mutex_);
+    const absl::Time now = context_.clock->Now();
+    if (order.kind == WorkerOrder::Kind::kStart) {
+      scheduler_.StartFinished(id, order.key, outcome, now);
+    } else {
+      scheduler_.StopFinished(id, order.key, outcome, now);
+    }
+    if (outcome.answer != OrderAnswer::kAccepted) {
+      Wake();
+    }
+  }
+  if (outcome.answer == OrderAnswer::kFenced) {
+    Depose("a worker has seen a newer owner");
+  }
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/cell/pool_owner.h
@@ -0,0 +1,120 @@
+#ifndef POMELOTRAY_CELL_POOL_OWNER_H_
+#define POMELOTRAY_CELL_POOL_OWNER_H_
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "cell/advice_desk.h"
+#include "cell/cell_membership.h"
+#include "cell/pool_scheduler.h"
+#include "cell/prefix_mirror.h"
+#include "cell/worker_session.h"
+#include "ports/transactional_store.h"
+
+namespace pomelotray {
+
+// The platform's lagging list of workers. Entries that name no usable worker are left out.
+class WorkerDirectory {
+ public:
+  virtual ~WorkerDirectory() = default;
+  virtual Result<std::vector<WorkerDescription>> List() = 0;
+};
+
+// What the owner of a pool works with; all outlive it.
+struct PoolOwnerContext {
+  TransactionalStore* store = nullptr;
+  WorkerDirectory* directory = nullptr;
+  WorkerConnector* connector = nullptr;
+  AdviceDesk* advice = nullptr;
+  const CellMembership* membership = nullptr;
+  const Clock* clock = nullptr;
+  EventLog* events = nullptr;
+  // A worker, or a write under the claim's condition, showed that another instance took over.
+  std::function<void(const PoolName&)> deposed;
+};
+
+// Runs one pool while this instance's claim lasts: reads what earlier owners stored, follows new
+// jobs in the store, keeps the workers' leases, starts tasks and stores their ends.
+class PoolOwner : public std::enable_shared_from_this<PoolOwner>, private WorkerSessionListener {
+ public:
+  PoolOwner(PoolClaim claim, PoolLimits limits, PoolOwnerContext context);
+  ~PoolOwner() override;
+
+  // Reads the stored state, then starts the threads. Retries until it succeeds or Halt().
+  void Start();
+  // No order is sent after this returns, but calls in progress may go on.
+  void Halt();
+
+  // No value: unknown here, or the stored state has not been read yet.
+  std::optional<CellJobState> StateOf(const JobId& id) const;
+  bool IsServing() const;
+  std::map<std::string, int64_t> PendingByQueue() const;
+  const PoolClaim& claim() const { return claim_; }
+
+ private:
+  bool WaitForPermission() override;
+  HoldOrder NextHold(const WorkerId& id) override;
+  void HoldAnswered(const WorkerId& id, const Outcome<HoldAnswer>& answer, absl::Time sent,
+                    absl::Time received) override;
+  std::optional<WorkerTime> PrepareStart(const WorkerId& id, const AttemptKey& key) override;
+  FencingToken token() const override { return FencingToken(claim_.term); }
+  void OrderAnswered(const WorkerId& id, const WorkerOrder& order,
+                     const OrderOutcome& outcome) override;
+
+  Result<void> Load();
+  void ScheduleLoop();
+  void ScheduleOnce();
+  void CommitLoop();
+  // Returns false when the store did not take the batch.
+  bool CommitBatch();
+  void DirectoryLoop();
+  void ApplyIntake(const WatchBatch& batch);
+  void SyncSessions();
+  bool SyncRoster();
+  void Purge();
+  bool Pause(absl::Duration pause);
+  void Depose(const char* reason);
+  void ApplyAdvice(const AdviceRequest& request, const std::optional<Advice>& advice);
+  void Wake() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+  const PoolClaim claim_;
+  const PoolLimits limits_;
+  const PoolOwnerContext context_;
+
+  mutable absl::Mutex mutex_;
+  absl::CondVar changed_;
+  // For the sessions' threads and the loops, which wait for different things.
+  absl::CondVar work_;
+  absl::CondVar stored_;
+  bool halted_ ABSL_GUARDED_BY(mutex_) = false;
+  bool serving_ ABSL_GUARDED_BY(mutex_) = false;
+  bool wake_ ABSL_GUARDED_BY(mutex_) = false;
+  bool deposed_ ABSL_GUARDED_BY(mutex_) = false;
+  bool has_changes_ ABSL_GUARDED_BY(mutex_) = false;
+  PoolScheduler scheduler_ ABSL_GUARDED_BY(mutex_);
+  std::map<WorkerId, std::unique_ptr<WorkerSession>> sessions_ ABSL_GUARDED_BY(mutex_);
+
+  // Used by the directory thread only.
+  std::set<WorkerId> stored_roster_;
+  Revision roster_revision_;
+  std::vector<std::unique_ptr<WorkerSession>> retired_;
+
+  std::unique_ptr<PrefixMirror> intake_;
+  std::thread schedule_thread_;
+  std::thread commit_thread_;
+  std::thread directory_thread_;
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_CELL_POOL_OWNER_H_
--- /dev/null
+++ b/packages/cell/pool_scheduler.cc
@@ -0,0 +1,798 @@
+#include "cell/pool_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelotray {
+namespace {
+
+// Distance between the attempt numbers of successive owners: more attempts than one owner can give
+// one task.
+constexpr int64_t kRunsPerTerm = 100'000;
+// A stop without an answer is sent again after this time: several inter-region round trips.
+constexpr absl::Duration kStopResend = absl::Seconds(1);
+// Failures of this many jobs without a success in between make a worker suspect: with a twentieth
+// of all tasks failing by their own fault, three in a row happen once in 8,000.
+constexpr size_t kQuarantineJobs = 3;
+// Two thirds of the shortest published failure of a worker (6.5 s).
+constexpr absl::Duration kQuarantine = absl::Seconds(4);
+// A task whose progress stands still this long is started elsewhere. Reports arrive once a second.
+constexpr absl::Duration kStallLimit = absl::Milliseconds(2500);
+// Pause after a question that failed.
+constexpr absl::Duration kAdviceRetry = absl::Milliseconds(200);
+// Clock reading and scheduling delays beyond the drift of a lease.
+constexpr absl::Duration kLeaseSlack = absl::Milliseconds(300);
+
+bool IsLost(const CellWorker& worker, absl::Time now) { return worker.lease_over_at <= now; }
+
+}  // namespace
+
+PoolScheduler::PoolScheduler(PoolName pool, int64_t term, PoolLimits limits, EventLog* events)
+    : pool_(std::move(pool)),
+      limits_(limits),
+      events_(events),
+      first_run_((term - 1) * kRunsPerTerm) {}
+
+absl::Duration PoolScheduler::LeaseBound() const {
+  return limits_.task_lease * (1 + 2 * limits_.clock_drift) + kLeaseSlack;
+}
+
+void PoolScheduler::Inherit(std::vector<JobIntake> jobs,
+                            const std::map<JobId, std::string>& progress,
+                            const std::vector<WorkerDescription>& roster, absl::Time now) {
+  for (JobIntake& intake : jobs) {
+    const JobId id = intake.id;
+    CellJob job = MakeCellJob(std::move(intake));
+    job.inherited = true;
+    const auto record = progress.find(id);
+    if (record != progress.end()) {
+      const Outcome<void> applied = Capture([&] { return ApplyProgress(record->second, &job); });
+      if (!applied.ok()) {
+        events_->Record(EventCode::kJournalRecovered).Job(id).With(event_field::kReason,
+                                                                   applied.error().message).Emit();
+      }
+    }
+    if (IsFinal(job.state)) {
+      job.final_since = now;
+    }
+    jobs_.emplace(id, std::move(job));
+  }
+  for (const WorkerDescription& description : roster) {
+    CellWorker& worker = WorkerFor(description);
+    worker.on_roster = true;
+    worker.lease_over_at = now + LeaseBound();
+    unreported_.insert(description.id);
+  }
+  inherited_leases_over_ = now + LeaseBound();
+}
+
+bool PoolScheduler::InheritedMayStart(absl::Time now) const {
+  return unreported_.empty() || now >= inherited_leases_over_;
+}
+
+CellJob* PoolScheduler::FindJob(const JobId& id) {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+CellWorker* PoolScheduler::FindWorker(const WorkerId& id) {
+  const auto it = workers_.find(id);
+  return it == workers_.end() ? nullptr : &it->second;
+}
+
+StepRun* PoolScheduler::FindRun(const TaskRef& ref) {
+  CellJob* job = FindJob(ref.job);
+  if (job == nullptr || ref.run >= static_cast<int>(job->runs.size())) {
+    return nullptr;
+  }
+  return &job->runs[ref.run];
+}
+
+std::optional<TaskRef> PoolScheduler::Locate(const std::string& task_name) {
+  TaskNameParts parts;
+  if (!ParseTaskName(task_name, &parts)) {
+    return std::nullopt;
+  }
+  const CellJob* job = FindJob(JobId(parts.job));
+  if (job == nullptr) {
+    return std::nullopt;
+  }
+  const int steps = static_cast<int>(job->intake.spec.steps.size());
+  const TaskRef ref{JobId(parts.job), parts.occurrence * steps + parts.step, parts.index};
+  const StepRun* run = parts.step < steps ? FindRun(ref) : nullptr;
+  if (run == nullptr || parts.index >= static_cast<int>(run->tasks.size())) {
+    return std::nullopt;
+  }
+  return ref;
+}
+
+CellWorker& PoolScheduler::WorkerFor(const WorkerDescription& description) {
+  CellWorker& worker = workers_[description.id];
+  worker.description = description;
+  return worker;
+}
+
+void PoolScheduler::AddJob(JobIntake intake, absl::Time now) {
+  const JobId id = intake.id;
+  if (jobs_.count(id) > 0) {
+    return;
+  }
+  events_->Record(EventCode::kJobAccepted)
+      .Job(id)
+      .With("queue", intake.policy.name)
+      .With("priority", intake.policy.priority)
+      .With("age_ms", absl::ToInt64Milliseconds(now - intake.accepted))
+      .Emit();
+  jobs_.emplace(id, MakeCellJob(std::move(intake)));
+}
+
+void PoolScheduler::CancelJob(const JobId& id, absl::Time now) {
+  CellJob* job = FindJob(id);
+  if (job == nullptr || job->cancel_requested || IsFinal(job->state)) {
+    return;
+  }
+  job->cancel_requested = true;
+  Finish(job, CellJobState::kCancelled, now, "cancelled by the caller");
+}
+
+void PoolScheduler::UpdateDirectory(const std::vector<WorkerDescription>& workers, absl::Time now) {
+  std::set<WorkerId> listed;
+  for (const WorkerDescription& description : workers) {
+    if (description.pool != pool_) {
+      continue;
+    }
+    listed.insert(description.id);
+    const CellWorker* known = FindWorker(description.id);
+    if (known != nullptr && !known->description.draining && description.draining) {
+      events_->Record(EventCode::kWorkerLeaving).Worker(description.id).Emit();
+    }
+    WorkerFor(description).listed = true;
+  }
+  for (auto& [id, worker] : workers_) {
+    if (worker.listed && listed.count(id) == 0) {
+      worker.listed = false;
+      events_->Record(EventCode::kWorkerGone)
+          .Worker(id)
+          .With("attempts", static_cast<int64_t>(worker.attempts.size()))
+          .With("lease_left_ms", absl::ToInt64Milliseconds(worker.lease_over_at - now))
+          .Emit();
+    }
+  }
+}
+
+void PoolScheduler::ConfirmRoster(const std::vector<WorkerId>& ids) {
+  for (const WorkerId& id : ids) {
+    CellWorker* worker = FindWorker(id);
+    if (worker != nullptr) {
+      worker->on_roster = true;
+    }
+  }
+}
+
+void PoolScheduler::Touch(CellJob* job) {
+  ++job->version;
+  changed_.insert(job->intake.id);
+}
+
+void PoolScheduler::Finish(CellJob* job, CellJobState state, absl::Time now,
+                           const std::string& reason) {
+  job->state = state;
+  job->final_since = now;
+  Touch(job);
+  WantStops(*job);
+  events_->Record(EventCode::kJobFinished)
+      .Job(job->intake.id)
+      .With(event_field::kState, CellJobStateName(state))
+      .With(event_field::kReason, reason)
+      .With("took_ms", absl::ToInt64Milliseconds(now - job->intake.accepted))
+      .With("objective_left_ms", absl::ToInt64Milliseconds(job->objective - now))
+      .Emit();
+  // What runs is stopped by the workers' books; the tasks are needed no more.
+  job->runs.clear();
+  job->intake.spec.payload.clear();
+}
+
+void PoolScheduler::FinishIfComplete(CellJob* job, absl::Time now) {
+  const bool complete = std::all_of(job->runs.begin(), job->runs.end(),
+                                    [](const StepRun& run) { return run.IsDone(); });
+  if (complete) {
+    Finish(job, CellJobState::kCompleted, now, "all tasks succeeded");
+  }
+}
+
+void PoolScheduler::WantStops(const CellJob& job) {
+  for (auto& [id, worker] : workers_) {
+    for (auto& [key, attempt] : worker.attempts) {
+      if (attempt.task.has_value() && attempt.task->job == job.intake.id) {
+        attempt.stop_wanted = true;
+      }
+    }
+  }
+}
+
+bool PoolScheduler::IsCurrent(const CellWorker& worker, const Attempt& attempt) {
+  if (!attempt.task.has_value()) {
+    return false;
+  }
+  const StepRun* run = FindRun(*attempt.task);
+  if (run == nullptr) {
+    return false;
+  }
+  const CellTask& task = run->tasks[attempt.task->task];
+  return task.phase == TaskPhase::kActive && task.last_run == attempt.key.run &&
+         task.worker == worker.description.id;
+}
+
+void PoolScheduler::DropAttempt(CellWorker* worker, const AttemptKey& key, const char* reason,
+                                bool avoid_worker) {
+  const auto it = worker->attempts.find(key);
+  if (it == worker->attempts.end()) {
+    return;
+  }
+  const Attempt attempt = it->second;
+  const bool current = IsCurrent(*worker, attempt);
+  worker->used -= attempt.reserved;
+  worker->attempts.erase(it);
+  if (!current) {
+    return;
+  }
+  StepRun* run = FindRun(*attempt.task);
+  CellTask& task = run->tasks[attempt.task->task];
+  task.phase = TaskPhase::kWaiting;
+  ++run->waiting;
+  if (!attempt.checkpoint.empty()) {
+    task.checkpoint = attempt.checkpoint;
+  }
+  if (avoid_worker) {
+    task.avoid = worker->description.id;
+  }
+  events_->Record(EventCode::kTaskRequeued)
+      .Job(attempt.task->job)
+      .Task(TaskId(key.task))
+      .With("run", key.run.value())
+      .Worker(worker->description.id)
+      .With(event_field::kReason, reason)
+      .Emit();
+}
+
+void PoolScheduler::DropAllAttempts(CellWorker* worker, const char* reason) {
+  while (!worker->attempts.empty()) {
+    DropAttempt(worker, AttemptKey(worker->attempts.begin()->first), reason, true);
+  }
+}
+
+void PoolScheduler::ApplyReport(const WorkerId& id, const WorkerReport& report, absl::Time sent,
+                                absl::Time received) {
+  CellWorker* worker = FindWorker(id);
+  if (worker == nullptr) {
+    return;
+  }
+  if (worker->born != report.born) {
+    if (worker->born != absl::InfinitePast()) {
+      events_->Record(EventCode::kWorkerRestored)
+          .Worker(id)
+          .With(event_field::kReason, "started again")
+          .Emit();
+      DropAllAttempts(worker, "the worker started again");
+    }
+    worker->born = report.born;
+    worker->seen_end = EndNumber(0);
+    worker->acknowledged = EndNumber(0);
+    worker->unacknowledged.clear();
+  }
+  if (!worker->fenced) {
+    worker->fenced = true;
+    events_->Record(EventCode::kWorkerFenced)
+        .Worker(id)
+        .With("running", static_cast<int64_t>(report.running.size()))
+        .With("ended", static_cast<int64_t>(report.ended.size()))
+        .Emit();
+  }
+  worker->clock = report.clock;
+  worker->clock_read_at = received;
+  worker->last_report = std::max(worker->last_report, sent);
+  for (const EndedAttempt& ended : report.ended) {
+    if (ended.number > worker->seen_end) {
+      worker->seen_end = ended.number;
+      ApplyEnd(worker, ended, received);
+    }
+  }
+  for (const RunningAttempt& running : report.running) {
+    ApplyRunning(worker, running, received);
+  }
+  DropVanished(worker, report, sent);
+  StopStalled(worker, received);
+  AdvanceAcknowledged(worker);
+  unreported_.erase(id);
+}
+
+void PoolScheduler::ApplyRunning(CellWorker* worker, const RunningAttempt& running,
+                                 absl::Time now) {
+  const auto it = worker->attempts.find(running.key);
+  if (it == worker->attempts.end()) {
+    Adopt(worker, running, now);
+    return;
+  }
+  Attempt& attempt = it->second;
+  attempt.phase = AttemptPhase::kRunning;
+  attempt.confirmed_at = std::min(attempt.confirmed_at, now);
+  if (running.percent != attempt.percent) {
+    attempt.percent = running.percent;
+    attempt.progress_at = now;
+  }
+  if (!running.checkpoint.empty()) {
+    attempt.checkpoint = running.checkpoint;
+  }
+}
+
+void PoolScheduler::Adopt(CellWorker* worker, const RunningAttempt& running, absl::Time now) {
+  Attempt attempt;
+  attempt.key = running.key;
+  attempt.phase = AttemptPhase::kRunning;
+  attempt.confirmed_at = now;
+  attempt.percent = running.percent;
+  attempt.progress_at = now;
+  attempt.checkpoint = running.checkpoint;
+  attempt.task = Locate(running.key.task);
+  bool wanted = false;
+  if (attempt.task.has_value()) {
+    StepRun* run = FindRun(*attempt.task);
+    const CellJob* job = FindJob(attempt.task->job);
+    CellTask& task = run->tasks[attempt.task->task];
+    attempt.reserved = ReservedFor(job->Step(*run));
+    wanted = task.phase == TaskPhase::kWaiting && !job->cancel_requested &&
+             running.key.run >= task.last_run;
+    if (wanted) {
+      task.phase = TaskPhase::kActive;
+      task.worker = worker->description.id;
+      task.last_run = running.key.run;
+      --run->waiting;
+      FindJob(attempt.task->job)->state = CellJobState::kRunning;
+      FindJob(attempt.task->job)->visible = CellJobState::kRunning;
+    }
+  } else {
+    // Nothing is known about it, so it may occupy the whole worker.
+    attempt.reserved = worker->Free();
+  }
+  attempt.stop_wanted = !wanted;
+  events_->Record(EventCode::kTaskAdopted)
+      .Task(TaskId(running.key.task))
+      .With("run", running.key.run.value())
+      .Worker(worker->description.id)
+      .With(event_field::kState, wanted ? "adopted" : "stopping")
+      .Emit();
+  worker->used += attempt.reserved;
+  worker->attempts.emplace(running.key, std::move(attempt));
+}
+
+void PoolScheduler::ApplyEnd(CellWorker* worker, const EndedAttempt& ended, absl::Time now) {
+  const std::optional<TaskRef> ref = Locate(ended.key.task);
+  const auto it = worker->attempts.find(ended.key);
+  const bool lost_race = it != worker->attempts.end() && !IsCurrent(*worker, it->second);
+  if (it != worker->attempts.end() && !ended.checkpoint.empty()) {
+    it->second.checkpoint = ended.checkpoint;
+  }
+  events_->Record(EventCode::kTaskEnded)
+      .Task(TaskId(ended.key.task))
+      .With("run", ended.key.run.value())
+      .Worker(worker->description.id)
+      .With("end", static_cast<int64_t>(ended.end))
+      .Emit();
+  const bool succeeded = ended.end == AttemptEnd::kSucceeded;
+  DropAttempt(worker, ended.key, succeeded ? "succeeded" : "ended without success",
+              ended.end == AttemptEnd::kFailed);
+  UnacknowledgedEnd pending{ended.number, JobId(), 0};
+  CellJob* job = ref.has_value() ? FindJob(ref->job) : nullptr;
+  if (job != nullptr && !IsFinal(job->state)) {
+    StepRun* run = FindRun(*ref);
+    const JobId id = job->intake.id;
+    if (succeeded) {
+      ApplySuccess(job, run, *ref, now);
+      worker->failed_jobs.clear();
+    } else if (ended.end == AttemptEnd::kFailed && !lost_race) {
+      RecordWorkerFailure(worker, id, now);
+      ApplyFailure(job, run, *ref, ended, now);
+    } else {
+      Touch(job);
+    }
+    pending.job = id;
+    pending.version = job->version;
+  }
+  worker->unacknowledged.push_back(pending);
+}
+
+void PoolScheduler::ApplySuccess(CellJob* job, StepRun* run, const TaskRef& ref, absl::Time now) {
+  const bool gang = job->Step(*run).gang;
+  for (size_t i = 0; i < run->tasks.size(); ++i) {
+    CellTask& task = run->tasks[i];
+    // Gang tasks succeed together; one end stands for all.
+    if ((!gang && static_cast<int>(i) != ref.task) || task.phase == TaskPhase::kSucceeded) {
+      continue;
+    }
+    if (task.phase == TaskPhase::kWaiting) {
+      --run->waiting;
+    }
+    task.phase = TaskPhase::kSucceeded;
+    task.checkpoint.clear();
+    ++run->succeeded;
+  }
+  // An attempt that was started since then, because this one was thought to be over.
+  for (auto& [id, worker] : workers_) {
+    for (auto& [key, attempt] : worker.attempts) {
+      if (!gang && attempt.task.has_value() && attempt.task->job == ref.job &&
+          attempt.task->run == ref.run && attempt.task->task == ref.task) {
+        attempt.stop_wanted = true;
+      }
+    }
+  }
+  Touch(job);
+  FinishIfComplete(job, now);
+}
+
+void PoolScheduler::ApplyFailure(CellJob* job, StepRun* run, const TaskRef& ref,
+                                 const EndedAttempt& ended, absl::Time now) {
+  const StepSpec& step = job->Step(*run);
+  int failures = 0;
+  if (step.gang) {
+    if (ended.key.run > run->gang_failed_run) {
+      run->gang_failed_run = ended.key.run;
+      ++run->gang_failures;
+    }
+    failures = run->gang_failures;
+  } else {
+    failures = ++run->tasks[ref.task].failures;
+  }
+  if (!step.long_running && failures >= job->intake.policy.max_attempts) {
+    Finish(job, CellJobState::kFailed, now, ended.key.task + " failed in its last attempt");
+  } else {
+    Touch(job);
+  }
+}
+
+void PoolScheduler::RecordWorkerFailure(CellWorker* worker, const JobId& job, absl::Time now) {
+  worker->failed_jobs.insert(job);
+  if (worker->failed_jobs.size() >= kQuarantineJobs) {
+    worker->quarantined_until = now + kQuarantine;
+    events_->Record(EventCode::kWorkerQuarantined)
+        .Worker(worker->description.id)
+        .With("failed_jobs", static_cast<int64_t>(worker->failed_jobs.size()))
+        .Emit();
+  }
+}
+
+void PoolScheduler::DropVanished(CellWorker* worker, const WorkerReport& report, absl::Time sent) {
+  std::set<AttemptKey> running;
+  for (const RunningAttempt& attempt : report.running) {
+    running.insert(attempt.key);
+  }
+  std::vector<AttemptKey> vanished;
+  for (const auto& [key, attempt] : worker->attempts) {
+    const bool was_running =
+        attempt.phase == AttemptPhase::kRunning && attempt.confirmed_at < sent;
+    if (running.count(key) == 0 && (was_running || attempt.stop_confirmed_at < sent)) {
+      vanished.push_back(key);
+    }
+  }
+  for (const AttemptKey& key : vanished) {
+    DropAttempt(worker, key, "the worker no longer lists it", false);
+  }
+}
+
+void PoolScheduler::StopStalled(CellWorker* worker, absl::Time now) {
+  for (auto& [key, attempt] : worker->attempts) {
+    if (attempt.phase != AttemptPhase::kRunning || attempt.stop_wanted || attempt.percent >= 100 ||
+        now - attempt.progress_at < kStallLimit || !IsCurrent(*worker, attempt)) {
+      continue;
+    }
+    attempt.stop_wanted = true;
+    FindRun(*attempt.task)->tasks[attempt.task->task].avoid = worker->description.id;
+    RecordWorkerFailure(worker, attempt.task->job, now);
+    events_->Record(EventCode::kTaskPreempted)
+        .Task(TaskId(key.task))
+        .Worker(worker->description.id)
+        .With(event_field::kReason, "no progress")
+        .With("percent", attempt.percent)
+        .With("age_ms", absl::ToInt64Milliseconds(now - attempt.progress_at))
+        .Emit();
+  }
+}
+
+void PoolScheduler::HoldFailed(const WorkerId& id, absl::Time now) {
+  CellWorker* worker = FindWorker(id);
+  if (worker == nullptr) {
+    return;
+  }
+  if (worker->suspect_since < worker->last_report) {
+    events_->Record(EventCode::kWorkerUnreachable)
+        .Worker(id)
+        .With("attempts", static_cast<int64_t>(worker->attempts.size()))
+        .With("report_age_ms", absl::ToInt64Milliseconds(now - worker->last_report))
+        .Emit();
+  }
+  worker->suspect_since = now;
+}
+
+void PoolScheduler::StartFinished(const WorkerId& id, const AttemptKey& key,
+                                  const OrderOutcome& outcome, absl::Time now) {
+  CellWorker* worker = FindWorker(id);
+  if (worker == nullptr || worker->attempts.count(key) == 0) {
+    return;
+  }
+  Attempt& attempt = worker->attempts[key];
+  if (outcome.answer == OrderAnswer::kAccepted) {
+    if (attempt.phase == AttemptPhase::kOrdered) {
+      attempt.phase = AttemptPhase::kRunning;
+      attempt.confirmed_at = now;
+      attempt.progress_at = now;
+    }
+    return;
+  }
+  events_->Record(EventCode::kTaskStartRefused)
+      .Task(TaskId(key.task))
+      .With("run", key.run.value())
+      .Worker(id)
+      .With("answer", outcome.answer.has_value() ? static_cast<int64_t>(*outcome.answer) : -1)
+      .Emit();
+  if (!outcome.answer.has_value() && !outcome.never_sent) {
+    if (attempt.phase == AttemptPhase::kOrdered) {
+      attempt.phase = AttemptPhase::kUncertain;
+      attempt.stop_wanted = true;
+    }
+    worker->suspect_since = now;
+    return;
+  }
+  if (outcome.answer == OrderAnswer::kTicketRefused && attempt.task.has_value()) {
+    StepRun* run = FindRun(*attempt.task);
+    if (run != nullptr) {
+      run->advice.allowed[id].expires = absl::InfinitePast();
+    }
+  } else {
+    worker->suspect_since = now;
+  }
+  DropAttempt(worker, key, "the start was refused", true);
+}
+
+void PoolScheduler::StopFinished(const WorkerId& id, const AttemptKey& key,
+                                 const OrderOutcome& outcome, absl::Time now) {
+  CellWorker* worker = FindWorker(id);
+  if (worker == nullptr) {
+    return;
+  }
+  const auto it = worker->attempts.find(key);
+  if (it != worker->attempts.end() && outcome.answer == OrderAnswer::kAccepted) {
+    it->second.stop_confirmed_at = std::min(it->second.stop_confirmed_at, now);
+  }
+}
+
+void PoolScheduler::AdviceFinished(const AdviceRequest& request,
+                                   const std::optional<Advice>& advice, absl::Time now) {
+  StepRun* run = FindRun(request.step);
+  if (run == nullptr) {
+    return;
+  }
+  run->advice.outstanding = false;
+  if (!advice.has_value()) {
+    run->advice.retry_at = now + kAdviceRetry;
+    return;
+  }
+  for (const WorkerId& id : request.question.workers) {
+    run->advice.asked.insert(id);
+  }
+  for (const auto& [id, ticket] : advice->tickets) {
+    run->advice.allowed[id] = StepAdvice::Ticket{ticket, now + advice->validity};
+  }
+  events_->Record(EventCode::kAdviceReceived)
+      .Job(request.step.job)
+      .With("step", request.question.step)
+      .With("asked", static_cast<int64_t>(request.question.workers.size()))
+      .With("allowed", static_cast<int64_t>(advice->tickets.size()))
+      .Emit();
+}
+
+void PoolScheduler::DropGoneWorkers(absl::Time now) {
+  for (auto it = workers_.begin(); it != workers_.end();) {
+    CellWorker& worker = it->second;
+    if (IsLost(worker, now) && !worker.attempts.empty()) {
+      DropAllAttempts(&worker, "the worker's lease is over");
+    }
+    if (!worker.listed && IsLost(worker, now)) {
+      it = workers_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void PoolScheduler::BeginAttempt(const PlacedTask& placed, absl::Time now,
+                                 ScheduledOrders* result) {
+  CellJob* job = FindJob(placed.task.job);
+  StepRun* run = FindRun(placed.task);
+  CellTask& task = run->tasks[placed.task.task];
+  CellWorker* worker = FindWorker(placed.worker);
+  const StepSpec& step = job->Step(*run);
+  RunNumber last = std::max(task.last_run, first_run_);
+  if (step.gang) {
+    // All members of one gang run carry the same number.
+    for (const CellTask& member : run->tasks) {
+      last = std::max(last, member.phase == TaskPhase::kWaiting ? member.last_run
+                                                                : member.last_run - RunNumber(1));
+    }
+  }
+  task.last_run = last + RunNumber(1);
+  task.phase = TaskPhase::kActive;
+  task.worker = placed.worker;
+  --run->waiting;
+  Attempt attempt;
+  attempt.key = AttemptKey{TaskName(*job, *run, placed.task.task), task.last_run};
+  attempt.task = placed.task;
+  attempt.reserved = ReservedFor(step);
+  attempt.checkpoint = task.checkpoint;
+  worker->used += attempt.reserved;
+  if (job->state == CellJobState::kQueued) {
+    job->state = CellJobState::kRunning;
+    job->visible = CellJobState::kRunning;
+  }
+  events_->Record(EventCode::kTaskStartSent)
+      .Task(TaskId(attempt.key.task))
+      .With("run", attempt.key.run.value())
+      .Worker(placed.worker)
+      .With("waited_ms", absl::ToInt64Milliseconds(now - job->intake.accepted))
+      .With("report_age_ms", absl::ToInt64Milliseconds(now - worker->last_report))
+      .Emit();
+  WorkerOrder order;
+  order.kind = WorkerOrder::Kind::kStart;
+  order.key = attempt.key;
+  order.payload = job->intake.spec.payload;
+  order.checkpoint = task.checkpoint;
+  order.ticket = placed.ticket;
+  result->orders.emplace_back(placed.worker, std::move(order));
+  worker->attempts.emplace(attempt.key, std::move(attempt));
+}
+
+void PoolScheduler::StopAttempts(CellWorker* worker, absl::Time now, ScheduledOrders* result) {
+  for (auto& [key, attempt] : worker->attempts) {
+    if (!attempt.stop_wanted || attempt.stop_confirmed_at < absl::InfiniteFuture() ||
+        now - attempt.stop_sent_at < kStopResend) {
+      continue;
+    }
+    attempt.stop_sent_at = now;
+    WorkerOrder order;
+    order.kind = WorkerOrder::Kind::kStop;
+    order.key = key;
+    result->orders.emplace_back(worker->description.id, std::move(order));
+  }
+}
+
+ScheduledOrders PoolScheduler::Schedule(absl::Time now) {
+  DropGoneWorkers(now);
+  ScheduledOrders result;
+  RoundResult round = ScheduleRound(jobs_, workers_, now).Run(InheritedMayStart(now));
+  // The members of a gang see each other's old numbers, so a gang's tasks begin together.
+  for (const PlacedTask& placed : round.placed) {
+    BeginAttempt(placed, now, &result);
+  }
+  for (AdviceRequest& request : round.advice) {
+    FindRun(request.step)->advice.outstanding = true;
+    result.advice.push_back(std::move(request));
+  }
+  for (auto& [id, worker] : workers_) {
+    StopAttempts(&worker, now, &result);
+  }
+  return result;
+}
+
+std::optional<WorkerTime> PoolScheduler::ExtendLease(const WorkerId& id, absl::Time now) {
+  CellWorker* worker = FindWorker(id);
+  if (worker == nullptr || worker->clock_read_at == absl::InfinitePast() ||
+      worker->suspect_since >= worker->last_report) {
+    return std::nullopt;
+  }
+  worker->lease_over_at = now + LeaseBound();
+  return WorkerTime(worker->clock.value() +
+                    absl::ToInt64Milliseconds(now - worker->clock_read_at + limits_.task_lease));
+}
+
+std::optional<WorkerTime> PoolScheduler::PrepareStart(const WorkerId& id, const AttemptKey& key,
+                                                      absl::Time now) {
+  const CellWorker* worker = FindWorker(id);
+  if (worker == nullptr) {
+    return std::nullopt;
+  }
+  const auto it = worker->attempts.find(key);
+  if (it == worker->attempts.end() || it->second.stop_wanted) {
+    return std::nullopt;
+  }
+  return ExtendLease(id, now);
+}
+
+EndNumber PoolScheduler::Acknowledged(const WorkerId& id) const {
+  const auto it = workers_.find(id);
+  // After a failed hold the worker may be in a new life, whose ends have other numbers.
+  if (it == workers_.end() || it->second.suspect_since >= it->second.last_report) {
+    return EndNumber(0);
+  }
+  return it->second.acknowledged;
+}
+
+bool PoolScheduler::HasUnacknowledged(const WorkerId& id) const {
+  const auto it = workers_.find(id);
+  return it != workers_.end() && !it->second.unacknowledged.empty();
+}
+
+void PoolScheduler::AdvanceAcknowledged(CellWorker* worker) {
+  while (!worker->unacknowledged.empty()) {
+    const UnacknowledgedEnd& end = worker->unacknowledged.front();
+    const CellJob* job = end.job.empty() ? nullptr : FindJob(end.job);
+    if (job != nullptr && job->committed < end.version) {
+      return;
+    }
+    worker->acknowledged = end.number;
+    worker->unacknowledged.pop_front();
+  }
+}
+
+std::vector<ProgressRecord> PoolScheduler::TakeChanged(size_t limit) {
+  std::vector<ProgressRecord> records;
+  while (records.size() < limit && !changed_.empty()) {
+    const JobId id = *changed_.begin();
+    changed_.erase(changed_.begin());
+    const CellJob* job = FindJob(id);
+    if (job != nullptr) {
+      records.push_back(ProgressRecord{id, job->version, EncodeProgress(*job), job->state});
+    }
+  }
+  return records;
+}
+
+void PoolScheduler::Committed(const std::vector<ProgressRecord>& records) {
+  for (const ProgressRecord& record : records) {
+    CellJob* job = FindJob(record.job);
+    if (job != nullptr) {
+      job->committed = std::max(job->committed, record.version);
+      job->visible = record.state;
+    }
+  }
+  for (auto& [id, worker] : workers_) {
+    AdvanceAcknowledged(&worker);
+  }
+}
+
+void PoolScheduler::CommitFailed(const std::vector<ProgressRecord>& records) {
+  for (const ProgressRecord& record : records) {
+    changed_.insert(record.job);
+  }
+}
+
+std::optional<CellJobState> PoolScheduler::VisibleState(const JobId& id) const {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) {
+    return std::nullopt;
+  }
+  return it->second.visible;
+}
+
+std::map<std::string, int64_t> PoolScheduler::PendingByQueue() const {
+  std::map<std::string, int64_t> pending;
+  for (const auto& [id, job] : jobs_) {
+    if (job.state == CellJobState::kQueued && !job.cancel_requested) {
+      ++pending[job.intake.policy.name];
+    }
+  }
+  return pending;
+}
+
+std::vector<JobId> PoolScheduler::TakeExpired(absl::Time now, size_t limit) {
+  std::vector<JobId> expired;
+  for (const auto& [id, job] : jobs_) {
+    if (expired.size() < limit && job.committed == job.version &&
+        now - job.final_since > limits_.retention) {
+      expired.push_back(id);
+    }
+  }
+  for (const JobId& id : expired) {
+    jobs_.erase(id);
+  }
+  return expired;
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/cell/pool_scheduler.h
@@ -0,0 +1,163 @@
+#ifndef POMELOTRAY_CELL_POOL_SCHEDULER_H_
+#define POMELOTRAY_CELL_POOL_SCHEDULER_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/time/time.h"
+#include "base/event_log.h"
+#include "cell/cell_job.h"
+#include "cell/cell_ports.h"
+#include "cell/job_record.h"
+#include "cell/schedule_round.h"
+#include "cell/worker_book.h"
+
+namespace pomelotray {
+
+// Bounds that the platform gives for one pool.
+struct PoolLimits {
+  // Lease of everything that runs on a worker, renewed with each hold.
+  absl::Duration task_lease = absl::Seconds(6);
+  // How slow a worker's clock may be; lengthens its leases.
+  double clock_drift = 0.02;
+  // How long final jobs stay known.
+  absl::Duration retention = absl::Seconds(150);
+};
+
+// An order to a worker, with what decided it already logged.
+struct WorkerOrder {
+  enum class Kind { kStart, kStop };
+  Kind kind = Kind::kStart;
+  AttemptKey key;
+  std::string payload;
+  std::string checkpoint;
+  std::string ticket;
+};
+
+struct ScheduledOrders {
+  std::vector<std::pair<WorkerId, WorkerOrder>> orders;
+  std::vector<AdviceRequest> advice;
+};
+
+// What a start or stop came to.
+struct OrderOutcome {
+  // No value: no answer came.
+  std::optional<OrderAnswer> answer;
+  // The order was never sent, so it cannot be carried out later.
+  bool never_sent = false;
+};
+
+// Everything that a pool's owner knows and decides: jobs, workers, attempts. Has no threads and no
+// input or output, so that each rule can be tested with a clock of the test's own; the caller
+// serializes all calls. A task is started again only when its last attempt is known to be over.
+class PoolScheduler {
+ public:
+  PoolScheduler(PoolName pool, int64_t term, PoolLimits limits, EventLog* events);
+
+  // Jobs and roster of earlier owners, before the first Schedule(). Their tasks wait until each
+  // worker of the roster has reported or its leases are over.
+  void Inherit(std::vector<JobIntake> jobs, const std::map<JobId, std::string>& progress,
+               const std::vector<WorkerDescription>& roster, absl::Time now);
+
+  // Both are idempotent.
+  void AddJob(JobIntake intake, absl::Time now);
+  void CancelJob(const JobId& id, absl::Time now);
+
+  // The present directory. Workers that are missing from it get no new starts.
+  void UpdateDirectory(const std::vector<WorkerDescription>& workers, absl::Time now);
+  // The roster that became durable.
+  void ConfirmRoster(const std::vector<WorkerId>& ids);
+
+  // `sent` and `received`: when the hold was sent and its answer arrived.
+  void ApplyReport(const WorkerId& id, const WorkerReport& report, absl::Time sent,
+                   absl::Time received);
+  void HoldFailed(const WorkerId& id, absl::Time now);
+  void StartFinished(const WorkerId& id, const AttemptKey& key, const OrderOutcome& outcome,
+                     absl::Time now);
+  void StopFinished(const WorkerId& id, const AttemptKey& key, const OrderOutcome& outcome,
+                    absl::Time now);
+  // No value: the question failed and may be asked again.
+  void AdviceFinished(const AdviceRequest& request, const std::optional<Advice>& advice,
+                      absl::Time now);
+
+  // Requeues what is over, then decides what starts, stops and is asked now.
+  ScheduledOrders Schedule(absl::Time now);
+
+  // The worker's clock `limits.task_lease` from now; extends the worker's lease. No value before
+  // the first report.
+  std::optional<WorkerTime> ExtendLease(const WorkerId& id, absl::Time now);
+  // Called right before a start is sent: extends the lease and returns its end. No value when the
+  // attempt is not wanted any more; then it must not be sent.
+  std::optional<WorkerTime> PrepareStart(const WorkerId& id, const AttemptKey& key, absl::Time now);
+  EndNumber Acknowledged(const WorkerId& id) const;
+  // Ends are listed that are not stored yet.
+  bool HasUnacknowledged(const WorkerId& id) const;
+
+  // Changed jobs for the next transaction, at most `limit`.
+  std::vector<ProgressRecord> TakeChanged(size_t limit);
+  void Committed(const std::vector<ProgressRecord>& records);
+  // The records were not written; they are taken again.
+  void CommitFailed(const std::vector<ProgressRecord>& records);
+
+  std::optional<CellJobState> VisibleState(const JobId& id) const;
+  std::map<std::string, int64_t> PendingByQueue() const;
+  const std::map<WorkerId, CellWorker>& workers() const { return workers_; }
+  const std::map<JobId, CellJob>& jobs() const { return jobs_; }
+  // Final jobs whose retention is over; forgets them.
+  std::vector<JobId> TakeExpired(absl::Time now, size_t limit);
+  // Tasks of inherited jobs without a known attempt may be started.
+  bool InheritedMayStart(absl::Time now) const;
+
+ private:
+  CellJob* FindJob(const JobId& id);
+  CellWorker* FindWorker(const WorkerId& id);
+  StepRun* FindRun(const TaskRef& ref);
+  std::optional<TaskRef> Locate(const std::string& task_name);
+  CellWorker& WorkerFor(const WorkerDescription& description);
+
+  void Touch(CellJob* job);
+  void Finish(CellJob* job, CellJobState state, absl::Time now, const std::string& reason);
+  void FinishIfComplete(CellJob* job, absl::Time now);
+  void WantStops(const CellJob& job);
+
+  void BeginAttempt(const PlacedTask& placed, absl::Time now, ScheduledOrders* result);
+  void StopAttempts(CellWorker* worker, absl::Time now, ScheduledOrders* result);
+  // Removes the attempt and lets its task wait again if it was the task's attempt.
+  void DropAttempt(CellWorker* worker, const AttemptKey& key, const char* reason,
+                   bool avoid_worker);
+  void DropAllAttempts(CellWorker* worker, const char* reason);
+  void DropGoneWorkers(absl::Time now);
+  void ApplyRunning(CellWorker* worker, const RunningAttempt& running, absl::Time now);
+  void Adopt(CellWorker* worker, const RunningAttempt& running, absl::Time now);
+  void ApplyEnd(CellWorker* worker, const EndedAttempt& ended, absl::Time now);
+  void ApplySuccess(CellJob* job, StepRun* run, const TaskRef& ref, absl::Time now);
+  void ApplyFailure(CellJob* job, StepRun* run, const TaskRef& ref, const EndedAttempt& ended,
+                    absl::Time now);
+  void RecordWorkerFailure(CellWorker* worker, const JobId& job, absl::Time now);
+  void DropVanished(CellWorker* worker, const WorkerReport& report, absl::Time sent);
+  void StopStalled(CellWorker* worker, absl::Time now);
+  void AdvanceAcknowledged(CellWorker* worker);
+  bool IsCurrent(const CellWorker& worker, const Attempt& attempt);
+  absl::Duration LeaseBound() const;
+
+  const PoolName pool_;
+  const PoolLimits limits_;
+  EventLog* const events_;
+  // Numbers of this owner's attempts are above those of all earlier owners.
+  const RunNumber first_run_;
+  std::map<JobId, CellJob> jobs_;
+  std::map<WorkerId, CellWorker> workers_;
+  absl::flat_hash_set<JobId> changed_;
+  // Workers of the inherited roster that have not reported yet.
+  std::set<WorkerId> unreported_;
+  absl::Time inherited_leases_over_ = absl::InfinitePast();
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_CELL_POOL_SCHEDULER_H_
--- /dev/null
+++ b/packages/cell/schedule_round.h
@@ -0,0 +1,91 @@
+#ifndef POMELOTRAY_CELL_SCHEDULE_ROUND_H_
+#define POMELOTRAY_CELL_SCHEDULE_ROUND_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "cell/cell_job.h"
+#include "cell/worker_book.h"
+
+namespace pomelotray {
+
+// A decision to start one task on one worker.
+struct PlacedTask {
+  TaskRef task;
+  WorkerId worker;
+  std::string ticket;
+};
+
+// A decision to ask which of these workers may run a step.
+struct AdviceRequest {
+  TaskRef step;
+  AdviceQuestion question;
+  int priority = 0;
+  // Expected time of the call.
+  absl::Duration cost;
+};
+
+struct RoundResult {
+  std::vector<PlacedTask> placed;
+  std::vector<AdviceRequest> advice;
+};
+
+// One pass over all waiting tasks of a pool: decides what starts where. Reads the jobs and workers
+// and changes neither. Steps are taken by lateness, priority and objective; a step that waits for
+// renewed tickets keeps room from later steps, and a gang that does not fit keeps later work off
+// the workers that it could use.
+class ScheduleRound {
+ public:
+  ScheduleRound(const std::map<JobId, CellJob>& jobs, const std::map<WorkerId, CellWorker>& workers,
+                absl::Time now);
+
+  // `inherited_allowed`: tasks of inherited jobs without a known attempt may start.
+  RoundResult Run(bool inherited_allowed);
+
+ private:
+  struct Candidate {
+    const CellJob* job = nullptr;
+    int run = 0;
+  };
+  struct Room {
+    const CellWorker* worker = nullptr;
+    Resources free;
+    // A gang waits for this worker to empty: lower steps do not start here.
+    bool kept_for_gang = false;
+  };
+
+  void Collect(bool inherited_allowed);
+  void ConsiderStep(const Candidate& candidate);
+  void PlaceTasks(const Candidate& candidate, const std::vector<int>& waiting);
+  void PlaceGang(const Candidate& candidate, const std::vector<int>& waiting);
+  void KeepForGang(const Candidate& candidate);
+
+  // The best room for one task, or null. With `with_ticket`, the step's ticket must still be valid;
+  // otherwise it is enough that the worker is known to be allowed.
+  Room* FindRoom(const Candidate& candidate, const CellTask& task, bool with_ticket,
+                 const absl::flat_hash_map<std::string, int>& per_worker);
+  bool MayUse(const Candidate& candidate, const Room& room, bool with_ticket) const;
+  bool HasTicket(const StepRun& run, const WorkerId& worker, bool valid) const;
+  void AskAdvice(const Candidate& candidate, size_t missing);
+  void Ask(const Candidate& candidate, std::vector<WorkerId> workers);
+
+  const std::map<JobId, CellJob>& jobs_;
+  const absl::Time now_;
+  std::vector<Room> rooms_;
+  std::vector<Candidate> candidates_;
+  int keeping_gangs_ = 0;
+  RoundResult result_;
+};
+
+// What a task occupies on a worker: the processors of filling work do not count.
+Resources ReservedFor(const StepSpec& step);
+
+// True when all steps that the run waits for have succeeded and its time has come.
+bool IsStartable(const CellJob& job, const StepRun& run, absl::Time now);
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_CELL_SCHEDULE_ROUND_H_
--- /dev/null
+++ b/packages/cell/submission_writer.h
@@ -0,0 +1,61 @@
+#ifndef POMELOTRAY_CELL_SUBMISSION_WRITER_H_
+#define POMELOTRAY_CELL_SUBMISSION_WRITER_H_
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "base/clock.h"
+#include "ports/transactional_store.h"
+
+namespace pomelotray {
+
+// Creates entries in the store, several callers' entries in one transaction. An entry that exists
+// already counts as written, so the same request may arrive again at any instance.
+class SubmissionWriter {
+ public:
+  SubmissionWriter(TransactionalStore* store, const Clock* clock);
+  ~SubmissionWriter();
+
+  // Returns once the entry is stored. Errors: kStoreUnavailable when it certainly is not and never
+  // will be, kOutcomeUnknown when `deadline` passed and it may be written yet.
+  Result<void> Create(const std::string& key, const std::string& value, absl::Time deadline);
+  void Stop();
+
+ private:
+  struct Entry {
+    std::string key;
+    std::string value;
+    absl::Time deadline;
+    // A transaction with this entry was sent and not answered.
+    bool maybe_written = false;
+    bool done = false;
+    Outcome<void> outcome;
+  };
+  using Batch = std::vector<std::shared_ptr<Entry>>;
+
+  void Run();
+  Batch TakeBatch() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  Outcome<Revision> Commit(const Batch& batch);
+  void WriteBatch(const Batch& batch);
+  // Settles an entry whose transaction failed, or queues it again.
+  void Retry(const std::shared_ptr<Entry>& entry, const Error& error);
+  void Settle(const std::shared_ptr<Entry>& entry, Outcome<void> outcome);
+
+  TransactionalStore* const store_;
+  const Clock* const clock_;
+  absl::Mutex mutex_;
+  absl::CondVar queued_;
+  absl::CondVar settled_;
+  bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+  std::deque<std::shared_ptr<Entry>> queue_ ABSL_GUARDED_BY(mutex_);
+  std::thread thread_;
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_CELL_SUBMISSION_WRITER_H_
--- /dev/null
+++ b/packages/cell/worker_book.h
@@ -0,0 +1,84 @@
+#ifndef POMELOTRAY_CELL_WORKER_BOOK_H_
+#define POMELOTRAY_CELL_WORKER_BOOK_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "absl/time/time.h"
+#include "cell/cell_job.h"
+#include "cell/cell_ports.h"
+
+namespace pomelotray {
+
+enum class AttemptPhase {
+  // The start is queued or on its way.
+  kOrdered,
+  // The worker confirmed it.
+  kRunning,
+  // The start got no answer: it may be carried out until the lease is over.
+  kUncertain,
+};
+
+// An attempt that may occupy its worker.
+struct Attempt {
+  AttemptKey key;
+  // No value: belongs to no task that is known here.
+  std::optional<TaskRef> task;
+  Resources reserved;
+  AttemptPhase phase = AttemptPhase::kOrdered;
+  // When the worker's confirmation of the start arrived.
+  absl::Time confirmed_at = absl::InfiniteFuture();
+  bool stop_wanted = false;
+  absl::Time stop_sent_at = absl::InfinitePast();
+  // When the worker's confirmation of the stop arrived; after it the attempt can no longer begin.
+  absl::Time stop_confirmed_at = absl::InfiniteFuture();
+  int percent = -1;
+  absl::Time progress_at = absl::InfiniteFuture();
+  std::string checkpoint;
+};
+
+// An end that the worker lists until it is acknowledged.
+struct UnacknowledgedEnd {
+  EndNumber number;
+  // The end is stored once this version of the job is. Empty id: nothing to store.
+  JobId job;
+  int64_t version = 0;
+};
+
+// One worker of the pool with everything that may run on it.
+struct CellWorker {
+  WorkerDescription description;
+  bool listed = false;
+  // This life of the worker has accepted the owner's token and reported what it runs.
+  bool fenced = false;
+  // The worker stands in the stored roster, so that a later owner knows that tasks may run there.
+  bool on_roster = false;
+  absl::Time born = absl::InfinitePast();
+  Resources used;
+  std::map<AttemptKey, Attempt> attempts;
+  EndNumber seen_end;
+  EndNumber acknowledged;
+  std::deque<UnacknowledgedEnd> unacknowledged;
+  // By the worker's clock at `clock_read_at`.
+  WorkerTime clock;
+  absl::Time clock_read_at = absl::InfinitePast();
+  // When everything that runs there is over unless the lease is extended.
+  absl::Time lease_over_at = absl::InfinitePast();
+  absl::Time last_report = absl::InfinitePast();
+  // A start or a hold got no answer: no new starts until a report that was asked for later.
+  absl::Time suspect_since = absl::InfinitePast();
+  // Jobs whose attempts failed here without a success in between.
+  std::set<JobId> failed_jobs;
+  absl::Time quarantined_until = absl::InfinitePast();
+
+  bool HasLabel(const std::string& label) const;
+  bool AcceptsStarts(absl::Time now) const;
+  Resources Free() const { return description.capacity - used; }
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_CELL_WORKER_BOOK_H_
--- /dev/null
+++ b/packages/cell/workflow.cc
@@ -0,0 +1,111 @@
+#include "cell/workflow.h"
+
+#include <algorithm>
+#include <functional>
+
+#include "absl/strings/str_cat.h"
+
+namespace pomelotray {
+namespace {
+
+boost::leaf::error_id Invalid(std::string message) {
+  return Fail(ErrorKind::kInvalidArgument, std::move(message));
+}
+
+Result<void> CheckStep(const WorkflowSpec& spec, size_t index) {
+  const StepSpec& step = spec.steps[index];
+  if (step.task_count < 1) {
+    return Invalid(absl::StrCat("Step ", index, " has no tasks; give a count of at least 1."));
+  }
+  if (step.demand.AnyNegative() || step.max_per_worker < 0 || step.disruption_budget < 0 ||
+      step.estimate < absl::ZeroDuration() || step.latency_target < absl::ZeroDuration()) {
+    return Invalid(absl::StrCat("Step ", index, " has a negative number; use 0 or more."));
+  }
+  for (const int earlier : step.after) {
+    if (earlier < 0 || earlier >= static_cast<int>(spec.steps.size())) {
+      return Invalid(absl::StrCat("Step ", index, " waits for step ", earlier,
+                                  ", which does not exist; use an index of the list."));
+    }
+  }
+  return {};
+}
+
+// Kahn's algorithm: true when every step can be ordered after its dependencies.
+bool IsAcyclic(const WorkflowSpec& spec) {
+  std::vector<size_t> missing(spec.steps.size());
+  std::vector<int> ready;
+  for (size_t i = 0; i < spec.steps.size(); ++i) {
+    missing[i] = spec.steps[i].after.size();
+    if (missing[i] == 0) {
+      ready.push_back(static_cast<int>(i));
+    }
+  }
+  size_t ordered = 0;
+  while (!ready.empty()) {
+    const int done = ready.back();
+    ready.pop_back();
+    ++ordered;
+    for (size_t i = 0; i < spec.steps.size(); ++i) {
+      for (const int earlier : spec.steps[i].after) {
+        if (earlier == done && --missing[i] == 0) {
+          ready.push_back(static_cast<int>(i));
+        }
+      }
+    }
+  }
+  return ordered == spec.steps.size();
+}
+
+Result<void> CheckOccurrences(const WorkflowSpec& spec) {
+  if (spec.occurrences < 0 || spec.interval < absl::ZeroDuration()) {
+    return Invalid("The repetition has a negative number; use 0 or more.");
+  }
+  return {};
+}
+
+}  // namespace
+
+Result<void> CheckWorkflow(const WorkflowSpec& spec, const WorkflowLimits& limits) {
+  if (spec.payload.size() > limits.max_payload_bytes) {
+    return Invalid(absl::StrCat("The payload has ", spec.payload.size(), " bytes; send at most ",
+                                limits.max_payload_bytes, "."));
+  }
+  if (spec.steps.empty() || static_cast<int>(spec.steps.size()) > limits.max_steps) {
+    return Invalid(absl::StrCat("The job has ", spec.steps.size(), " steps; send 1 to ",
+                                limits.max_steps, "."));
+  }
+  BOOST_LEAF_CHECK(CheckOccurrences(spec));
+  int64_t tasks = 0;
+  for (size_t i = 0; i < spec.steps.size(); ++i) {
+    BOOST_LEAF_CHECK(CheckStep(spec, i));
+    tasks += spec.steps[i].task_count;
+  }
+  tasks *= std::max(spec.occurrences, 1);
+  if (tasks > limits.max_tasks) {
+    return Invalid(absl::StrCat("The job has ", tasks, " tasks; send at most ", limits.max_tasks,
+                                " over all steps and occurrences."));
+  }
+  if (!IsAcyclic(spec)) {
+    return Invalid("The steps wait for each other in a cycle; remove one of the dependencies.");
+  }
+  return {};
+}
+
+absl::Duration CriticalPath(const WorkflowSpec& spec) {
+  std::vector<absl::Duration> finish(spec.steps.size(), absl::ZeroDuration());
+  absl::Duration longest;
+  // Each round settles at least the steps whose dependencies are settled.
+  for (size_t round = 0; round < spec.steps.size(); ++round) {
+    for (size_t i = 0; i < spec.steps.size(); ++i) {
+      absl::Duration start;
+      for (const int earlier : spec.steps[i].after) {
+        start = std::max(start, finish[earlier]);
+      }
+      finish[i] = start + spec.steps[i].estimate;
+      longest = std::max(longest, finish[i]);
+    }
+  }
+  return longest;
+}
+
+}  // namespace pomelotray
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -9,6 +9,7 @@
 
 #include "daemon/daemon.h"
 #include "daemon/daemon_settings.h"
+#include "platform/platform_node.h"
 
 namespace pomelotray {
 namespace {
@@ -77,5 +78,11 @@
 }  // namespace pomelotray
 
 int main(int argc, char** argv) {
-  return pomelotray::Main(std::vector<std::string>(argv + 1, argv + argc));
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  // The platform's settings file replaces all flags.
+  if (!arguments.empty() && arguments[0] == "platform") {
+    const bool check_only = arguments.size() > 1 && arguments[1] == "--check-settings";
+    return pomelotray::platform::RunPlatformNode(check_only);
+  }
+  return pomelotray::Main(arguments);
 }
