cell: Keep each unwanted attempt's own room after a takeover

Ruled out: early removal of stopping tasks (no such removal in the log; guarded now as well). Unknown tasks block new starts on their worker.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -137,6 +137,8 @@
 pomelotray_tests(scheduler DEPENDS pomelotray_scheduler)
 pomelotray_tests(shard DEPENDS pomelotray_shard pomelotray_fakes pomelotray_standins pomelotray_history
   TIMEOUT 300)
+pomelotray_tests(cell DEPENDS pomelotray_cell pomelotray_fakes)
+pomelotray_tests(platform DEPENDS pomelotray_platform)
 pomelotray_tests(history DEPENDS pomelotray_history)
 pomelotray_tests(api DEPENDS pomelotray_api)
 pomelotray_tests(cli DEPENDS pomelotray_cli pomelotray_api)
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -20,9 +20,22 @@
 constexpr absl::Duration kStallLimit = absl::Milliseconds(2500);
 // Pause after a question that failed.
 constexpr absl::Duration kAdviceRetry = absl::Milliseconds(200);
+// A stop takes at most 0.9 s; a task that is being stopped occupies its room meanwhile, whether the
+// worker still lists it or not.
+constexpr absl::Duration kStopTime = absl::Milliseconds(1500);
 // Clock reading and scheduling delays beyond the drift of a lease.
 constexpr absl::Duration kLeaseSlack = absl::Milliseconds(300);
 
+// Whether an attempt that is missing from a report, which was asked for at `sent`, is over although
+// no end was listed.
+bool HasVanished(const Attempt& attempt, absl::Time sent) {
+  if (attempt.stop_sent_at > absl::InfinitePast() && attempt.listed) {
+    return attempt.stop_sent_at + kStopTime < sent;
+  }
+  return attempt.stop_confirmed_at < sent ||
+         (attempt.phase == AttemptPhase::kRunning && attempt.confirmed_at < sent);
+}
+
 bool IsLost(const CellWorker& worker, absl::Time now) { return worker.lease_over_at <= now; }
 
 }  // namespace
@@ -315,6 +328,7 @@
   }
   Attempt& attempt = it->second;
   attempt.phase = AttemptPhase::kRunning;
+  attempt.listed = true;
   attempt.confirmed_at = std::min(attempt.confirmed_at, now);
   if (running.percent != attempt.percent) {
     attempt.percent = running.percent;
@@ -329,6 +343,7 @@
   Attempt attempt;
   attempt.key = running.key;
   attempt.phase = AttemptPhase::kRunning;
+  attempt.listed = true;
   attempt.confirmed_at = now;
   attempt.percent = running.percent;
   attempt.progress_at = now;
@@ -351,8 +366,7 @@
       FindJob(attempt.task->job)->visible = CellJobState::kRunning;
     }
   } else {
-    // Nothing is known about it, so it may occupy the whole worker.
-    attempt.reserved = worker->Free();
+    ReserveUnwanted(&attempt);
   }
   attempt.stop_wanted = !wanted;
   events_->Record(EventCode::kTaskAdopted)
@@ -365,6 +379,18 @@
   worker->attempts.emplace(running.key, std::move(attempt));
 }
 
+void PoolScheduler::ReserveUnwanted(Attempt* attempt) {
+  // A final job has no tasks any more, but its steps still say what each of them needs.
+  TaskNameParts parts;
+  const CellJob* job =
+      ParseTaskName(attempt->key.task, &parts) ? FindJob(JobId(parts.job)) : nullptr;
+  if (job != nullptr && parts.step < static_cast<int>(job->intake.spec.steps.size())) {
+    attempt->reserved = ReservedFor(job->intake.spec.steps[parts.step]);
+  } else {
+    attempt->unknown_load = true;
+  }
+}
+
 void PoolScheduler::ApplyEnd(CellWorker* worker, const EndedAttempt& ended, absl::Time now) {
   const std::optional<TaskRef> ref = Locate(ended.key.task);
   const auto it = worker->attempts.find(ended.key);
@@ -467,9 +493,7 @@
   }
   std::vector<AttemptKey> vanished;
   for (const auto& [key, attempt] : worker->attempts) {
-    const bool was_running =
-        attempt.phase == AttemptPhase::kRunning && attempt.confirmed_at < sent;
-    if (running.count(key) == 0 && (was_running || attempt.stop_confirmed_at < sent)) {
+    if (running.count(key) == 0 && HasVanished(attempt, sent)) {
       vanished.push_back(key);
     }
   }
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -134,6 +134,8 @@
   void DropGoneWorkers(absl::Time now);
   void ApplyRunning(CellWorker* worker, const RunningAttempt& running, absl::Time now);
   void Adopt(CellWorker* worker, const RunningAttempt& running, absl::Time now);
+  // Room for an attempt that belongs to no task that still runs.
+  void ReserveUnwanted(Attempt* attempt);
   void ApplyEnd(CellWorker* worker, const EndedAttempt& ended, absl::Time now);
   void ApplySuccess(CellJob* job, StepRun* run, const TaskRef& ref, absl::Time now);
   void ApplyFailure(CellJob* job, StepRun* run, const TaskRef& ref, const EndedAttempt& ended,
--- a/packages/cell/worker_book.cc
+++ b/packages/cell/worker_book.cc
@@ -12,7 +12,12 @@
 
 bool CellWorker::AcceptsStarts(absl::Time now) const {
   return listed && fenced && on_roster && !description.draining && suspect_since < last_report &&
-         quarantined_until <= now;
+         quarantined_until <= now && !HasUnknownLoad();
+}
+
+bool CellWorker::HasUnknownLoad() const {
+  return std::any_of(attempts.begin(), attempts.end(),
+                     [](const auto& entry) { return entry.second.unknown_load; });
 }
 
 }  // namespace pomelotray
--- a/packages/cell/worker_book.h
+++ b/packages/cell/worker_book.h
@@ -28,9 +28,13 @@
   // No value: belongs to no task that is known here.
   std::optional<TaskRef> task;
   Resources reserved;
+  // What it needs is unknown, so that nothing may start beside it.
+  bool unknown_load = false;
   AttemptPhase phase = AttemptPhase::kOrdered;
   // When the worker's confirmation of the start arrived.
   absl::Time confirmed_at = absl::InfiniteFuture();
+  // The worker has listed it as running.
+  bool listed = false;
   bool stop_wanted = false;
   absl::Time stop_sent_at = absl::InfinitePast();
   // When the worker's confirmation of the stop arrived; after it the attempt can no longer begin.
@@ -76,6 +80,7 @@
 
   bool HasLabel(const std::string& label) const;
   bool AcceptsStarts(absl::Time now) const;
+  bool HasUnknownLoad() const;
   Resources Free() const { return description.capacity - used; }
 };
 
--- /dev/null
+++ b/tests/cell/pool_scheduler_test.cc
@@ -0,0 +1,200 @@
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+#include "tests/cell/scheduler_fixture.h"
+
+namespace pomelotray {
+namespace {
+
+using Fixture = SchedulerFixture;
+
+BOOST_AUTO_TEST_SUITE(PoolSchedulerTest)
+
+// Guards against a completion that is shown before it is stored and would be lost with the owner.
+BOOST_AUTO_TEST_CASE(CompletionIsVisibleOnceItIsStored) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w1", 4000)});
+  fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}));
+  const std::vector<SentOrder> started = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(started.size(), 1U);
+  fixture.Report("w1", {}, {{started[0].order.key, AttemptEnd::kSucceeded}});
+  BOOST_TEST((fixture.State("a") == CellJobState::kRunning));
+  BOOST_TEST(fixture.scheduler().Acknowledged(WorkerId("w1")).value() == 0);
+  fixture.CommitAll();
+  BOOST_TEST((fixture.State("a") == CellJobState::kCompleted));
+  BOOST_TEST(fixture.scheduler().Acknowledged(WorkerId("w1")).value() == 1);
+}
+
+// Guards against starting a step before all tasks of the steps it waits for have succeeded.
+BOOST_AUTO_TEST_CASE(StepWaitsForEveryTaskOfItsDependency) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w1", 8000)});
+  StepSpec second = Fixture::Step(1, 1000);
+  second.after = {0};
+  fixture.AddJob(Fixture::Job("a", {Fixture::Step(2, 1000), second}));
+  const std::vector<SentOrder> first = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(first.size(), 2U);
+  fixture.Report("w1", {Fixture::Running(first[1].order.key)},
+                 {{first[0].order.key, AttemptEnd::kSucceeded}});
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  fixture.Report("w1", {}, {{first[1].order.key, AttemptEnd::kSucceeded}});
+  const std::vector<SentOrder> next = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(next.size(), 1U);
+  BOOST_TEST(next[0].order.key.task == "a.0.1.0");
+}
+
+// Guards against over-commitment by starts whose answer was lost: they keep their room.
+BOOST_AUTO_TEST_CASE(StartWithoutAnswerKeepsItsRoomUntilItsStopIsConfirmed) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w1", 1000)});
+  fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}));
+  const std::vector<SentOrder> started = Starts(fixture.Round(/*confirm=*/false));
+  BOOST_REQUIRE_EQUAL(started.size(), 1U);
+  fixture.scheduler().StartFinished(WorkerId("w1"), started[0].order.key, OrderOutcome{},
+                                    fixture.Now());
+  fixture.Report("w1", {});
+  const std::vector<SentOrder> stop = fixture.Round();
+  BOOST_TEST(Starts(stop).empty());
+  BOOST_REQUIRE_EQUAL(Stops(stop).size(), 1U);
+  fixture.Report("w1", {});
+  const std::vector<SentOrder> again = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(again.size(), 1U);
+  BOOST_TEST(again[0].order.key.run.value() > started[0].order.key.run.value());
+}
+
+// Guards against two runs of one task: a task of an unreachable worker starts elsewhere only when
+// the worker's lease is over.
+BOOST_AUTO_TEST_CASE(TaskOfLostWorkerWaitsForTheEndOfTheLease) {
+  Fixture fixture;
+  const std::vector<WorkerDescription> workers = {Fixture::Worker("w1", 1000),
+                                                  Fixture::Worker("w2", 1000)};
+  fixture.AddWorkers(workers);
+  fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}));
+  const SentOrder started = Starts(fixture.Round()).at(0);
+  const std::string lost = started.worker.value();
+  const std::string other = lost == "w1" ? "w2" : "w1";
+  fixture.Advance(absl::Milliseconds(5900));
+  fixture.scheduler().HoldFailed(started.worker, fixture.Now());
+  fixture.Report(other, {});
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  fixture.Advance(absl::Milliseconds(800));
+  fixture.Report(other, {});
+  const std::vector<SentOrder> again = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(again.size(), 1U);
+  BOOST_TEST(again[0].worker.value() == other);
+}
+
+// Guards against a second start by a new owner of what the old one may have started.
+BOOST_AUTO_TEST_CASE(InheritedTasksWaitUntilTheRosterHasReported) {
+  Fixture fixture;
+  const std::vector<WorkerDescription> workers = {Fixture::Worker("w1", 1000),
+                                                  Fixture::Worker("w2", 1000)};
+  fixture.AddWorkers(workers);
+  const JobIntake job = Fixture::Job("a", {Fixture::Step(1, 1000)});
+  fixture.AddJob(job);
+  const SentOrder started = Starts(fixture.Round()).at(0);
+  fixture.TakeOver({job}, workers);
+  const std::string other = started.worker.value() == "w1" ? "w2" : "w1";
+  fixture.Report(other, {});
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  fixture.Report(started.worker.value(), {Fixture::Running(started.order.key)});
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  fixture.Report(started.worker.value(), {}, {{started.order.key, AttemptEnd::kSucceeded}});
+  fixture.CommitAll();
+  BOOST_TEST((fixture.State("a") == CellJobState::kCompleted));
+}
+
+// Guards against over-commitment after a takeover: the tasks of a cancelled job run on until they
+// are stopped, and each keeps its own room (vhmla-tray scale-1, rule LIMIT).
+BOOST_AUTO_TEST_CASE(CancelledTasksKeepTheirRoomAfterATakeover) {
+  Fixture fixture;
+  const std::vector<WorkerDescription> workers = {Fixture::Worker("w1", 2000)};
+  fixture.AddWorkers(workers);
+  const JobIntake cancelled = Fixture::Job("a", {Fixture::Step(2, 1000)});
+  fixture.AddJob(cancelled);
+  const std::vector<SentOrder> started = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(started.size(), 2U);
+  fixture.TakeOver({cancelled}, workers);
+  fixture.scheduler().ConfirmRoster({WorkerId("w1")});
+  fixture.scheduler().CancelJob(JobId("a"), fixture.Now());
+  fixture.AddJob(Fixture::Job("b", {Fixture::Step(2, 1000)}));
+  fixture.Report("w1", {Fixture::Running(started[0].order.key),
+                        Fixture::Running(started[1].order.key)});
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  fixture.Report("w1", {Fixture::Running(started[1].order.key)},
+                 {{started[0].order.key, AttemptEnd::kStopped}});
+  BOOST_TEST(Starts(fixture.Round()).size() == 1U);
+}
+
+// The same for tasks of which nothing is known: nothing starts beside them.
+BOOST_AUTO_TEST_CASE(NothingStartsBesideUnknownTasks) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w1", 4000)});
+  const AttemptKey first{"0123456789abcdef.0.0.0", RunNumber(1)};
+  const AttemptKey second{"0123456789abcdef.0.0.1", RunNumber(1)};
+  fixture.Report("w1", {Fixture::Running(first), Fixture::Running(second)});
+  fixture.AddJob(Fixture::Job("b", {Fixture::Step(1, 1000)}));
+  BOOST_TEST(Stops(fixture.Round()).size() == 2U);
+  fixture.Report("w1", {Fixture::Running(second)}, {{first, AttemptEnd::kStopped}});
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  fixture.Report("w1", {}, {{second, AttemptEnd::kStopped}});
+  BOOST_TEST(Starts(fixture.Round()).size() == 1U);
+}
+
+// Guards against reuse of room that a stopping task still occupies although the worker does not
+// list it as running any more.
+BOOST_AUTO_TEST_CASE(StoppingTaskKeepsItsRoomUntilItsEndIsListed) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w1", 1000)});
+  fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}));
+  const SentOrder started = Starts(fixture.Round()).at(0);
+  fixture.Report("w1", {Fixture::Running(started.order.key)});
+  fixture.scheduler().CancelJob(JobId("a"), fixture.Now());
+  fixture.AddJob(Fixture::Job("b", {Fixture::Step(1, 1000)}));
+  BOOST_TEST(Stops(fixture.Round()).size() == 1U);
+  fixture.Report("w1", {});
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  fixture.Report("w1", {}, {{started.order.key, AttemptEnd::kStopped}});
+  BOOST_TEST(Starts(fixture.Round()).size() == 1U);
+}
+
+// Guards against jobs that fail for ever: after the last attempt the job has failed.
+BOOST_AUTO_TEST_CASE(JobFailsAfterItsLastAttempt) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w1", 1000), Fixture::Worker("w2", 1000)});
+  fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}, /*max_attempts=*/2));
+  std::set<std::string> used;
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    const SentOrder started = Starts(fixture.Round()).at(0);
+    used.insert(started.worker.value());
+    fixture.Report(started.worker.value(), {}, {{started.order.key, AttemptEnd::kFailed}});
+  }
+  BOOST_TEST(used.size() == 2U);
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  fixture.CommitAll();
+  BOOST_TEST((fixture.State("a") == CellJobState::kFailed));
+}
+
+// Guards against partial gangs: the members start together, with one number, or not at all.
+BOOST_AUTO_TEST_CASE(GangStartsWholeWithOneNumber) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w1", 1000)});
+  StepSpec gang = Fixture::Step(2, 1000);
+  gang.gang = true;
+  fixture.AddJob(Fixture::Job("a", {gang}));
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  fixture.AddWorkers({Fixture::Worker("w1", 1000), Fixture::Worker("w2", 1000)});
+  const std::vector<SentOrder> started = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(started.size(), 2U);
+  BOOST_TEST((started[0].order.key.run == started[1].order.key.run));
+  fixture.Report("w1", {}, {{started[0].worker.value() == "w1" ? started[0].order.key
+                                                               : started[1].order.key,
+                             AttemptEnd::kSucceeded}});
+  fixture.CommitAll();
+  BOOST_TEST((fixture.State("a") == CellJobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace pomelotray
--- /dev/null
+++ b/tests/cell/scheduler_fixture.h
@@ -0,0 +1,71 @@
+#ifndef POMELOTRAY_TESTS_CELL_SCHEDULER_FIXTURE_H_
+#define POMELOTRAY_TESTS_CELL_SCHEDULER_FIXTURE_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "base/manual_clock.h"
+#include "cell/pool_scheduler.h"
+
+namespace pomelotray {
+
+// What one start or stop looked like, without the decision's details.
+struct SentOrder {
+  WorkerId worker;
+  WorkerOrder order;
+};
+
+// A pool scheduler on a paused clock with workers that a test plays by hand.
+class SchedulerFixture {
+ public:
+  explicit SchedulerFixture(int64_t term = 1);
+
+  static StepSpec Step(int tasks, int64_t cpu, int64_t memory = 100, int64_t accelerators = 0);
+  static JobIntake Job(const std::string& id, std::vector<StepSpec> steps, int max_attempts = 2,
+                       int priority = 1);
+  static WorkerDescription Worker(const std::string& id, int64_t cpu, int64_t memory = 100'000,
+                                  int64_t accelerators = 0);
+
+  absl::Time Now() const { return clock_.Now(); }
+  void Advance(absl::Duration duration) { clock_.Advance(duration); }
+
+  // Lists the workers in the directory and the roster and lets each report that it is idle.
+  void AddWorkers(const std::vector<WorkerDescription>& workers);
+  void AddJob(JobIntake job) { scheduler().AddJob(std::move(job), Now()); }
+
+  // Runs a round; starts are confirmed when `confirm` is set.
+  std::vector<SentOrder> Round(bool confirm = true);
+  // Reports what the worker runs and what ended since the last report; extends its lease.
+  void Report(const std::string& worker, std::vector<RunningAttempt> running,
+              std::vector<std::pair<AttemptKey, AttemptEnd>> ended = {});
+  // Stores all changed jobs.
+  void CommitAll();
+
+  PoolScheduler& scheduler() { return *scheduler_; }
+  // Replaces the scheduler by that of the next owner, which inherits `jobs` and the progress that
+  // the last one stored.
+  void TakeOver(std::vector<JobIntake> jobs, const std::vector<WorkerDescription>& roster);
+  CellJobState State(const std::string& job);
+
+  static RunningAttempt Running(const AttemptKey& key, int percent = 50);
+
+ private:
+  ManualClock clock_;
+  HybridClock hybrid_clock_{&clock_};
+  EventLog events_{"test", &hybrid_clock_};
+  int64_t term_;
+  std::unique_ptr<PoolScheduler> scheduler_;
+  std::map<std::string, int64_t> last_end_;
+  std::map<JobId, std::string> stored_;
+};
+
+// The starts among `orders`, or the stops.
+std::vector<SentOrder> Starts(const std::vector<SentOrder>& orders);
+std::vector<SentOrder> Stops(const std::vector<SentOrder>& orders);
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_TESTS_CELL_SCHEDULER_FIXTURE_H_
