--- a/packages/base/stream_log.h
+++ b/packages/base/stream_log.h
@@ -20,7 +20,7 @@
   struct Limits {
     size_t max_buffered_bytes = 512 * 1024;  // About 2,000 lines, several seconds of a burst.
     // Informational lines in any second; warnings and errors are always taken.
-    int64_t max_lines_per_second = 600;  // Twice the starts and ends of a burst.
+    int64_t max_lines_per_second = 1500;  // Twice the starts, ends and answers of a burst.
   };
 
   StreamLog(int fd, const Clock* clock, Limits limits);
--- a/packages/cell/cell_job.h
+++ b/packages/cell/cell_job.h
@@ -38,9 +38,8 @@
 
 struct CellTask {
   TaskPhase phase = TaskPhase::kWaiting;
-  int failures = 0;
-  // The last attempt among them: its end may be listed again to a later owner.
-  RunNumber failed_run;
+  // Attempts that failed. An end may be listed again, and in another order, to a later owner.
+  std::set<RunNumber> failed_runs;
   // Highest number given to an attempt.
   RunNumber last_run;
   // Where the active attempt is.
@@ -72,9 +71,8 @@
   std::vector<CellTask> tasks;
   int succeeded = 0;
   int waiting = 0;
-  // Failures of a gang as a whole, and the attempt that the last one belongs to.
-  int gang_failures = 0;
-  RunNumber gang_failed_run;
+  // Attempts that failed of a gang as a whole.
+  std::set<RunNumber> gang_failed_runs;
   StepAdvice advice;
 
   bool IsDone() const { return succeeded == static_cast<int>(tasks.size()); }
--- a/packages/cell/job_record.cc
+++ b/packages/cell/job_record.cc
@@ -117,7 +117,23 @@
   }
 }
 
-// Results of one step run. Failures are [count, last failed run].
+json EncodeRuns(const std::set<RunNumber>& runs) {
+  json list = json::array();
+  for (const RunNumber run : runs) {
+    list.push_back(run.value());
+  }
+  return list;
+}
+
+std::set<RunNumber> DecodeRuns(const json& list) {
+  std::set<RunNumber> runs;
+  for (const json& run : list) {
+    runs.insert(RunNumber(run.get<int64_t>()));
+  }
+  return runs;
+}
+
+// Results of one step run. Failures are the numbers of the failed attempts.
 json EncodeRun(size_t index, const StepRun& run) {
   std::string done;
   json failures = json::object();
@@ -125,8 +141,8 @@
   for (size_t i = 0; i < run.tasks.size(); ++i) {
     const CellTask& task = run.tasks[i];
     done.push_back(task.phase == TaskPhase::kSucceeded ? '1' : '0');
-    if (task.failures > 0) {
-      failures[std::to_string(i)] = json::array({task.failures, task.failed_run.value()});
+    if (!task.failed_runs.empty()) {
+      failures[std::to_string(i)] = EncodeRuns(task.failed_runs);
     }
     if (!task.checkpoint.empty() && task.phase != TaskPhase::kSucceeded) {
       checkpoints[std::to_string(i)] = task.checkpoint;
@@ -139,18 +155,18 @@
   if (!checkpoints.empty()) {
     value["checkpoints"] = std::move(checkpoints);
   }
-  if (run.gang_failures > 0) {
-    value["gang_failures"] = json::array({run.gang_failures, run.gang_failed_run.value()});
+  if (!run.gang_failed_runs.empty()) {
+    value["gang_failures"] = EncodeRuns(run.gang_failed_runs);
   }
   return value;
 }
 
 bool HasResults(const StepRun& run) {
-  if (run.succeeded > 0 || run.gang_failures > 0) {
+  if (run.succeeded > 0 || !run.gang_failed_runs.empty()) {
     return true;
   }
   for (const CellTask& task : run.tasks) {
-    if (task.failures > 0 || !task.checkpoint.empty()) {
+    if (!task.failed_runs.empty() || !task.checkpoint.empty()) {
       return true;
     }
   }
@@ -169,17 +185,14 @@
   }
   const json failures = value.value("failures", json::object());
   for (auto it = failures.begin(); it != failures.end(); ++it) {
-    CellTask& task = run.tasks.at(std::stoul(it.key()));
-    task.failures = it.value().at(0).get<int>();
-    task.failed_run = RunNumber(it.value().at(1).get<int64_t>());
+    run.tasks.at(std::stoul(it.key())).failed_runs = DecodeRuns(it.value());
   }
   const json checkpoints = value.value("checkpoints", json::object());
   for (auto it = checkpoints.begin(); it != checkpoints.end(); ++it) {
     run.tasks.at(std::stoul(it.key())).checkpoint = it.value().get<std::string>();
   }
   if (value.contains("gang_failures")) {
-    run.gang_failures = value.at("gang_failures").at(0).get<int>();
-    run.gang_failed_run = RunNumber(value.at("gang_failures").at(1).get<int64_t>());
+    run.gang_failed_runs = DecodeRuns(value.at("gang_failures"));
   }
 }
 
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/hash/hash.h"
+#include "absl/strings/str_cat.h"
 
 namespace pomelotray {
 namespace {
@@ -38,6 +39,26 @@
          (attempt.phase == AttemptPhase::kRunning && attempt.confirmed_at < sent);
 }
 
+// The steps of a job for the log: tasks, and what binds them.
+std::string DescribeShape(const WorkflowSpec& spec) {
+  std::string shape;
+  for (const StepSpec& step : spec.steps) {
+    absl::StrAppend(&shape, shape.empty() ? "" : " ", step.task_count, "x",
+                    step.demand.cpu.value(), "c", step.demand.accelerators.value(), "a",
+                    absl::ToInt64Milliseconds(step.estimate), "ms", step.gang ? " gang" : "",
+                    step.long_running ? " long" : "", step.speculative ? " spec" : "",
+                    step.fills ? " fills" : "", step.max_per_worker > 0 ? " spread" : "",
+                    step.latency_target > absl::ZeroDuration() ? " serves" : "",
+                    step.disruption_budget > 0 ? " budget" : "",
+                    step.required_label.empty() ? "" : " label",
+                    step.preferred_rack.empty() ? "" : " rack", step.same_rack ? " same" : "");
+  }
+  if (spec.occurrences > 0) {
+    absl::StrAppend(&shape, " times ", spec.occurrences);
+  }
+  return shape;
+}
+
 bool IsLost(const CellWorker& worker, absl::Time now) { return worker.lease_over_at <= now; }
 
 }  // namespace
@@ -136,6 +157,7 @@
       .Job(id)
       .With("queue", intake.policy.name)
       .With("priority", intake.policy.priority)
+      .With("shape", DescribeShape(intake.spec))
       .With("age_ms", absl::ToInt64Milliseconds(now - intake.accepted))
       .Emit();
   jobs_.emplace(id, MakeCellJob(std::move(intake)));
@@ -463,22 +485,14 @@
 void PoolScheduler::ApplyFailure(CellJob* job, StepRun* run, const TaskRef& ref,
                                  const EndedAttempt& ended, absl::Time now) {
   const StepSpec& step = job->Step(*run);
-  int failures = 0;
-  if (step.gang) {
-    if (ended.key.run > run->gang_failed_run) {
-      run->gang_failed_run = ended.key.run;
-      ++run->gang_failures;
-    }
-    failures = run->gang_failures;
-  } else {
-    CellTask& task = run->tasks[ref.task];
-    if (ended.key.run > task.failed_run) {
-      task.failed_run = ended.key.run;
-      ++task.failures;
-    }
-    failures = task.failures;
+  if (step.long_running) {
+    Touch(job);
+    return;
   }
-  if (!step.long_running && failures >= job->intake.policy.max_attempts) {
+  std::set<RunNumber>& failed =
+      step.gang ? run->gang_failed_runs : run->tasks[ref.task].failed_runs;
+  failed.insert(ended.key.run);
+  if (static_cast<int>(failed.size()) >= job->intake.policy.max_attempts) {
     Finish(job, CellJobState::kFailed, now, ended.key.task + " failed in its last attempt");
   } else {
     Touch(job);
--- a/tests/cell/pool_scheduler_test.cc
+++ b/tests/cell/pool_scheduler_test.cc
@@ -198,6 +198,30 @@
   }
 }
 
+// Guards against a start beyond the last attempt: after a takeover the workers list a task's failures
+// in any order, and each of them counts (vhmla-tray trouble-1, rule BUDGET).
+BOOST_AUTO_TEST_CASE(FailuresListedOutOfOrderAllCount) {
+  Fixture fixture;
+  const std::vector<WorkerDescription> workers = {
+      Fixture::Worker("w1", 1000), Fixture::Worker("w2", 1000), Fixture::Worker("w3", 1000)};
+  fixture.AddWorkers(workers);
+  const JobIntake job = Fixture::Job("a", {Fixture::Step(1, 1000)}, /*max_attempts=*/2);
+  fixture.AddJob(job);
+  const SentOrder first = Starts(fixture.Round()).at(0);
+  fixture.Report(first.worker.value(), {}, {{first.order.key, AttemptEnd::kFailed}});
+  const SentOrder second = Starts(fixture.Round()).at(0);
+  fixture.TakeOver({job}, workers);
+  fixture.scheduler().ConfirmRoster({WorkerId("w1"), WorkerId("w2"), WorkerId("w3")});
+  fixture.Report(second.worker.value(), {}, {{second.order.key, AttemptEnd::kFailed}});
+  fixture.Report(first.worker.value(), {}, {{first.order.key, AttemptEnd::kFailed}});
+  for (const WorkerDescription& worker : workers) {
+    fixture.Report(worker.id.value(), {});
+  }
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  fixture.CommitAll();
+  BOOST_TEST((fixture.State("a") == CellJobState::kFailed));
+}
+
 // Guards against asking for tickets of workers that the step may not use any more, again and again:
 // a step that spreads its tasks never started its last one (vhmla-tray trouble-2, rule LOST).
 BOOST_AUTO_TEST_CASE(TicketsAreRenewedForWorkersThatTheStepCanUse) {
