cell: Keep short questions and large tasks from waiting behind others

Long questions use half of the instances; room is kept for large tasks; tickets of short next steps are asked for ahead.

--- a/packages/cell/advice_desk.cc
+++ b/packages/cell/advice_desk.cc
@@ -65,7 +65,6 @@
     if (!caller->retired &&
         std::find(members.begin(), members.end(), caller->member) == members.end()) {
       caller->retired = true;
-      --active_callers_;
     }
   }
   for (const CellMember& member : members) {
@@ -76,18 +75,35 @@
       callers_.push_back(std::make_unique<Caller>());
       Caller* const caller = callers_.back().get();
       caller->member = member;
-      ++active_callers_;
       caller->thread = std::thread([this, caller] { Run(caller); });
     }
   }
+  ShareOut();
   changed_.SignalAll();
 }
 
+void AdviceDesk::ShareOut() {
+  std::vector<Caller*> active;
+  for (const std::unique_ptr<Caller>& caller : callers_) {
+    if (!caller->retired) {
+      active.push_back(caller.get());
+    }
+  }
+  std::sort(active.begin(), active.end(),
+            [](const Caller* a, const Caller* b) { return a->member.id < b->member.id; });
+  const size_t long_callers = (active.size() + 1) / 2;
+  for (size_t i = 0; i < active.size(); ++i) {
+    active[i]->takes_long = i < long_callers;
+  }
+  short_callers_ = active.size() - long_callers;
+}
+
 void AdviceDesk::Submit(AdviceRequest request, Done done) {
   absl::MutexLock lock(&mutex_);
   const std::pair<int, int64_t> key(request.priority, next_number_++);
   queue_.emplace(key, Question{std::move(request), std::move(done)});
-  changed_.Signal();
+  // Not every caller takes every question.
+  changed_.SignalAll();
 }
 
 void AdviceDesk::Stop() {
@@ -103,37 +119,35 @@
   }
 }
 
-AdviceDesk::Queue::iterator AdviceDesk::Next() {
-  const bool long_allowed = long_calls_ * 2 < static_cast<int>(active_callers_) || long_calls_ == 0;
-  return std::find_if(queue_.begin(), queue_.end(), [long_allowed](const auto& entry) {
-    return long_allowed || entry.second.request.cost <= kLongCall;
-  });
+AdviceDesk::Queue::iterator AdviceDesk::Next(const Caller& caller) {
+  const auto is_short = [](const auto& entry) { return entry.second.request.cost <= kLongCall; };
+  if (!caller.takes_long) {
+    return std::find_if(queue_.begin(), queue_.end(), is_short);
+  }
+  const auto first_long = std::find_if_not(queue_.begin(), queue_.end(), is_short);
+  const size_t waiting_short = std::count_if(queue_.begin(), queue_.end(), is_short);
+  if (first_long != queue_.end() || waiting_short <= short_callers_) {
+    return first_long;
+  }
+  return queue_.begin();
 }
 
 void AdviceDesk::Run(Caller* caller) {
   for (;;) {
     Question question;
-    bool is_long = false;
     {
       absl::MutexLock lock(&mutex_);
-      while (!stopping_ && !caller->retired && Next() == queue_.end()) {
+      while (!stopping_ && !caller->retired && Next(*caller) == queue_.end()) {
         changed_.Wait(&mutex_);
       }
       if (stopping_ || caller->retired) {
         return;
       }
-      const auto next = Next();
+      const auto next = Next(*caller);
       question = std::move(next->second);
       queue_.erase(next);
-      is_long = question.request.cost > kLongCall;
-      long_calls_ += is_long ? 1 : 0;
     }
     const std::optional<Advice> advice = Ask(caller->member, question.request);
-    {
-      absl::MutexLock lock(&mutex_);
-      long_calls_ -= is_long ? 1 : 0;
-      changed_.Signal();
-    }
     question.done(question.request, advice);
   }
 }
--- a/packages/cell/advice_desk.h
+++ b/packages/cell/advice_desk.h
@@ -22,8 +22,9 @@
 namespace pomelotray {
 
 // Puts questions to the adviser by way of all instances, because the adviser serves one call at a
-// time for each calling VM. One thread for each instance takes the most urgent question; long
-// questions leave at least half of the instances to short ones.
+// time for each calling VM. One thread for each instance takes the most urgent question that fits
+// it. Long questions go by way of the first half of the instances only, at every owner alike, so
+// that a short question never queues behind a long one of another owner (head-of-line blocking).
 class AdviceDesk {
  public:
   using Done = std::function<void(const AdviceRequest&, const std::optional<Advice>&)>;
@@ -48,13 +49,16 @@
   struct Caller {
     CellMember member;
     bool retired = false;
+    bool takes_long = false;
     std::thread thread;
   };
   // Lower priority numbers first, then the order of arrival.
   using Queue = std::map<std::pair<int, int64_t>, Question>;
 
   void Run(Caller* caller);
-  Queue::iterator Next() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void ShareOut() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // The question for this caller; the end of the queue when there is none.
+  Queue::iterator Next(const Caller& caller) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   std::optional<Advice> Ask(const CellMember& member, const AdviceRequest& request);
   Result<Advice> AskPeer(const CellMember& member, const AdviceRequest& request,
                          absl::Duration timeout);
@@ -68,8 +72,7 @@
   absl::CondVar changed_;
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
   int64_t next_number_ ABSL_GUARDED_BY(mutex_) = 0;
-  int long_calls_ ABSL_GUARDED_BY(mutex_) = 0;
-  size_t active_callers_ ABSL_GUARDED_BY(mutex_) = 0;
+  size_t short_callers_ ABSL_GUARDED_BY(mutex_) = 0;
   Queue queue_ ABSL_GUARDED_BY(mutex_);
   std::vector<std::unique_ptr<Caller>> callers_ ABSL_GUARDED_BY(mutex_);
 };
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -14,14 +14,31 @@
 constexpr size_t kMaxAsked = 100;
 // Extra workers named when tickets are renewed, since rooms change while the answer is on its way.
 constexpr size_t kSpareRenewals = 2;
-// Gangs that may keep workers empty at the same time; more would idle the pool.
-constexpr int kMaxKeepingGangs = 2;
+// Share of the pool's workers that may be kept empty for large tasks; more would idle the pool.
+constexpr double kMaxKeptShare = 0.34;
+// A task that needs this share of a worker is large: gaps of that size do not appear by themselves.
+constexpr double kLargeShare = 0.4;
 
 // Free memory and processors left after a placement weigh alike; accelerators are scarcest.
 double LeftoverScore(const Resources& left, const Resources& capacity) {
   return DominantShare(left, capacity);
 }
 
+// True when the steps that the run waits for are all at work and should end while a ticket that is
+// asked for now is still valid.
+bool WillStartSoon(const CellJob& job, const StepRun& run) {
+  if (!job.intake.policy.advice.has_value() || run.waiting == 0 || !run.advice.asked.empty()) {
+    return false;
+  }
+  const size_t first = run.occurrence * job.intake.spec.steps.size();
+  const std::vector<int>& after = job.Step(run).after;
+  return !after.empty() && std::all_of(after.begin(), after.end(), [&](int step) {
+    const StepRun& earlier = job.runs[first + step];
+    return earlier.waiting == 0 &&
+           job.Step(earlier).estimate <= job.intake.policy.advice->validity;
+  });
+}
+
 }  // namespace
 
 Resources ReservedFor(const StepSpec& step) {
@@ -60,6 +77,8 @@
     for (size_t i = 0; i < job.runs.size(); ++i) {
       if (IsStartable(job, job.runs[i], now_)) {
         candidates_.push_back(Candidate{&job, static_cast<int>(i)});
+      } else if (WillStartSoon(job, job.runs[i])) {
+        upcoming_.push_back(Candidate{&job, static_cast<int>(i)});
       }
     }
   }
@@ -76,6 +95,9 @@
   for (const Candidate& candidate : candidates_) {
     ConsiderStep(candidate);
   }
+  for (const Candidate& candidate : upcoming_) {
+    AskAhead(candidate);
+  }
   return std::move(result_);
 }
 
@@ -104,7 +126,7 @@
 bool ScheduleRound::MayUse(const Candidate& candidate, const Room& room, bool with_ticket) const {
   const StepRun& run = candidate.job->runs[candidate.run];
   const StepSpec& step = candidate.job->Step(run);
-  return !room.kept_for_gang && room.worker->HasLabel(step.required_label) &&
+  return !room.kept && room.worker->HasLabel(step.required_label) &&
          (!candidate.job->intake.policy.advice.has_value() ||
           HasTicket(run, room.worker->description.id, with_ticket));
 }
@@ -155,6 +177,7 @@
   }
   bool with_ticket = true;
   bool full = false;
+  int first_missing = 0;
   std::set<WorkerId> to_renew;
   for (const int index : waiting) {
     const CellTask& task = run.tasks[index];
@@ -167,6 +190,7 @@
       room = FindRoom(candidate, task, false, per_worker);
       if (room == nullptr) {
         full = true;
+        first_missing = index;
         break;
       }
       to_renew.insert(room->worker->description.id);
@@ -178,6 +202,24 @@
     RenewTickets(candidate, std::move(to_renew), per_worker);
   } else if (full) {
     AskAboutOthers(candidate);
+    const size_t missing = std::count_if(waiting.begin(), waiting.end(), [&](int index) {
+      return index >= first_missing;
+    });
+    if (IsLarge(step)) {
+      KeepRoom(candidate, missing);
+    }
+  }
+}
+
+bool ScheduleRound::IsLarge(const StepSpec& step) const {
+  return std::any_of(rooms_.begin(), rooms_.end(), [&step](const Room& room) {
+    return DominantShare(ReservedFor(step), room.worker->description.capacity) >= kLargeShare;
+  });
+}
+
+void ScheduleRound::AskAhead(const Candidate& candidate) {
+  if (candidate.job->runs[candidate.run].advice.asked.empty()) {
+    AskAboutOthers(candidate);
   }
 }
 
@@ -218,11 +260,11 @@
     rooms_ = before;
   }
   AskAboutOthers(candidate);
-  KeepForGang(candidate, waiting.size());
+  KeepRoom(candidate, waiting.size());
 }
 
-void ScheduleRound::KeepForGang(const Candidate& candidate, size_t members) {
-  if (candidate.job->worthless_after < now_ || keeping_gangs_ >= kMaxKeepingGangs) {
+void ScheduleRound::KeepRoom(const Candidate& candidate, size_t tasks) {
+  if (candidate.job->worthless_after < now_) {
     return;
   }
   const Resources needed = ReservedFor(candidate.job->Step(candidate.job->runs[candidate.run]));
@@ -241,22 +283,24 @@
   size_t seats = 0;
   std::vector<Room*> kept;
   for (Room* room : usable) {
-    if (seats >= members) {
+    if (seats >= tasks) {
       break;
     }
     Resources left = room->worker->description.capacity;
-    for (; seats < members && needed.FitsInto(left); ++seats) {
+    for (; seats < tasks && needed.FitsInto(left); ++seats) {
       left -= needed;
     }
     kept.push_back(room);
   }
   // A gang that the known workers cannot hold at all would keep them empty for nothing.
-  if (seats < members) {
+  const size_t limit = static_cast<size_t>(kMaxKeptShare * static_cast<double>(rooms_.size()));
+  const bool gang = candidate.job->Step(candidate.job->runs[candidate.run]).gang;
+  if ((gang && seats < tasks) || kept_workers_ + kept.size() > std::max<size_t>(limit, 1)) {
     return;
   }
-  ++keeping_gangs_;
+  kept_workers_ += kept.size();
   for (Room* room : kept) {
-    room->kept_for_gang = true;
+    room->kept = true;
   }
 }
 
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -36,8 +36,9 @@
 
 // One pass over all waiting tasks of a pool: decides what starts where. Reads the jobs and workers
 // and changes neither. Steps are taken by lateness, priority and objective; a step that waits for
-// renewed tickets keeps room from later steps, and a gang that does not fit keeps later work off
-// the workers that it could use.
+// renewed tickets keeps room from later steps, and a gang or a large task that does not fit keeps
+// later work off workers that it could use, since small tasks would fill each gap for ever
+// (starvation of large jobs).
 class ScheduleRound {
  public:
   ScheduleRound(const std::map<JobId, CellJob>& jobs, const std::map<WorkerId, CellWorker>& workers,
@@ -54,8 +55,8 @@
   struct Room {
     const CellWorker* worker = nullptr;
     Resources free;
-    // A gang waits for this worker to empty: lower steps do not start here.
-    bool kept_for_gang = false;
+    // A step waits for this worker to empty: later steps do not start here.
+    bool kept = false;
   };
 
   // Tasks of one step on each worker.
@@ -65,7 +66,10 @@
   void ConsiderStep(const Candidate& candidate);
   void PlaceTasks(const Candidate& candidate, const std::vector<int>& waiting);
   void PlaceGang(const Candidate& candidate, const std::vector<int>& waiting);
-  void KeepForGang(const Candidate& candidate, size_t members);
+  // Keeps the emptiest usable workers free for `tasks` tasks that do not fit anywhere now.
+  void KeepRoom(const Candidate& candidate, size_t tasks);
+  // Asks early about a step whose dependencies are all running and short.
+  void AskAhead(const Candidate& candidate);
 
   PlacedTask Place(const Candidate& candidate, int task, const Room& room) const;
   // The best room for one task, or null. With `with_ticket`, the step's ticket must still be valid;
@@ -74,6 +78,7 @@
                  const TaskCounts& per_worker);
   // Whether the step may not have more tasks on this worker.
   static bool IsSpread(const StepSpec& step, const WorkerId& worker, const TaskCounts& per_worker);
+  bool IsLarge(const StepSpec& step) const;
   bool MayUse(const Candidate& candidate, const Room& room, bool with_ticket) const;
   bool HasTicket(const StepRun& run, const WorkerId& worker, bool valid) const;
   // Renews the tickets of the workers that the step would use now and, beyond them, a few others.
@@ -88,7 +93,9 @@
   const absl::Time now_;
   std::vector<Room> rooms_;
   std::vector<Candidate> candidates_;
-  int keeping_gangs_ = 0;
+  // Steps that will be ready soon.
+  std::vector<Candidate> upcoming_;
+  size_t kept_workers_ = 0;
   RoundResult result_;
 };
 
--- /dev/null
+++ b/tests/cell/advice_desk_test.cc
@@ -0,0 +1,95 @@
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+#include "base/event_log.h"
+#include "base/system_clock.h"
+#include "cell/advice_desk.h"
+
+namespace pomelotray {
+namespace {
+
+// An adviser that answers when the test lets it.
+class GatedAdviser : public Adviser {
+ public:
+  Result<Advice> Ask(const AdviceQuestion& question, absl::Duration) override {
+    absl::MutexLock lock(&mutex_);
+    asked_.insert(question.step);
+    mutex_.Await(absl::Condition(&open_));
+    return Advice{};
+  }
+  void Open() {
+    absl::MutexLock lock(&mutex_);
+    open_ = true;
+  }
+  void AwaitAsked(size_t count) {
+    absl::MutexLock lock(&mutex_);
+    while (asked_.size() < count) {
+      mutex_.Unlock();
+      SystemClock().SleepFor(absl::Milliseconds(1));
+      mutex_.Lock();
+    }
+  }
+  std::set<std::string> asked() {
+    absl::MutexLock lock(&mutex_);
+    return asked_;
+  }
+
+ private:
+  absl::Mutex mutex_;
+  bool open_ = false;
+  std::set<std::string> asked_;
+};
+
+// Sends the calls for all other instances to the same adviser.
+class LoopbackPeers : public PeerPort {
+ public:
+  explicit LoopbackPeers(Adviser* adviser) : adviser_(adviser) {}
+  Result<nlohmann::json> Call(const std::string&, const std::string&, const nlohmann::json& body,
+                              absl::Duration timeout) override {
+    AdviceQuestion question;
+    question.step = body.at("step").get<std::string>();
+    BOOST_LEAF_CHECK(adviser_->Ask(question, timeout));
+    return nlohmann::json{{"tickets", nlohmann::json::object()}, {"validity_ms", 1000}};
+  }
+
+ private:
+  Adviser* const adviser_;
+};
+
+AdviceRequest Question(const std::string& step, absl::Duration cost, int priority) {
+  AdviceRequest request;
+  request.step.job = JobId("job");
+  request.question.step = step;
+  request.cost = cost;
+  request.priority = priority;
+  return request;
+}
+
+BOOST_AUTO_TEST_SUITE(AdviceDeskTest)
+
+// Guards against head-of-line blocking: a short question is put at once although more long ones
+// wait than there are instances.
+BOOST_AUTO_TEST_CASE(ShortQuestionsDoNotWaitBehindLongOnes) {
+  SystemClock clock;
+  HybridClock hybrid_clock(&clock);
+  EventLog events("test", &hybrid_clock);
+  GatedAdviser adviser;
+  LoopbackPeers peers(&adviser);
+  AdviceDesk desk(InstanceId("i1"), &adviser, &peers, &clock, &events);
+  desk.SetMembers({{InstanceId("i1"), "a"}, {InstanceId("i2"), "b"}, {InstanceId("i3"), "c"}});
+  const AdviceDesk::Done ignore = [](const AdviceRequest&, const std::optional<Advice>&) {};
+  for (int i = 0; i < 10; ++i) {
+    desk.Submit(Question("long" + std::to_string(i), absl::Milliseconds(600), 1), ignore);
+  }
+  desk.Submit(Question("short", absl::Milliseconds(20), 2), ignore);
+  adviser.AwaitAsked(3);
+  BOOST_TEST(adviser.asked().count("short") == 1U);
+  BOOST_TEST(adviser.asked().size() == 3U);
+  adviser.Open();
+  desk.Stop();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace pomelotray
