cell: Start only while nobody else can own the pool

Now the instance that created the entry tells the owner, owners start only on a lease that is good by their own clock or when every member says that the store is down, and jobs around a claim wait for the roster.

--- a/packages/cell/cell_membership.cc
+++ b/packages/cell/cell_membership.cc
@@ -18,6 +18,11 @@
 // Time without a renewal after which the others take over: four renewals, and more than a slow
 // store needs for one.
 constexpr absl::Duration kLeaseTtl = absl::Seconds(2);
+// Stops before the lease is over: a start that was allowed still has to be sent.
+constexpr absl::Duration kLeaseMargin = absl::Milliseconds(100);
+// How long the members' word that the store is down is good: shorter than the time that a lease
+// needs to run out once the store is back.
+constexpr absl::Duration kOutageConfirmation = absl::Seconds(1);
 constexpr absl::Duration kRenewInterval = absl::Milliseconds(500);
 // A renewal waits at most 0.8 s (the store client's limit), so checks are at most 1.3 s apart.
 constexpr absl::Duration kMaxCheckAge = absl::Milliseconds(1600);
@@ -174,6 +179,13 @@
   return clock_->Now() - last_checked_ < kMaxCheckAge;
 }
 
+bool CellMembership::MayStart() const {
+  absl::MutexLock lock(&mutex_);
+  const absl::Time now = clock_->Now();
+  return now - renewed_at_ < kLeaseTtl - kLeaseMargin ||
+         now - outage_confirmed_at_ < kOutageConfirmation;
+}
+
 bool CellMembership::StoreAnswers() const {
   absl::MutexLock lock(&mutex_);
   return store_answers_;
@@ -225,6 +237,7 @@
     }
     lease = lease_;
   }
+  const absl::Time sent = clock_->Now();
   bool answered = false;
   if (!lease.has_value()) {
     answered = Register();
@@ -244,9 +257,15 @@
       answered = Register();
     }
   }
+  const bool down_for_all = !answered && callbacks_.store_is_down_for_all();
   absl::MutexLock lock(&mutex_);
   last_checked_ = clock_->Now();
   store_answers_ = answered;
+  if (answered) {
+    renewed_at_ = sent;
+  } else if (down_for_all) {
+    outage_confirmed_at_ = last_checked_;
+  }
 }
 
 bool CellMembership::Register() {
--- a/packages/cell/cell_membership.h
+++ b/packages/cell/cell_membership.h
@@ -53,6 +53,9 @@
     // Called on the membership's threads, in order for each pool.
     std::function<void(const PoolClaim&)> claimed;
     std::function<void(const PoolName&)> lost;
+    // Asks all other members whether the store answers them. True when each of them says that it
+    // does not.
+    std::function<bool()> store_is_down_for_all;
   };
 
   CellMembership(CellMember self, std::string incarnation, TransactionalStore* store,
@@ -72,6 +75,9 @@
   // The last contact with the store, or the last try, is recent. False after this process stood
   // still: another instance may have claimed its pools meanwhile, so nothing may be ordered.
   bool CheckedRecently() const;
+  // No other instance can have claimed this one's pools: the lease is good by this instance's clock,
+  // or the store is down for all members, so that nobody can claim.
+  bool MayStart() const;
   // The last call of the lease's keeper was answered.
   bool StoreAnswers() const;
   // A worker has seen a newer owner of the pool.
@@ -114,6 +120,9 @@
   std::optional<StoreLeaseId> lease_ ABSL_GUARDED_BY(mutex_);
   absl::Time registered_at_ ABSL_GUARDED_BY(mutex_) = absl::InfiniteFuture();
   absl::Time last_checked_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  // When the last renewal that succeeded was sent.
+  absl::Time renewed_at_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  absl::Time outage_confirmed_at_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
   bool store_answers_ ABSL_GUARDED_BY(mutex_) = false;
   std::vector<PoolName> pools_ ABSL_GUARDED_BY(mutex_);
   std::map<InstanceId, CellMember> members_ ABSL_GUARDED_BY(mutex_);
--- a/packages/cell/cell_node.cc
+++ b/packages/cell/cell_node.cc
@@ -13,6 +13,8 @@
 // How long a planned hand-over waits for ends to be stored: the next owner reads the rest from the
 // workers.
 constexpr absl::Duration kHandOverLimit = absl::Milliseconds(300);
+// A peer answers from memory; between regions it takes 16 ms.
+constexpr absl::Duration kHealthTimeout = absl::Milliseconds(200);
 constexpr absl::Duration kPeerKeyRetry = absl::Milliseconds(200);
 
 PeerLimits MakePeerLimits() {
@@ -41,7 +43,8 @@
       CellMember{context_.id, context_.peer_address}, MakeNonceText(), context_.store, context_.clock,
       context_.events,
       CellMembership::Callbacks{[this](const PoolClaim& claim) { PoolClaimed(claim); },
-                                [this](const PoolName& pool) { PoolLost(pool); }});
+                                [this](const PoolName& pool) { PoolLost(pool); },
+                                [this] { return StoreIsDownForAll(); }});
   std::unique_ptr<CellService> service = std::make_unique<CellService>(
       context_.id, context_.store, peer_client_.get(), membership_.get(), context_.clock,
       context_.events, [this](const PoolName& pool) { return FindOwner(pool); });
@@ -230,6 +233,22 @@
   return it == owners_.end() ? nullptr : it->second;
 }
 
+bool CellNode::StoreIsDownForAll() const {
+  for (const CellMember& member : membership_->members()) {
+    if (member.id == context_.id) {
+      continue;
+    }
+    const Outcome<nlohmann::json> answer = Capture([&] {
+      return peer_client_->Call(member.peer_address, "store_health", nlohmann::json::object(),
+                                kHealthTimeout);
+    });
+    if (!answer.ok() || answer.value().value("answers", true)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void CellNode::MaintenanceLoop() {
   for (;;) {
     std::vector<std::shared_ptr<PoolOwner>> starting;
--- a/packages/cell/cell_node.h
+++ b/packages/cell/cell_node.h
@@ -59,6 +59,8 @@
   void PoolLost(const PoolName& pool);
   std::shared_ptr<PoolOwner> FindOwner(const PoolName& pool) const;
   Result<nlohmann::json> AnswerPeer(const PeerCall& call);
+  // Asks each other member; false as soon as one reaches the store or does not answer.
+  bool StoreIsDownForAll() const;
   void MaintenanceLoop();
 
   const CellNodeContext context_;
--- a/packages/cell/cell_service.cc
+++ b/packages/cell/cell_service.cc
@@ -112,26 +112,28 @@
   const JobIntake intake{id, route.policy, std::move(spec), clock_->Now()};
   const std::string key = cell_keys::Job(route.policy.pool, id);
   const std::string value = EncodeIntake(intake);
-  BOOST_LEAF_CHECK(CreateEntry(key, value, deadline));
-  NotifyOwner(route.policy.pool, key, value);
-  return {};
+  return CreateEntry(route.policy.pool, key, value, deadline);
 }
 
-Result<void> CellService::CreateEntry(const std::string& key, const std::string& value,
-                                      absl::Time deadline) {
+Result<void> CellService::CreateEntry(const PoolName& pool, const std::string& key,
+                                      const std::string& value, absl::Time deadline) {
   if (!membership_->StoreAnswers()) {
-    return CreateByPeer(key, value, deadline);
+    return CreateByPeer(pool, key, value, deadline);
   }
   const Outcome<void> created = Capture([&] { return writer_.Create(key, value, deadline); });
   if (!created.ok() && created.error().kind == ErrorKind::kStoreUnavailable) {
-    return CreateByPeer(key, value, deadline);
+    return CreateByPeer(pool, key, value, deadline);
+  }
+  if (created.ok()) {
+    NotifyOwner(pool, key, value);
   }
   return created.ToResult();
 }
 
-Result<void> CellService::CreateByPeer(const std::string& key, const std::string& value,
-                                       absl::Time deadline) {
-  const json body = {{"key", key}, {"value", value}};
+Result<void> CellService::CreateByPeer(const PoolName& pool, const std::string& key,
+                                       const std::string& value, absl::Time deadline) {
+  // The peer tells the owner: without the store, this instance may believe in a former owner.
+  const json body = {{"pool", pool.value()}, {"key", key}, {"value", value}};
   bool maybe_written = false;
   size_t tried = 0;
   for (const CellMember& member : membership_->members()) {
@@ -212,8 +214,7 @@
 Result<void> CellService::Cancel(const QueueRoute& route, const JobId& id, absl::Time deadline) {
   const PoolName& pool = route.policy.pool;
   BOOST_LEAF_CHECK(State(route, id, deadline));
-  BOOST_LEAF_CHECK(CreateEntry(cell_keys::Cancel(pool, id), "1", deadline));
-  NotifyOwner(pool, cell_keys::Cancel(pool, id), "1");
+  BOOST_LEAF_CHECK(CreateEntry(pool, cell_keys::Cancel(pool, id), "1", deadline));
   events_->Record(EventCode::kJobCancelled).Job(id).Emit();
   return {};
 }
@@ -225,11 +226,15 @@
 
 Result<json> CellService::AnswerPeer(const PeerCall& call) {
   const auto text = [&call](const char* field) { return call.body.value(field, std::string()); };
+  if (call.method == "store_health") {
+    return json{{"answers", membership_->StoreAnswers()}};
+  }
   if (call.method == "create") {
     if (!membership_->StoreAnswers()) {
       return Fail(ErrorKind::kStoreUnavailable, "The store does not answer here either.");
     }
     BOOST_LEAF_CHECK(writer_.Create(text("key"), text("value"), call.deadline));
+    NotifyOwner(PoolName(text("pool")), text("key"), text("value"));
     return json::object();
   }
   const std::shared_ptr<PoolOwner> owner = find_owner_(PoolName(text("pool")));
--- a/packages/cell/cell_service.h
+++ b/packages/cell/cell_service.h
@@ -55,8 +55,10 @@
 
  private:
   // Creates an entry here or, when the store turns this instance away, by way of another.
-  Result<void> CreateEntry(const std::string& key, const std::string& value, absl::Time deadline);
-  Result<void> CreateByPeer(const std::string& key, const std::string& value, absl::Time deadline);
+  Result<void> CreateEntry(const PoolName& pool, const std::string& key, const std::string& value,
+                           absl::Time deadline);
+  Result<void> CreateByPeer(const PoolName& pool, const std::string& key, const std::string& value,
+                            absl::Time deadline);
   Result<std::optional<CellJobState>> StateFromOwner(const PoolName& pool, const JobId& id,
                                                      absl::Time deadline);
   Result<CellJobState> StateFromStore(const PoolName& pool, const JobId& id);
--- a/packages/cell/pool_owner.cc
+++ b/packages/cell/pool_owner.cc
@@ -265,7 +265,8 @@
   ScheduledOrders scheduled;
   {
     absl::MutexLock lock(&mutex_);
-    scheduled = scheduler_.Schedule(context_.clock->Now());
+    scheduled =
+        scheduler_.Schedule(context_.clock->Now(), context_.membership->MayStart());
     for (auto& [worker, order] : scheduled.orders) {
       const auto session = sessions_.find(worker);
       if (session != sessions_.end()) {
@@ -406,10 +407,10 @@
   std::set<WorkerId> ids;
   {
     absl::MutexLock lock(&mutex_);
-    for (const auto& [id, worker] : scheduler_.workers()) {
-      workers.push_back(worker.description);
-      ids.insert(id);
-    }
+    workers = scheduler_.NextRoster();
+  }
+  for (const WorkerDescription& worker : workers) {
+    ids.insert(worker.id);
   }
   if (ids == stored_roster_) {
     absl::MutexLock lock(&mutex_);
@@ -515,10 +516,12 @@
   HoldOrder order;
   order.token = token();
   order.acknowledged = scheduler_.Acknowledged(id);
-  const std::optional<WorkerTime> lease_end = scheduler_.ExtendLease(id, context_.clock->Now());
+  const std::optional<WorkerTime> lease_end =
+      context_.membership->MayStart() ? scheduler_.ExtendLease(id, context_.clock->Now())
+                                      : std::nullopt;
   order.lease_end = lease_end.value_or(WorkerTime(0));
-  // Without a lease's end the worker is not known well; it answers at once.
-  order.wait = lease_end.has_value() ? kHoldWait : absl::ZeroDuration();
+  // A worker that is not known well answers at once.
+  order.wait = scheduler_.IsTrusted(id) ? kHoldWait : absl::ZeroDuration();
   return order;
 }
 
@@ -532,6 +535,8 @@
     }
     if (accepted) {
       scheduler_.ApplyReport(id, answer.value().report, sent, received);
+    } else if (answer.ok() && answer.value().answer == OrderAnswer::kWrongWorker) {
+      scheduler_.WorkerReplaced(id, received);
     } else {
       scheduler_.HoldFailed(id, received);
     }
@@ -544,7 +549,10 @@
 
 std::optional<WorkerTime> PoolOwner::PrepareStart(const WorkerId& id, const AttemptKey& key) {
   absl::MutexLock lock(&mutex_);
-  return halted_ ? std::nullopt : scheduler_.PrepareStart(id, key, context_.clock->Now());
+  if (halted_ || !context_.membership->MayStart()) {
+    return std::nullopt;
+  }
+  return scheduler_.PrepareStart(id, key, context_.clock->Now());
 }
 
 void PoolOwner::OrderAnswered(const WorkerId& id, const WorkerOrder& order,
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -21,6 +21,9 @@
 constexpr absl::Duration kQuarantine = absl::Seconds(4);
 // A task whose progress stands still this long is started elsewhere. Reports arrive once a second.
 constexpr absl::Duration kStallLimit = absl::Milliseconds(2500);
+// An earlier owner whose claim was taken away learns of it, like of new jobs, by watches: this is more
+// than their answers can differ, also when the store is slow.
+constexpr absl::Duration kStaleOwnerLimit = absl::Milliseconds(300);
 // Pause after a question that failed.
 constexpr absl::Duration kAdviceRetry = absl::Milliseconds(200);
 // A stop takes at most 0.9 s; a task that is being stopped occupies its room meanwhile, whether the
@@ -100,6 +103,7 @@
     unreported_.insert(description.id);
   }
   inherited_leases_over_ = now + LeaseBound();
+  stale_owner_until_ = now + kStaleOwnerLimit;
 }
 
 bool PoolScheduler::InheritedMayStart(absl::Time now) const {
@@ -160,7 +164,9 @@
       .With("shape", DescribeShape(intake.spec))
       .With("age_ms", absl::ToInt64Milliseconds(now - intake.accepted))
       .Emit();
-  jobs_.emplace(id, MakeCellJob(std::move(intake)));
+  CellJob job = MakeCellJob(std::move(intake));
+  job.inherited = now < stale_owner_until_;
+  jobs_.emplace(id, std::move(job));
 }
 
 void PoolScheduler::CancelJob(const JobId& id, absl::Time now) {
@@ -197,6 +203,19 @@
   }
 }
 
+std::vector<WorkerDescription> PoolScheduler::NextRoster() {
+  std::vector<WorkerDescription> roster;
+  for (auto& [id, worker] : workers_) {
+    const bool usable = worker.listed && !worker.description.draining;
+    if (usable || !worker.attempts.empty() || unreported_.count(id) > 0) {
+      roster.push_back(worker.description);
+    } else {
+      worker.on_roster = false;
+    }
+  }
+  return roster;
+}
+
 void PoolScheduler::ConfirmRoster(const std::vector<WorkerId>& ids) {
   for (const WorkerId& id : ids) {
     CellWorker* worker = FindWorker(id);
@@ -560,6 +579,17 @@
   worker->suspect_since = now;
 }
 
+void PoolScheduler::WorkerReplaced(const WorkerId& id, absl::Time now) {
+  CellWorker* worker = FindWorker(id);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->suspect_since = now;
+  worker->lease_over_at = now;
+  unreported_.erase(id);
+  DropAllAttempts(worker, "another worker has its address");
+}
+
 void PoolScheduler::StartFinished(const WorkerId& id, const AttemptKey& key,
                                   const OrderOutcome& outcome, absl::Time now) {
   CellWorker* worker = FindWorker(id);
@@ -711,10 +741,13 @@
   }
 }
 
-ScheduledOrders PoolScheduler::Schedule(absl::Time now) {
+ScheduledOrders PoolScheduler::Schedule(absl::Time now, bool may_start) {
   DropGoneWorkers(now);
   ScheduledOrders result;
-  RoundResult round = ScheduleRound(jobs_, workers_, now).Run(InheritedMayStart(now));
+  RoundResult round;
+  if (may_start) {
+    round = ScheduleRound(jobs_, workers_, now).Run(InheritedMayStart(now));
+  }
   // The members of a gang see each other's old numbers, so a gang's tasks begin together.
   for (const PlacedTask& placed : round.placed) {
     BeginAttempt(placed, now, &result);
@@ -731,8 +764,7 @@
 
 std::optional<WorkerTime> PoolScheduler::ExtendLease(const WorkerId& id, absl::Time now) {
   CellWorker* worker = FindWorker(id);
-  if (worker == nullptr || worker->clock_read_at == absl::InfinitePast() ||
-      worker->suspect_since >= worker->last_report) {
+  if (worker == nullptr || !IsTrusted(id)) {
     return std::nullopt;
   }
   worker->lease_over_at = now + LeaseBound();
@@ -753,13 +785,14 @@
   return ExtendLease(id, now);
 }
 
-EndNumber PoolScheduler::Acknowledged(const WorkerId& id) const {
+bool PoolScheduler::IsTrusted(const WorkerId& id) const {
   const auto it = workers_.find(id);
+  return it != workers_.end() && it->second.suspect_since < it->second.last_report;
+}
+
+EndNumber PoolScheduler::Acknowledged(const WorkerId& id) const {
   // After a failed hold the worker may be in a new life, whose ends have other numbers.
-  if (it == workers_.end() || it->second.suspect_since >= it->second.last_report) {
-    return EndNumber(0);
-  }
-  return it->second.acknowledged;
+  return IsTrusted(id) ? workers_.at(id).acknowledged : EndNumber(0);
 }
 
 bool PoolScheduler::HasUnacknowledged(const WorkerId& id) const {
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -70,6 +70,9 @@
 
   // The present directory. Workers that are missing from it get no new starts.
   void UpdateDirectory(const std::vector<WorkerDescription>& workers, absl::Time now);
+  // The workers on which tasks may run or start from now on. The others get no starts until they
+  // are confirmed again, so that a later owner need not wait for them.
+  std::vector<WorkerDescription> NextRoster();
   // The roster that became durable.
   void ConfirmRoster(const std::vector<WorkerId>& ids);
 
@@ -77,6 +80,8 @@
   void ApplyReport(const WorkerId& id, const WorkerReport& report, absl::Time sent,
                    absl::Time received);
   void HoldFailed(const WorkerId& id, absl::Time now);
+  // The worker's address answers for another worker: this one is gone with all that it ran.
+  void WorkerReplaced(const WorkerId& id, absl::Time now);
   void StartFinished(const WorkerId& id, const AttemptKey& key, const OrderOutcome& outcome,
                      absl::Time now);
   void StopFinished(const WorkerId& id, const AttemptKey& key, const OrderOutcome& outcome,
@@ -86,7 +91,8 @@
                       absl::Time now);
 
   // Requeues what is over, then decides what starts, stops and is asked now.
-  ScheduledOrders Schedule(absl::Time now);
+  // Without `may_start` it only stops.
+  ScheduledOrders Schedule(absl::Time now, bool may_start = true);
 
   // The worker's clock `limits.task_lease` from now; extends the worker's lease. No value before
   // the first report.
@@ -94,6 +100,8 @@
   // Called right before a start is sent: extends the lease and returns its end. No value when the
   // attempt is not wanted any more; then it must not be sent.
   std::optional<WorkerTime> PrepareStart(const WorkerId& id, const AttemptKey& key, absl::Time now);
+  // The worker has reported since anything was wrong with it.
+  bool IsTrusted(const WorkerId& id) const;
   EndNumber Acknowledged(const WorkerId& id) const;
   // Ends are listed that are not stored yet.
   // Some change of a job is not stored yet.
@@ -160,6 +168,9 @@
   // Workers of the inherited roster that have not reported yet.
   std::set<WorkerId> unreported_;
   absl::Time inherited_leases_over_ = absl::InfinitePast();
+  // Jobs that arrive before this time may be known to the earlier owner, which may not have noticed
+  // its replacement yet.
+  absl::Time stale_owner_until_ = absl::InfinitePast();
 };
 
 }  // namespace pomelotray
--- a/tests/cell/pool_scheduler_test.cc
+++ b/tests/cell/pool_scheduler_test.cc
@@ -104,6 +104,81 @@
   BOOST_TEST((fixture.State("a") == CellJobState::kCompleted));
 }
 
+// Guards against two runs of a job that arrived around a takeover: the old owner may have started it
+// on a worker that the new owner has not reached yet (vhmla-tray trouble-1, rule TWICE).
+BOOST_AUTO_TEST_CASE(JobsThatArriveDuringATakeoverWaitForTheRoster) {
+  Fixture fixture;
+  const std::vector<WorkerDescription> workers = {Fixture::Worker("w1", 1000),
+                                                  Fixture::Worker("w2", 1000)};
+  fixture.AddWorkers(workers);
+  fixture.TakeOver({}, workers);
+  fixture.scheduler().ConfirmRoster({WorkerId("w1"), WorkerId("w2")});
+  fixture.Report("w1", {});
+  fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}));
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  // The old owner's start shows up when the last worker is fenced.
+  const AttemptKey key{"a.0.0.0", RunNumber(1)};
+  fixture.Report("w2", {Fixture::Running(key)});
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  fixture.Report("w2", {}, {{key, AttemptEnd::kSucceeded}});
+  fixture.CommitAll();
+  BOOST_TEST((fixture.State("a") == CellJobState::kCompleted));
+}
+
+// Guards against waiting for workers that left in order: an idle worker that gets no starts any more
+// leaves the roster, and comes back to it before it gets starts again.
+BOOST_AUTO_TEST_CASE(IdleLeavingWorkerLeavesTheRoster) {
+  Fixture fixture;
+  WorkerDescription leaving = Fixture::Worker("w1", 1000);
+  fixture.AddWorkers({leaving});
+  fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}));
+  const SentOrder started = Starts(fixture.Round()).at(0);
+  leaving.draining = true;
+  fixture.scheduler().UpdateDirectory({leaving}, fixture.Now());
+  BOOST_TEST(fixture.scheduler().NextRoster().size() == 1U);
+  fixture.Report("w1", {}, {{started.order.key, AttemptEnd::kSucceeded}});
+  BOOST_TEST(fixture.scheduler().NextRoster().empty());
+  leaving.draining = false;
+  fixture.scheduler().UpdateDirectory({leaving}, fixture.Now());
+  fixture.AddJob(Fixture::Job("b", {Fixture::Step(1, 1000)}));
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  BOOST_TEST(fixture.scheduler().NextRoster().size() == 1U);
+  fixture.scheduler().ConfirmRoster({WorkerId("w1")});
+  BOOST_TEST(Starts(fixture.Round()).size() == 1U);
+}
+
+// Guards against waiting for a worker that is certainly gone: its address belongs to another one.
+BOOST_AUTO_TEST_CASE(ReplacedWorkerHoldsUpNothing) {
+  Fixture fixture;
+  const std::vector<WorkerDescription> workers = {Fixture::Worker("w1", 1000),
+                                                  Fixture::Worker("w2", 1000)};
+  fixture.AddWorkers(workers);
+  const JobIntake job = Fixture::Job("a", {Fixture::Step(1, 1000)});
+  fixture.AddJob(job);
+  const SentOrder started = Starts(fixture.Round()).at(0);
+  const std::string other = started.worker.value() == "w1" ? "w2" : "w1";
+  fixture.TakeOver({job}, workers);
+  fixture.scheduler().ConfirmRoster({WorkerId("w1"), WorkerId("w2")});
+  fixture.Report(other, {});
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  fixture.scheduler().WorkerReplaced(started.worker, fixture.Now());
+  BOOST_TEST(Starts(fixture.Round()).size() == 1U);
+}
+
+// Guards against starts by an owner that may have been replaced; what runs is still stopped.
+BOOST_AUTO_TEST_CASE(OwnerWithoutPermissionStartsNothing) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w1", 2000)});
+  fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}));
+  BOOST_TEST(Starts(fixture.Round()).size() == 1U);
+  fixture.scheduler().CancelJob(JobId("a"), fixture.Now());
+  fixture.AddJob(Fixture::Job("b", {Fixture::Step(1, 1000)}));
+  const ScheduledOrders orders =
+      fixture.scheduler().Schedule(fixture.Now(), /*may_start=*/false);
+  BOOST_REQUIRE_EQUAL(orders.orders.size(), 1U);
+  BOOST_TEST((orders.orders[0].second.kind == WorkerOrder::Kind::kStop));
+}
+
 // Guards against over-commitment after a takeover: the tasks of a cancelled job run on until they
 // are stopped, and each keeps its own room (vhmla-tray scale-1, rule LIMIT).
 BOOST_AUTO_TEST_CASE(CancelledTasksKeepTheirRoomAfterATakeover) {
