--- a/packages/cell/cell_membership.cc
+++ b/packages/cell/cell_membership.cc
@@ -191,6 +191,15 @@
   return store_answers_;
 }
 
+void CellMembership::NoteStoreFailure() {
+  absl::MutexLock lock(&mutex_);
+  if (store_answers_) {
+    store_answers_ = false;
+    check_now_ = true;
+    changed_.SignalAll();
+  }
+}
+
 void CellMembership::ReportFenced(const PoolName& pool) {
   {
     absl::MutexLock lock(&mutex_);
@@ -227,9 +236,11 @@
   std::optional<StoreLeaseId> lease;
   {
     absl::MutexLock lock(&mutex_);
-    if (resigned_ || (lease_.has_value() && clock_->Now() - last_checked_ < kRenewInterval)) {
+    const bool due = check_now_ || clock_->Now() - last_checked_ >= kRenewInterval;
+    if (resigned_ || (lease_.has_value() && !due)) {
       return;
     }
+    check_now_ = false;
     // The store may take this instance's entries away although its lease goes on.
     if (view_complete_ && members_.count(self_.id) == 0 &&
         clock_->Now() - registered_at_ > kSettleTime) {
--- a/packages/cell/cell_membership.h
+++ b/packages/cell/cell_membership.h
@@ -80,6 +80,9 @@
   bool MayStart() const;
   // The last call of the lease's keeper was answered.
   bool StoreAnswers() const;
+  // A write got no answer or was turned away: the store counts as not answering until the next
+  // renewal, which is made at once.
+  void NoteStoreFailure();
   // A worker has seen a newer owner of the pool.
   void ReportFenced(const PoolName& pool);
 
@@ -123,6 +126,7 @@
   // When the last renewal that succeeded was sent.
   absl::Time renewed_at_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
   absl::Time outage_confirmed_at_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  bool check_now_ ABSL_GUARDED_BY(mutex_) = false;
   bool store_answers_ ABSL_GUARDED_BY(mutex_) = false;
   std::vector<PoolName> pools_ ABSL_GUARDED_BY(mutex_);
   std::map<InstanceId, CellMember> members_ ABSL_GUARDED_BY(mutex_);
--- a/packages/cell/cell_service.cc
+++ b/packages/cell/cell_service.cc
@@ -37,7 +37,7 @@
 }  // namespace
 
 CellService::CellService(InstanceId self, TransactionalStore* store, PeerPort* peers,
-                         const CellMembership* membership, const Clock* clock, EventLog* events,
+                         CellMembership* membership, const Clock* clock, EventLog* events,
                          FindOwner find_owner)
     : self_(std::move(self)),
       store_(store),
@@ -46,7 +46,7 @@
       clock_(clock),
       events_(events),
       find_owner_(std::move(find_owner)),
-      writer_(store, clock),
+      writer_(store, clock, [membership] { membership->NoteStoreFailure(); }),
       notifier_([this] { NotifyLoop(); }) {}
 
 CellService::~CellService() { Stop(); }
@@ -120,10 +120,16 @@
   if (!membership_->StoreAnswers()) {
     return CreateByPeer(pool, key, value, deadline);
   }
-  const Outcome<void> created = Capture([&] { return writer_.Create(key, value, deadline); });
+  const Outcome<void> created = Capture([&] { return CreateHere(pool, key, value, deadline); });
   if (!created.ok() && created.error().kind == ErrorKind::kStoreUnavailable) {
     return CreateByPeer(pool, key, value, deadline);
   }
+  return created.ToResult();
+}
+
+Result<void> CellService::CreateHere(const PoolName& pool, const std::string& key,
+                                     const std::string& value, absl::Time deadline) {
+  const Outcome<void> created = Capture([&] { return writer_.Create(key, value, deadline); });
   if (created.ok()) {
     NotifyOwner(pool, key, value);
   }
@@ -233,8 +239,8 @@
     if (!membership_->StoreAnswers()) {
       return Fail(ErrorKind::kStoreUnavailable, "The store does not answer here either.");
     }
-    BOOST_LEAF_CHECK(writer_.Create(text("key"), text("value"), call.deadline));
-    NotifyOwner(PoolName(text("pool")), text("key"), text("value"));
+    BOOST_LEAF_CHECK(
+        CreateHere(PoolName(text("pool")), text("key"), text("value"), call.deadline));
     return json::object();
   }
   const std::shared_ptr<PoolOwner> owner = find_owner_(PoolName(text("pool")));
--- a/packages/cell/cell_service.h
+++ b/packages/cell/cell_service.h
@@ -32,7 +32,7 @@
 
   ~CellService();
   CellService(InstanceId self, TransactionalStore* store, PeerPort* peers,
-              const CellMembership* membership, const Clock* clock, EventLog* events,
+              CellMembership* membership, const Clock* clock, EventLog* events,
               FindOwner find_owner);
 
   void SetConfiguration(std::shared_ptr<const CellConfiguration> configuration);
@@ -57,6 +57,8 @@
   // Creates an entry here or, when the store turns this instance away, by way of another.
   Result<void> CreateEntry(const PoolName& pool, const std::string& key, const std::string& value,
                            absl::Time deadline);
+  Result<void> CreateHere(const PoolName& pool, const std::string& key, const std::string& value,
+                          absl::Time deadline);
   Result<void> CreateByPeer(const PoolName& pool, const std::string& key, const std::string& value,
                             absl::Time deadline);
   Result<std::optional<CellJobState>> StateFromOwner(const PoolName& pool, const JobId& id,
@@ -68,7 +70,7 @@
   const InstanceId self_;
   TransactionalStore* const store_;
   PeerPort* const peers_;
-  const CellMembership* const membership_;
+  CellMembership* const membership_;
   const Clock* const clock_;
   EventLog* const events_;
   const FindOwner find_owner_;
--- a/packages/cell/submission_writer.cc
+++ b/packages/cell/submission_writer.cc
@@ -15,8 +15,9 @@
 
 }  // namespace
 
-SubmissionWriter::SubmissionWriter(TransactionalStore* store, const Clock* clock)
-    : store_(store), clock_(clock), thread_([this] { Run(); }) {}
+SubmissionWriter::SubmissionWriter(TransactionalStore* store, const Clock* clock,
+                                   std::function<void()> failed)
+    : store_(store), clock_(clock), failed_(std::move(failed)), thread_([this] { Run(); }) {}
 
 SubmissionWriter::~SubmissionWriter() { Stop(); }
 
@@ -121,6 +122,7 @@
     }
   }
   if (retried) {
+    failed_();
     clock_->SleepFor(kRetryPause);
   }
 }
--- a/packages/cell/submission_writer.h
+++ b/packages/cell/submission_writer.h
@@ -2,6 +2,7 @@
 #define POMELOTRAY_CELL_SUBMISSION_WRITER_H_
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -18,7 +19,8 @@
 // already counts as written, so the same request may arrive again at any instance.
 class SubmissionWriter {
  public:
-  SubmissionWriter(TransactionalStore* store, const Clock* clock);
+  // `failed` is told about each transaction that the store did not carry out or not answer.
+  SubmissionWriter(TransactionalStore* store, const Clock* clock, std::function<void()> failed);
   ~SubmissionWriter();
 
   // Returns once the entry is stored. Errors: kStoreUnavailable when it certainly is not and never
@@ -48,6 +50,7 @@
 
   TransactionalStore* const store_;
   const Clock* const clock_;
+  const std::function<void()> failed_;
   absl::Mutex mutex_;
   absl::CondVar queued_;
   absl::CondVar settled_;
