--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -101,7 +101,7 @@
   prometheus-cpp::core)
 pomelotray_package(daemon DEPENDS pomelotray_shard pomelotray_api pomelotray_adapters pomelotray_peer
   docopt PkgConfig::XXHASH)
-pomelotray_package(cell DEPENDS pomelotray_peer pomelotray_state)
+pomelotray_package(cell DEPENDS pomelotray_peer pomelotray_state prometheus-cpp::core)
 pomelotray_folder(platform platform DEPENDS pomelotray_cell pomelotray_api PkgConfig::HTTPLIB)
 pomelotray_package(cli DEPENDS pomelotray_history pomelotray_model PkgConfig::HTTPLIB docopt)
 pomelotray_help_texts(pomelotray_cli packages/cli/help)
--- /dev/null
+++ b/packages/cell/cell_metrics.cc
@@ -0,0 +1,75 @@
+#include "cell/cell_metrics.h"
+
+#include <string>
+
+#include "absl/strings/numbers.h"
+
+namespace pomelotray {
+namespace {
+
+// Seconds, from one store call to three times the longest objective.
+const prometheus::Histogram::BucketBoundaries& Bounds() {
+  static const prometheus::Histogram::BucketBoundaries* const kBounds =
+      new prometheus::Histogram::BucketBoundaries{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5,
+                                                  1,     2.5,  5,     10,   30,  60};
+  return *kBounds;
+}
+
+prometheus::Histogram& MakeHistogram(prometheus::Registry* registry, const char* name,
+                                     const char* help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(*registry).Add({}, Bounds());
+}
+
+void ObserveMillis(const Event& event, const char* field, prometheus::Histogram* histogram) {
+  const auto it = event.fields.find(field);
+  int64_t millis = 0;
+  if (it != event.fields.end() && absl::SimpleAtoi(it->second, &millis)) {
+    histogram->Observe(static_cast<double>(millis) / 1000.0);
+  }
+}
+
+}  // namespace
+
+CellMetrics::CellMetrics(prometheus::Registry* registry)
+    : events_(prometheus::BuildCounter()
+                  .Name("pomelotray_events_total")
+                  .Help("Log events by name, including those whose lines were dropped.")
+                  .Register(*registry)),
+      start_wait_(MakeHistogram(registry, "pomelotray_task_start_wait_seconds",
+                                "Time from a job's acceptance to the start of a task.")),
+      job_time_(MakeHistogram(registry, "pomelotray_job_seconds",
+                              "Time from a job's acceptance to its final state.")),
+      request_time_(MakeHistogram(registry, "pomelotray_request_seconds",
+                                  "Time from a submission or a refused request to its answer.")),
+      report_age_(MakeHistogram(registry, "pomelotray_report_age_seconds",
+                                "Age of the worker's report on which a start was decided.")) {}
+
+prometheus::Counter& CellMetrics::CounterOf(EventCode code) {
+  absl::MutexLock lock(&mutex_);
+  prometheus::Counter*& counter = counters_[code];
+  if (counter == nullptr) {
+    counter = &events_.Add({{"name", std::string(DescribeEvent(code).name)}});
+  }
+  return *counter;
+}
+
+void CellMetrics::Observe(const Event& event) {
+  CounterOf(event.code).Increment();
+  switch (event.code) {
+    case EventCode::kTaskStartSent:
+      ObserveMillis(event, "waited_ms", &start_wait_);
+      ObserveMillis(event, "report_age_ms", &report_age_);
+      break;
+    case EventCode::kJobFinished:
+      ObserveMillis(event, "took_ms", &job_time_);
+      break;
+    case EventCode::kRequestAnswered:
+    case EventCode::kRequestRefused:
+      ObserveMillis(event, "took_ms", &request_time_);
+      break;
+    default:
+      break;
+  }
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/tests/cell/cell_membership_test.cc
@@ -0,0 +1,150 @@
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <atomic>
+#include <set>
+
+#include "base/event_log.h"
+#include "base/system_clock.h"
+#include "cell/cell_membership.h"
+#include "tests/fakes/fake_store.h"
+
+namespace pomelotray {
+namespace {
+
+// Bounds the wait for something that takes 3 s at most; no test asserts a time.
+constexpr absl::Duration kPatience = absl::Seconds(30);
+
+const PoolName kPool("rendering");
+
+// One instance's membership with what it was told.
+class Node {
+ public:
+  Node(const std::string& id, const std::string& incarnation, FakeStore* store)
+      : membership_({InstanceId(id), id + ":1"}, incarnation, store, &clock_, &events_,
+                    CellMembership::Callbacks{[this](const PoolClaim& claim) { Won(claim); },
+                                              [this](const PoolName&) { Lost(); },
+                                              [this] { return down_for_all_.load(); }}) {
+    membership_.SetPools({kPool});
+    membership_.Start();
+  }
+
+  CellMembership& membership() { return membership_; }
+  // The term that this instance owns the pool with; 0: none.
+  int64_t term() const {
+    absl::MutexLock lock(&mutex_);
+    return term_;
+  }
+  void SetDownForAll(bool down) { down_for_all_ = down; }
+
+ private:
+  void Won(const PoolClaim& claim) {
+    absl::MutexLock lock(&mutex_);
+    term_ = claim.term;
+  }
+  void Lost() {
+    absl::MutexLock lock(&mutex_);
+    term_ = 0;
+  }
+
+  SystemClock clock_;
+  HybridClock hybrid_clock_{&clock_};
+  EventLog events_{"test", &hybrid_clock_};
+  mutable absl::Mutex mutex_;
+  int64_t term_ = 0;
+  std::atomic<bool> down_for_all_{false};
+  CellMembership membership_;
+};
+
+bool Eventually(const std::function<bool()>& condition) {
+  SystemClock clock;
+  const absl::Time end = clock.Now() + kPatience;
+  while (clock.Now() < end) {
+    if (condition()) {
+      return true;
+    }
+    clock.SleepFor(absl::Milliseconds(5));
+  }
+  return false;
+}
+
+BOOST_AUTO_TEST_SUITE(CellMembershipTest)
+
+BOOST_AUTO_TEST_CASE(ExactlyOneInstanceOwnsAPool) {
+  SystemClock clock;
+  FakeStore store(&clock);
+  Node a("a", "1", &store);
+  Node b("b", "1", &store);
+  BOOST_TEST(Eventually([&] { return a.term() + b.term() == 1; }));
+  BOOST_TEST(Eventually([&] {
+    return a.membership().ClaimOf(kPool).has_value() && b.membership().ClaimOf(kPool).has_value();
+  }));
+}
+
+// Guards against an interruption at a planned stop: the other instance takes over at once, with a
+// higher term.
+BOOST_AUTO_TEST_CASE(ResignationPassesThePoolOn) {
+  SystemClock clock;
+  FakeStore store(&clock);
+  Node a("a", "1", &store);
+  Node b("b", "1", &store);
+  BOOST_REQUIRE(Eventually([&] { return a.term() + b.term() == 1; }));
+  Node& owner = a.term() > 0 ? a : b;
+  Node& other = a.term() > 0 ? b : a;
+  owner.membership().Resign();
+  BOOST_TEST(Eventually([&] { return other.term() == 2 && owner.term() == 0; }));
+}
+
+// Guards against two owners after a lapse: the old one loses the pool, and terms only rise.
+BOOST_AUTO_TEST_CASE(LapsedLeaseEndsTheClaim) {
+  SystemClock clock;
+  FakeStore store(&clock);
+  Node a("a", "1", &store);
+  BOOST_REQUIRE(Eventually([&] { return a.term() == 1; }));
+  store.LapseLeases();
+  BOOST_TEST(Eventually([&] { return a.term() == 2; }));
+}
+
+// A process that starts again takes its own VM's claim over without waiting for the lease.
+BOOST_AUTO_TEST_CASE(RestartedInstanceReplacesItsOwnClaim) {
+  SystemClock clock;
+  FakeStore store(&clock);
+  store.Put("pomelotray/control/claims/rendering",
+            R"({"instance":"a","peer_address":"a:1","incarnation":"old","term":4})");
+  store.Put("pomelotray/control/terms/rendering", "4");
+  Node a("a", "new", &store);
+  BOOST_TEST(Eventually([&] { return a.term() == 5; }));
+}
+
+// Guards against starts by an owner that may have been replaced: without the store its permission
+// ends, unless all members say that the store is down.
+BOOST_AUTO_TEST_CASE(PermissionEndsWithTheLeaseUnlessTheStoreIsDownForAll) {
+  SystemClock clock;
+  FakeStore store(&clock);
+  Node a("a", "1", &store);
+  BOOST_REQUIRE(Eventually([&] { return a.term() == 1; }));
+  BOOST_TEST(a.membership().MayStart());
+  store.SetDown(true);
+  BOOST_TEST(Eventually([&] { return !a.membership().MayStart(); }));
+  a.SetDownForAll(true);
+  BOOST_TEST(Eventually([&] { return a.membership().MayStart(); }));
+}
+
+// Guards against all pools on one instance.
+BOOST_AUTO_TEST_CASE(PoolsAreSpreadOverMembers) {
+  const std::vector<CellMember> members = {
+      {InstanceId("a"), ""}, {InstanceId("b"), ""}, {InstanceId("c"), ""}};
+  const std::map<PoolName, InstanceId> assigned =
+      AssignPools({PoolName("p1"), PoolName("p2"), PoolName("p3")}, members);
+  std::set<InstanceId> used;
+  for (const auto& [pool, instance] : assigned) {
+    used.insert(instance);
+  }
+  BOOST_TEST(used.size() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace pomelotray
--- a/tests/fakes/fake_store.cc
+++ b/tests/fakes/fake_store.cc
@@ -208,6 +208,60 @@
   return {};
 }
 
+Result<void> FakeStore::CheckConditions(const StoreTransaction& transaction) const {
+  if (transaction.conditions.size() + transaction.writes.size() + transaction.removals.size() >
+      kMaxTransactionEntries) {
+    return Fail(ErrorKind::kInvalidArgument, "The transaction has too many entries; split it.");
+  }
+  for (const StoreCondition& condition : transaction.conditions) {
+    const auto found = items_.find(condition.key);
+    const Revision present = found != items_.end() ? found->second.revision : Revision(0);
+    if (present != condition.revision) {
+      return Fail(ErrorKind::kConflict, "The key has another revision; read it again.");
+    }
+  }
+  for (const StoreWrite& write : transaction.writes) {
+    if (write.lease.has_value() && leases_.count(*write.lease) == 0) {
+      return Fail(ErrorKind::kNotFound, "The lease has lapsed; grant a new one.");
+    }
+  }
+  return {};
+}
+
+Result<Revision> FakeStore::Commit(const StoreTransaction& transaction) {
+  const std::string key = !transaction.writes.empty()     ? transaction.writes.front().key
+                          : !transaction.removals.empty() ? transaction.removals.front()
+                                                          : "";
+  BOOST_LEAF_AUTO(fault, Begin(Call{"commit", key, true}));
+  absl::MutexLock lock(&mutex_);
+  BOOST_LEAF_CHECK(CheckConditions(transaction));
+  const Revision revision = NextRevision();
+  for (const StoreWrite& write : transaction.writes) {
+    written_bytes_ += static_cast<int64_t>(write.value.size());
+    items_[write.key] = Item{write.value, revision, write.lease};
+    deleted_.erase(write.key);
+  }
+  for (const std::string& removed : transaction.removals) {
+    if (items_.erase(removed) > 0) {
+      deleted_[removed] = revision;
+    }
+  }
+  if (fault == StoreFault::kAnswerLost) {
+    return Unknown();
+  }
+  return revision;
+}
+
+Result<StoreListing> FakeStore::ListAll(const std::string& prefix) {
+  Revision as_of;
+  {
+    absl::MutexLock lock(&mutex_);
+    as_of = revision_;
+  }
+  BOOST_LEAF_AUTO(entries, List(prefix));
+  return StoreListing{std::move(entries), as_of};
+}
+
 WatchBatch FakeStore::Changes(const std::string& prefix, Revision after) const {
   WatchBatch batch;
   for (auto it = items_.lower_bound(prefix);
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -10,7 +10,7 @@
 
 #include "absl/base/thread_annotations.h"
 #include "base/clock.h"
-#include "ports/store_port.h"
+#include "ports/transactional_store.h"
 
 namespace pomelotray {
 
@@ -26,7 +26,7 @@
 };
 
 // An in-memory store on a clock, with faults. Thread-safe.
-class FakeStore : public StorePort {
+class FakeStore : public TransactionalStore {
  public:
   struct Call {
     // "get", "list", "swap", "delete", "watch", "grant", "keepalive" or "revoke".
@@ -63,6 +63,9 @@
                                   const std::string& value,
                                   const std::optional<StoreLeaseId>& lease) override;
   Result<void> Delete(const std::string& key, Revision expected) override;
+  // Counted and hooked as "commit" with the first key that it writes or removes.
+  Result<Revision> Commit(const StoreTransaction& transaction) override;
+  Result<StoreListing> ListAll(const std::string& prefix) override;
   Result<WatchBatch> Watch(const std::string& prefix, Revision after, absl::Duration wait) override;
   Result<StoreLeaseId> GrantLease(absl::Duration ttl) override;
   Result<void> KeepAlive(const StoreLeaseId& lease) override;
@@ -81,6 +84,8 @@
 
   // Decides on the fault of a call; returns an error for the faults without an effect.
   Result<StoreFault> Begin(const Call& call);
+  Result<void> CheckConditions(const StoreTransaction& transaction) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   Revision NextRevision() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void Erase(const std::string& key) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ExpireLeases() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
