cell: Let a takeover wait for unreachable workers with their own tasks only

The roster now marks unreachable workers with the attempts that may run there. Ruled out: shorter leases, which would lose work at every takeover.

--- a/packages/cell/job_record.cc
+++ b/packages/cell/job_record.cc
@@ -297,21 +297,35 @@
   return Decode(text, "progress", [](const json& value) { return ReadState(value); });
 }
 
-std::string EncodeRoster(const std::vector<WorkerDescription>& workers) {
+std::string EncodeRoster(const std::vector<RosterEntry>& roster) {
   json list = json::array();
-  for (const WorkerDescription& worker : workers) {
-    list.push_back(EncodeWorker(worker));
+  for (const RosterEntry& entry : roster) {
+    json row = EncodeWorker(entry.worker);
+    if (entry.frozen) {
+      row["frozen"] = json::array();
+      for (const AttemptKey& key : entry.attempts) {
+        row["frozen"].push_back(json::array({key.task, key.run.value()}));
+      }
+    }
+    list.push_back(std::move(row));
   }
   return list.dump();
 }
 
-Result<std::vector<WorkerDescription>> DecodeRoster(const std::string& text) {
+Result<std::vector<RosterEntry>> DecodeRoster(const std::string& text) {
   return Decode(text, "roster", [](const json& value) {
-    std::vector<WorkerDescription> workers;
-    for (const json& worker : value) {
-      workers.push_back(DecodeWorker(worker));
+    std::vector<RosterEntry> roster;
+    for (const json& row : value) {
+      RosterEntry entry;
+      entry.worker = DecodeWorker(row);
+      entry.frozen = row.contains("frozen");
+      for (const json& key : row.value("frozen", json::array())) {
+        entry.attempts.push_back(
+            AttemptKey{key.at(0).get<std::string>(), RunNumber(key.at(1).get<int64_t>())});
+      }
+      roster.push_back(std::move(entry));
     }
-    return workers;
+    return roster;
   });
 }
 
--- a/packages/cell/job_record.h
+++ b/packages/cell/job_record.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/error.h"
 #include "cell/cell_job.h"
@@ -32,9 +33,17 @@
 // The state alone.
 Result<CellJobState> DecodeProgressState(const std::string& text);
 
-// Stored form of a worker in the roster.
-std::string EncodeRoster(const std::vector<WorkerDescription>& workers);
-Result<std::vector<WorkerDescription>> DecodeRoster(const std::string& text);
+// A worker on which tasks of the pool may run, as a later owner has to know it.
+struct RosterEntry {
+  WorkerDescription worker;
+  // Unreachable: nothing starts there any more, and nothing but `attempts` can run there.
+  bool frozen = false;
+  std::vector<AttemptKey> attempts;
+};
+
+// Stored form of the roster (JSON).
+std::string EncodeRoster(const std::vector<RosterEntry>& roster);
+Result<std::vector<RosterEntry>> DecodeRoster(const std::string& text);
 
 }  // namespace pomelotray
 
--- a/packages/cell/pool_owner.cc
+++ b/packages/cell/pool_owner.cc
@@ -155,7 +155,7 @@
   BOOST_LEAF_AUTO(lane_listing, state.lanes.ToResult());
   MakeLanes(lane_listing);
   const std::string progress_prefix = cell_keys::ProgressPrefix(claim_.pool);
-  std::vector<WorkerDescription> roster;
+  std::vector<RosterEntry> roster;
   if (roster_entry.has_value()) {
     roster_revision_ = roster_entry->revision;
     BOOST_LEAF_ASSIGN(roster, DecodeRoster(roster_entry->value));
@@ -176,9 +176,6 @@
       jobs.push_back(std::move(job));
     }
   }
-  for (const WorkerDescription& worker : roster) {
-    stored_roster_.insert(worker.id);
-  }
   const absl::Time now = context_.clock->Now();
   context_.events->Record(EventCode::kJournalRecovered)
       .With("pool", claim_.pool.value())
@@ -403,34 +400,37 @@
 }
 
 bool PoolOwner::SyncRoster() {
-  std::vector<WorkerDescription> workers;
-  std::set<WorkerId> ids;
+  std::vector<RosterEntry> roster;
   {
     absl::MutexLock lock(&mutex_);
-    workers = scheduler_.NextRoster();
+    roster = scheduler_.NextRoster(context_.clock->Now());
   }
-  for (const WorkerDescription& worker : workers) {
-    ids.insert(worker.id);
+  std::vector<WorkerId> open;
+  for (const RosterEntry& entry : roster) {
+    if (!entry.frozen) {
+      open.push_back(entry.worker.id);
+    }
   }
-  if (ids == stored_roster_) {
+  std::string text = EncodeRoster(roster);
+  if (text == stored_roster_) {
     absl::MutexLock lock(&mutex_);
-    scheduler_.ConfirmRoster(std::vector<WorkerId>(ids.begin(), ids.end()));
+    scheduler_.ConfirmRoster(open);
     return false;
   }
   StoreTransaction transaction;
   transaction.conditions = {StoreCondition{cell_keys::Claim(claim_.pool), claim_.revision},
                             StoreCondition{cell_keys::Roster(claim_.pool), roster_revision_}};
   transaction.writes = {
-      StoreWrite{cell_keys::Roster(claim_.pool), EncodeRoster(workers), std::nullopt}};
+      StoreWrite{cell_keys::Roster(claim_.pool), text, std::nullopt}};
   const Outcome<Revision> written = Capture([&] { return context_.store->Commit(transaction); });
   if (!written.ok()) {
     RereadRoster();
     return false;
   }
   roster_revision_ = written.value();
-  stored_roster_ = ids;
+  stored_roster_ = std::move(text);
   absl::MutexLock lock(&mutex_);
-  scheduler_.ConfirmRoster(std::vector<WorkerId>(ids.begin(), ids.end()));
+  scheduler_.ConfirmRoster(open);
   return true;
 }
 
--- a/packages/cell/pool_owner.h
+++ b/packages/cell/pool_owner.h
@@ -125,7 +125,7 @@
   std::map<WorkerId, std::unique_ptr<WorkerSession>> sessions_ ABSL_GUARDED_BY(mutex_);
 
   // Used by the directory thread only.
-  std::set<WorkerId> stored_roster_;
+  std::string stored_roster_;
   Revision roster_revision_;
   std::vector<std::unique_ptr<WorkerSession>> retired_;
 
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -21,6 +21,8 @@
 constexpr absl::Duration kQuarantine = absl::Seconds(4);
 // A task whose progress stands still this long is started elsewhere. Reports arrive once a second.
 constexpr absl::Duration kStallLimit = absl::Milliseconds(2500);
+// A worker without a report for this long, two holds, is written into the roster as unreachable.
+constexpr absl::Duration kFreezeAfter = absl::Seconds(2);
 // An earlier owner whose claim was taken away learns of it, like of new jobs, by watches: this is more
 // than their answers can differ, also when the store is slow.
 constexpr absl::Duration kStaleOwnerLimit = absl::Milliseconds(300);
@@ -42,6 +44,51 @@
          (attempt.phase == AttemptPhase::kRunning && attempt.confirmed_at < sent);
 }
 
+const char* EndName(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kSucceeded:
+      return "succeeded";
+    case AttemptEnd::kFailed:
+      return "failed";
+    case AttemptEnd::kStopped:
+      return "stopped";
+    case AttemptEnd::kLeaseExpired:
+      return "lease expired";
+    case AttemptEnd::kGangBroken:
+      return "gang broken";
+    case AttemptEnd::kGangIncomplete:
+      return "gang incomplete";
+  }
+  return "unknown";
+}
+
+const char* AnswerName(const OrderOutcome& outcome) {
+  if (!outcome.answer.has_value()) {
+    return outcome.never_sent ? "not sent" : "no answer";
+  }
+  switch (*outcome.answer) {
+    case OrderAnswer::kAccepted:
+      return "accepted";
+    case OrderAnswer::kFenced:
+      return "fenced";
+    case OrderAnswer::kSuperseded:
+      return "superseded";
+    case OrderAnswer::kLeaseOver:
+      return "lease over";
+    case OrderAnswer::kNoRoom:
+      return "no room";
+    case OrderAnswer::kTicketRefused:
+      return "ticket refused";
+    case OrderAnswer::kUnhealthy:
+      return "unhealthy";
+    case OrderAnswer::kMalformed:
+      return "malformed";
+    case OrderAnswer::kWrongWorker:
+      return "wrong worker";
+  }
+  return "unknown";
+}
+
 // The steps of a job for the log: tasks, and what binds them.
 std::string DescribeShape(const WorkflowSpec& spec) {
   std::string shape;
@@ -78,7 +125,7 @@
 
 void PoolScheduler::Inherit(std::vector<JobIntake> jobs,
                             const std::map<JobId, std::string>& progress,
-                            const std::vector<WorkerDescription>& roster, absl::Time now) {
+                            const std::vector<RosterEntry>& roster, absl::Time now) {
   for (JobIntake& intake : jobs) {
     const JobId id = intake.id;
     CellJob job = MakeCellJob(std::move(intake));
@@ -96,11 +143,15 @@
     }
     jobs_.emplace(id, std::move(job));
   }
-  for (const WorkerDescription& description : roster) {
-    CellWorker& worker = WorkerFor(description);
-    worker.on_roster = true;
+  for (const RosterEntry& entry : roster) {
+    CellWorker& worker = WorkerFor(entry.worker);
     worker.lease_over_at = now + LeaseBound();
-    unreported_.insert(description.id);
+    if (entry.frozen) {
+      InheritFrozen(&worker, entry.attempts);
+    } else {
+      worker.on_roster = true;
+      unreported_.insert(entry.worker.id);
+    }
   }
   inherited_leases_over_ = now + LeaseBound();
   stale_owner_until_ = now + kStaleOwnerLimit;
@@ -203,15 +254,25 @@
   }
 }
 
-std::vector<WorkerDescription> PoolScheduler::NextRoster() {
-  std::vector<WorkerDescription> roster;
+std::vector<RosterEntry> PoolScheduler::NextRoster(absl::Time now) {
+  std::vector<RosterEntry> roster;
   for (auto& [id, worker] : workers_) {
     const bool usable = worker.listed && !worker.description.draining;
-    if (usable || !worker.attempts.empty() || unreported_.count(id) > 0) {
-      roster.push_back(worker.description);
-    } else {
-      worker.on_roster = false;
+    const bool unreported = unreported_.count(id) > 0;
+    const bool frozen = !unreported && !IsTrusted(id) && now - worker.last_report > kFreezeAfter;
+    if (frozen || !usable) {
+      worker.on_roster = worker.on_roster && unreported;
+    }
+    if (worker.attempts.empty() && !unreported && (frozen || !usable)) {
+      continue;
+    }
+    RosterEntry entry{worker.description, frozen, {}};
+    for (const auto& [key, attempt] : worker.attempts) {
+      if (frozen) {
+        entry.attempts.push_back(key);
+      }
     }
+    roster.push_back(std::move(entry));
   }
   return roster;
 }
@@ -385,43 +446,60 @@
   }
 }
 
-void PoolScheduler::Adopt(CellWorker* worker, const RunningAttempt& running, absl::Time now) {
-  Attempt attempt;
-  attempt.key = running.key;
-  attempt.phase = AttemptPhase::kRunning;
-  attempt.listed = true;
-  attempt.confirmed_at = now;
-  attempt.percent = running.percent;
-  attempt.progress_at = now;
-  attempt.checkpoint = running.checkpoint;
-  attempt.task = Locate(running.key.task);
+bool PoolScheduler::BindAttempt(CellWorker* worker, Attempt* attempt) {
+  attempt->task = Locate(attempt->key.task);
   bool wanted = false;
-  if (attempt.task.has_value()) {
-    StepRun* run = FindRun(*attempt.task);
-    const CellJob* job = FindJob(attempt.task->job);
-    CellTask& task = run->tasks[attempt.task->task];
-    attempt.reserved = ReservedFor(job->Step(*run));
+  if (attempt->task.has_value()) {
+    StepRun* run = FindRun(*attempt->task);
+    CellJob* job = FindJob(attempt->task->job);
+    CellTask& task = run->tasks[attempt->task->task];
+    attempt->reserved = ReservedFor(job->Step(*run));
     wanted = task.phase == TaskPhase::kWaiting && !job->cancel_requested &&
-             running.key.run >= task.last_run;
+             attempt->key.run >= task.last_run;
     if (wanted) {
       task.phase = TaskPhase::kActive;
       task.worker = worker->description.id;
-      task.last_run = running.key.run;
+      task.last_run = attempt->key.run;
       --run->waiting;
-      FindJob(attempt.task->job)->state = CellJobState::kRunning;
-      FindJob(attempt.task->job)->visible = CellJobState::kRunning;
+      job->state = CellJobState::kRunning;
+      job->visible = CellJobState::kRunning;
     }
   } else {
-    ReserveUnwanted(&attempt);
+    ReserveUnwanted(attempt);
+  }
+  attempt->stop_wanted = !wanted;
+  worker->used += attempt->reserved;
+  return wanted;
+}
+
+void PoolScheduler::InheritFrozen(CellWorker* worker, const std::vector<AttemptKey>& attempts) {
+  for (const AttemptKey& key : attempts) {
+    Attempt attempt;
+    attempt.key = key;
+    // Confirmed by the earlier owner: the worker's first report says whether it still runs.
+    attempt.phase = AttemptPhase::kRunning;
+    attempt.confirmed_at = absl::InfinitePast();
+    BindAttempt(worker, &attempt);
+    worker->attempts.emplace(key, std::move(attempt));
   }
-  attempt.stop_wanted = !wanted;
+}
+
+void PoolScheduler::Adopt(CellWorker* worker, const RunningAttempt& running, absl::Time now) {
+  Attempt attempt;
+  attempt.key = running.key;
+  attempt.phase = AttemptPhase::kRunning;
+  attempt.listed = true;
+  attempt.confirmed_at = now;
+  attempt.percent = running.percent;
+  attempt.progress_at = now;
+  attempt.checkpoint = running.checkpoint;
+  const bool wanted = BindAttempt(worker, &attempt);
   events_->Record(EventCode::kTaskAdopted)
       .Task(TaskId(running.key.task))
       .With("run", running.key.run.value())
       .Worker(worker->description.id)
       .With(event_field::kState, wanted ? "adopted" : "stopping")
       .Emit();
-  worker->used += attempt.reserved;
   worker->attempts.emplace(running.key, std::move(attempt));
 }
 
@@ -448,7 +526,7 @@
       .Task(TaskId(ended.key.task))
       .With("run", ended.key.run.value())
       .Worker(worker->description.id)
-      .With("end", static_cast<int64_t>(ended.end))
+      .With("end", EndName(ended.end))
       .Emit();
   const bool succeeded = ended.end == AttemptEnd::kSucceeded;
   DropAttempt(worker, ended.key, succeeded ? nullptr : "ended without success",
@@ -609,7 +687,7 @@
       .Task(TaskId(key.task))
       .With("run", key.run.value())
       .Worker(id)
-      .With("answer", outcome.answer.has_value() ? static_cast<int64_t>(*outcome.answer) : -1)
+      .With("answer", AnswerName(outcome))
       .Emit();
   if (!outcome.answer.has_value() && !outcome.never_sent) {
     if (attempt.phase == AttemptPhase::kOrdered) {
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -60,9 +60,10 @@
   PoolScheduler(PoolName pool, int64_t term, PoolLimits limits, EventLog* events);
 
   // Jobs and roster of earlier owners, before the first Schedule(). Their tasks wait until each
-  // worker of the roster has reported or its leases are over.
+  // worker of the roster has reported or its leases are over. Of a frozen worker only the tasks that
+  // it may run wait.
   void Inherit(std::vector<JobIntake> jobs, const std::map<JobId, std::string>& progress,
-               const std::vector<WorkerDescription>& roster, absl::Time now);
+               const std::vector<RosterEntry>& roster, absl::Time now);
 
   // Both are idempotent.
   void AddJob(JobIntake intake, absl::Time now);
@@ -72,7 +73,7 @@
   void UpdateDirectory(const std::vector<WorkerDescription>& workers, absl::Time now);
   // The workers on which tasks may run or start from now on. The others get no starts until they
   // are confirmed again, so that a later owner need not wait for them.
-  std::vector<WorkerDescription> NextRoster();
+  std::vector<RosterEntry> NextRoster(absl::Time now);
   // The roster that became durable.
   void ConfirmRoster(const std::vector<WorkerId>& ids);
 
@@ -143,6 +144,9 @@
   void DropAllAttempts(CellWorker* worker, const char* reason);
   void DropGoneWorkers(absl::Time now);
   void ApplyRunning(CellWorker* worker, const RunningAttempt& running, absl::Time now);
+  void InheritFrozen(CellWorker* worker, const std::vector<AttemptKey>& attempts);
+  // Binds the attempt to its task if that waits for one, and reserves its room.
+  bool BindAttempt(CellWorker* worker, Attempt* attempt);
   void Adopt(CellWorker* worker, const RunningAttempt& running, absl::Time now);
   // Room for an attempt that belongs to no task that still runs.
   void ReserveUnwanted(Attempt* attempt);
--- a/tests/cell/pool_scheduler_test.cc
+++ b/tests/cell/pool_scheduler_test.cc
@@ -135,18 +135,50 @@
   const SentOrder started = Starts(fixture.Round()).at(0);
   leaving.draining = true;
   fixture.scheduler().UpdateDirectory({leaving}, fixture.Now());
-  BOOST_TEST(fixture.scheduler().NextRoster().size() == 1U);
+  BOOST_TEST(fixture.scheduler().NextRoster(fixture.Now()).size() == 1U);
   fixture.Report("w1", {}, {{started.order.key, AttemptEnd::kSucceeded}});
-  BOOST_TEST(fixture.scheduler().NextRoster().empty());
+  BOOST_TEST(fixture.scheduler().NextRoster(fixture.Now()).empty());
   leaving.draining = false;
   fixture.scheduler().UpdateDirectory({leaving}, fixture.Now());
   fixture.AddJob(Fixture::Job("b", {Fixture::Step(1, 1000)}));
   BOOST_TEST(Starts(fixture.Round()).empty());
-  BOOST_TEST(fixture.scheduler().NextRoster().size() == 1U);
+  BOOST_TEST(fixture.scheduler().NextRoster(fixture.Now()).size() == 1U);
   fixture.scheduler().ConfirmRoster({WorkerId("w1")});
   BOOST_TEST(Starts(fixture.Round()).size() == 1U);
 }
 
+// Guards against a takeover that waits for a worker which was unreachable before: only the tasks that
+// it may run wait for the end of its lease (incident inc-8913: 6.9 s for all inherited tasks).
+BOOST_AUTO_TEST_CASE(OnlyTheTasksOfAnUnreachableWorkerWaitForIt) {
+  Fixture fixture;
+  const std::vector<WorkerDescription> workers = {Fixture::Worker("w1", 1000),
+                                                  Fixture::Worker("w2", 1000)};
+  fixture.AddWorkers(workers);
+  const JobIntake stuck = Fixture::Job("a", {Fixture::Step(1, 1000)});
+  const JobIntake waiting = Fixture::Job("b", {Fixture::Step(2, 1000)}, 2, /*priority=*/2);
+  fixture.AddJob(stuck);
+  const SentOrder started = Starts(fixture.Round()).at(0);
+  const std::string lost = started.worker.value();
+  const std::string other = lost == "w1" ? "w2" : "w1";
+  fixture.AddJob(waiting);
+  fixture.Advance(absl::Seconds(3));
+  fixture.Report(other, {});
+  fixture.scheduler().HoldFailed(started.worker, fixture.Now());
+  const std::vector<RosterEntry> roster = fixture.scheduler().NextRoster(fixture.Now());
+  BOOST_REQUIRE_EQUAL(roster.size(), 2U);
+  fixture.TakeOver({stuck, waiting}, roster);
+  fixture.Report(other, {});
+  const std::vector<SentOrder> next = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(next.size(), 1U);
+  BOOST_TEST(next[0].order.key.task.rfind("b.", 0) == 0U);
+  // The unreachable worker's first report says that its task is gone.
+  fixture.Report(lost, {});
+  fixture.scheduler().ConfirmRoster({WorkerId(lost)});
+  const std::vector<SentOrder> again = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(again.size(), 1U);
+  BOOST_TEST(again[0].order.key.task == "a.0.0.0");
+}
+
 // Guards against waiting for a worker that is certainly gone: its address belongs to another one.
 BOOST_AUTO_TEST_CASE(ReplacedWorkerHoldsUpNothing) {
   Fixture fixture;
--- a/tests/cell/scheduler_fixture.cc
+++ b/tests/cell/scheduler_fixture.cc
@@ -111,11 +111,24 @@
 }
 
 void SchedulerFixture::TakeOver(std::vector<JobIntake> jobs,
-                                const std::vector<WorkerDescription>& roster) {
+                                const std::vector<WorkerDescription>& workers) {
+  std::vector<RosterEntry> roster;
+  for (const WorkerDescription& worker : workers) {
+    roster.push_back(RosterEntry{worker, false, {}});
+  }
+  TakeOver(std::move(jobs), roster);
+}
+
+void SchedulerFixture::TakeOver(std::vector<JobIntake> jobs,
+                                const std::vector<RosterEntry>& roster) {
+  std::vector<WorkerDescription> workers;
+  for (const RosterEntry& entry : roster) {
+    workers.push_back(entry.worker);
+  }
   scheduler_ =
       std::make_unique<PoolScheduler>(PoolName(kPool), ++term_, PoolLimits(), &events_);
   scheduler().Inherit(std::move(jobs), stored_, roster, Now());
-  scheduler().UpdateDirectory(roster, Now());
+  scheduler().UpdateDirectory(workers, Now());
 }
 
 CellJobState SchedulerFixture::State(const std::string& job) {
--- a/tests/cell/scheduler_fixture.h
+++ b/tests/cell/scheduler_fixture.h
@@ -47,7 +47,8 @@
   PoolScheduler& scheduler() { return *scheduler_; }
   // Replaces the scheduler by that of the next owner, which inherits `jobs` and the progress that
   // the last one stored.
-  void TakeOver(std::vector<JobIntake> jobs, const std::vector<WorkerDescription>& roster);
+  void TakeOver(std::vector<JobIntake> jobs, const std::vector<WorkerDescription>& workers);
+  void TakeOver(std::vector<JobIntake> jobs, const std::vector<RosterEntry>& roster);
   CellJobState State(const std::string& job);
 
   static RunningAttempt Running(const AttemptKey& key, int percent = 50);
