--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -103,6 +103,8 @@
   docopt PkgConfig::XXHASH)
 pomelotray_package(cell DEPENDS pomelotray_peer pomelotray_state prometheus-cpp::core)
 pomelotray_folder(platform platform DEPENDS pomelotray_cell pomelotray_api PkgConfig::HTTPLIB)
+# The same false report as in the tests (see pomelotray_tests).
+target_compile_options(pomelotray_platform PRIVATE -Wno-maybe-uninitialized)
 pomelotray_package(cli DEPENDS pomelotray_history pomelotray_model PkgConfig::HTTPLIB docopt)
 pomelotray_help_texts(pomelotray_cli packages/cli/help)
 pomelotray_package(standins DEPENDS pomelotray_adapters PkgConfig::HTTPLIB docopt)
--- a/packages/cell/cell_keys.h
+++ b/packages/cell/cell_keys.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "base/strong_id.h"
+#include "cell/pool_part.h"
 
 namespace pomelotray {
 
@@ -14,29 +14,32 @@
 inline constexpr char kMemberPrefix[] = "pomelotray/control/members/";
 inline constexpr char kClaimPrefix[] = "pomelotray/control/claims/";
 inline constexpr char kTermPrefix[] = "pomelotray/control/terms/";
+// How many parts each pool has; written once.
+inline constexpr char kPartCountPrefix[] = "pomelotray/control/parts/";
 inline constexpr char kPeerKey[] = "pomelotray/peer-key";
 
 inline std::string Member(const InstanceId& id) { return kMemberPrefix + id.value(); }
-inline std::string Claim(const PoolName& pool) { return kClaimPrefix + pool.value(); }
-inline std::string Term(const PoolName& pool) { return kTermPrefix + pool.value(); }
-inline std::string Roster(const PoolName& pool) { return "pomelotray/roster/" + pool.value(); }
+inline std::string PartCount(const PoolName& pool) { return kPartCountPrefix + pool.value(); }
+inline std::string Claim(const PartName& part) { return kClaimPrefix + part.value(); }
+inline std::string Term(const PartName& part) { return kTermPrefix + part.value(); }
+inline std::string Roster(const PartName& part) { return "pomelotray/roster/" + part.value(); }
 
-inline std::string IntakePrefix(const PoolName& pool) {
-  return "pomelotray/intake/" + pool.value() + "/";
+inline std::string IntakePrefix(const PartName& part) {
+  return "pomelotray/intake/" + part.value() + "/";
 }
-inline std::string JobPrefix(const PoolName& pool) { return IntakePrefix(pool) + "job/"; }
-inline std::string CancelPrefix(const PoolName& pool) { return IntakePrefix(pool) + "cancel/"; }
-inline std::string Job(const PoolName& pool, const JobId& id) {
-  return JobPrefix(pool) + id.value();
+inline std::string JobPrefix(const PartName& part) { return IntakePrefix(part) + "job/"; }
+inline std::string CancelPrefix(const PartName& part) { return IntakePrefix(part) + "cancel/"; }
+inline std::string Job(const PartName& part, const JobId& id) {
+  return JobPrefix(part) + id.value();
 }
-inline std::string Cancel(const PoolName& pool, const JobId& id) {
-  return CancelPrefix(pool) + id.value();
+inline std::string Cancel(const PartName& part, const JobId& id) {
+  return CancelPrefix(part) + id.value();
 }
-inline std::string ProgressPrefix(const PoolName& pool) {
-  return "pomelotray/progress/" + pool.value() + "/";
+inline std::string ProgressPrefix(const PartName& part) {
+  return "pomelotray/progress/" + part.value() + "/";
 }
-inline std::string Progress(const PoolName& pool, const JobId& id) {
-  return ProgressPrefix(pool) + id.value();
+inline std::string Progress(const PartName& part, const JobId& id) {
+  return ProgressPrefix(part) + id.value();
 }
 
 }  // namespace cell_keys
--- a/packages/cell/cell_membership.cc
+++ b/packages/cell/cell_membership.cc
@@ -5,8 +5,8 @@
 #include <set>
 #include <utility>
 
-#include "absl/hash/hash.h"
 #include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "cell/cell_keys.h"
 
@@ -31,15 +31,6 @@
 // An instance that is not the first choice waits this long for the one that is.
 constexpr absl::Duration kSecondChoiceDelay = absl::Milliseconds(600);
 
-uint64_t Weight(const PoolName& pool, const InstanceId& id) {
-  // FNV-1a: the same in every process, unlike absl::Hash.
-  uint64_t hash = 14695981039346656037U;
-  for (const char c : absl::StrCat(pool.value(), "/", id.value())) {
-    hash = (hash ^ static_cast<uint8_t>(c)) * 1099511628211U;
-  }
-  return hash ^ (hash >> 29);
-}
-
 std::optional<json> ParseObject(const std::string& text) {
   json value = json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (!value.is_object()) {
@@ -49,31 +40,34 @@
 }
 
 CellMember ReadMember(const json& value) {
-  return CellMember{InstanceId(value.value("instance", "")), value.value("peer_address", "")};
+  return CellMember{InstanceId(value.value("instance", "")), value.value("peer_address", ""),
+                    value.value("cpu_milli", int64_t{1000})};
 }
 
 }  // namespace
 
-std::map<PoolName, InstanceId> AssignPools(const std::vector<PoolName>& pools,
+std::map<PartName, InstanceId> AssignParts(const std::vector<PartName>& parts,
                                            const std::vector<CellMember>& members) {
-  std::map<PoolName, InstanceId> assigned;
+  std::map<PartName, InstanceId> assigned;
   if (members.empty()) {
     return assigned;
   }
-  std::vector<PoolName> sorted = pools;
+  std::vector<PartName> sorted = parts;
   std::sort(sorted.begin(), sorted.end());
   std::map<InstanceId, int> load;
-  for (const PoolName& pool : sorted) {
-    const CellMember* best = nullptr;
+  for (const PartName& part : sorted) {
+    // The member with the largest processor share for each part that it would own.
+    const auto key = [&](const CellMember& member) {
+      return std::make_pair(member.cpu_milli / (load[member.id] + 1),
+                            StableHash(part.value() + "/" + member.id.value()));
+    };
+    const CellMember* best = &members.front();
     for (const CellMember& member : members) {
-      const auto key = [&](const CellMember& m) {
-        return std::make_pair(-load[m.id], Weight(pool, m.id));
-      };
-      if (best == nullptr || key(member) > key(*best)) {
+      if (key(member) > key(*best)) {
         best = &member;
       }
     }
-    assigned[pool] = best->id;
+    assigned[part] = best->id;
     ++load[best->id];
   }
   return assigned;
@@ -125,10 +119,10 @@
       return;
     }
     resigned_ = true;
-    for (const auto& [pool, claim] : claims_) {
+    for (const auto& [part, claim] : claims_) {
       if (IsOwn(claim)) {
-        release.conditions.push_back(StoreCondition{cell_keys::Claim(pool), claim.revision});
-        release.removals.push_back(cell_keys::Claim(pool));
+        release.conditions.push_back(StoreCondition{cell_keys::Claim(part), claim.revision});
+        release.removals.push_back(cell_keys::Claim(part));
       }
     }
     lease = lease_;
@@ -156,6 +150,40 @@
   changed_.SignalAll();
 }
 
+std::vector<PoolName> CellMembership::UncountedPools() const {
+  absl::MutexLock lock(&mutex_);
+  std::vector<PoolName> uncounted;
+  for (const PoolName& pool : pools_) {
+    if (view_complete_ && part_counts_.count(pool) == 0) {
+      uncounted.push_back(pool);
+    }
+  }
+  return uncounted;
+}
+
+std::optional<int> CellMembership::PartCount(const PoolName& pool) const {
+  absl::MutexLock lock(&mutex_);
+  const auto it = part_counts_.find(pool);
+  if (it == part_counts_.end()) {
+    return std::nullopt;
+  }
+  return it->second;
+}
+
+std::vector<PartName> CellMembership::Parts() const {
+  std::vector<PartName> parts;
+  for (const PoolName& pool : pools_) {
+    const auto count = part_counts_.find(pool);
+    if (count == part_counts_.end()) {
+      continue;
+    }
+    for (const PoolPart& part : PoolPart::All(pool, count->second)) {
+      parts.push_back(part.Name());
+    }
+  }
+  return parts;
+}
+
 std::vector<CellMember> CellMembership::members() const {
   absl::MutexLock lock(&mutex_);
   std::vector<CellMember> members;
@@ -165,9 +193,9 @@
   return members;
 }
 
-std::optional<PoolClaim> CellMembership::ClaimOf(const PoolName& pool) const {
+std::optional<PartClaim> CellMembership::ClaimOf(const PartName& part) const {
   absl::MutexLock lock(&mutex_);
-  const auto it = claims_.find(pool);
+  const auto it = claims_.find(part);
   if (it == claims_.end()) {
     return std::nullopt;
   }
@@ -200,19 +228,19 @@
   }
 }
 
-void CellMembership::ReportFenced(const PoolName& pool) {
+void CellMembership::ReportFenced(const PartName& part) {
   {
     absl::MutexLock lock(&mutex_);
-    const auto it = claims_.find(pool);
+    const auto it = claims_.find(part);
     if (it != claims_.end() && IsOwn(it->second)) {
       claims_.erase(it);
-      unowned_since_[pool] = clock_->Now();
+      unowned_since_[part] = clock_->Now();
     }
   }
   Reconcile();
 }
 
-bool CellMembership::IsOwn(const PoolClaim& claim) const {
+bool CellMembership::IsOwn(const PartClaim& claim) const {
   return claim.owner.id == self_.id && claim.incarnation == incarnation_;
 }
 
@@ -284,7 +312,9 @@
   if (!lease.ok()) {
     return false;
   }
-  const json value = {{"instance", self_.id.value()}, {"peer_address", self_.peer_address}};
+  const json value = {{"instance", self_.id.value()},
+                      {"peer_address", self_.peer_address},
+                      {"cpu_milli", self_.cpu_milli}};
   StoreTransaction transaction;
   transaction.writes.push_back(
       StoreWrite{cell_keys::Member(self_.id), value.dump(), lease.value()});
@@ -299,25 +329,25 @@
   return true;
 }
 
-bool CellMembership::MayClaim(const PoolName& pool, absl::Time now) {
-  const auto claim = claims_.find(pool);
+bool CellMembership::MayClaim(const PartName& part, absl::Time now) {
+  const auto claim = claims_.find(part);
   if (claim != claims_.end()) {
     // This VM's process before the present one is gone for good.
     return claim->second.owner.id == self_.id && !IsOwn(claim->second);
   }
-  const absl::Time unowned = unowned_since_.emplace(pool, now).first->second;
+  const absl::Time unowned = unowned_since_.emplace(part, now).first->second;
   std::vector<CellMember> members;
   for (const auto& [id, member] : members_) {
     members.push_back(member);
   }
-  const std::map<PoolName, InstanceId> assigned = AssignPools(pools_, members);
-  const auto choice = assigned.find(pool);
+  const std::map<PartName, InstanceId> assigned = AssignParts(Parts(), members);
+  const auto choice = assigned.find(part);
   return (choice != assigned.end() && choice->second == self_.id) ||
          now - unowned > kSecondChoiceDelay;
 }
 
 void CellMembership::ConsiderClaims() {
-  std::vector<PoolName> wanted;
+  std::vector<PartName> wanted;
   {
     absl::MutexLock lock(&mutex_);
     const absl::Time now = clock_->Now();
@@ -325,36 +355,36 @@
         now - registered_at_ < kSettleTime) {
       return;
     }
-    for (const PoolName& pool : pools_) {
-      if (MayClaim(pool, now)) {
-        wanted.push_back(pool);
+    for (const PartName& part : Parts()) {
+      if (MayClaim(part, now)) {
+        wanted.push_back(part);
       }
     }
   }
-  for (const PoolName& pool : wanted) {
-    TryClaim(pool);
+  for (const PartName& part : wanted) {
+    TryClaim(part);
   }
 }
 
-void CellMembership::TryClaim(const PoolName& pool) {
+void CellMembership::TryClaim(const PartName& part) {
   StoreTransaction transaction;
-  PoolClaim claim;
+  PartClaim claim;
   {
     absl::MutexLock lock(&mutex_);
-    const auto stale = claims_.find(pool);
-    const TermEntry term = terms_[pool];
-    claim = PoolClaim{pool, self_, incarnation_, term.term + 1, Revision(0)};
+    const auto stale = claims_.find(part);
+    const TermEntry term = terms_[part];
+    claim = PartClaim{part, self_, incarnation_, term.term + 1, Revision(0)};
     const json value = {{"instance", self_.id.value()},
                         {"peer_address", self_.peer_address},
                         {"incarnation", incarnation_},
                         {"term", claim.term}};
     transaction.conditions = {
-        StoreCondition{cell_keys::Claim(pool),
+        StoreCondition{cell_keys::Claim(part),
                        stale == claims_.end() ? Revision(0) : stale->second.revision},
-        StoreCondition{cell_keys::Term(pool), term.revision}};
+        StoreCondition{cell_keys::Term(part), term.revision}};
     transaction.writes = {
-        StoreWrite{cell_keys::Claim(pool), value.dump(), lease_},
-        StoreWrite{cell_keys::Term(pool), std::to_string(claim.term), std::nullopt}};
+        StoreWrite{cell_keys::Claim(part), value.dump(), lease_},
+        StoreWrite{cell_keys::Term(part), std::to_string(claim.term), std::nullopt}};
   }
   // Whatever the answer was, the mirror shows whether the claim was made.
   const Outcome<Revision> written = Capture([&] { return store_->Commit(transaction); });
@@ -362,9 +392,9 @@
     {
       absl::MutexLock lock(&mutex_);
       claim.revision = written.value();
-      claims_[pool] = claim;
-      terms_[pool] = TermEntry{claim.term, written.value()};
-      unowned_since_.erase(pool);
+      claims_[part] = claim;
+      terms_[part] = TermEntry{claim.term, written.value()};
+      unowned_since_.erase(part);
     }
     Reconcile();
   }
@@ -372,12 +402,19 @@
 
 void CellMembership::ApplyEntry(const StoreEntry& entry) {
   if (absl::StartsWith(entry.key, cell_keys::kTermPrefix)) {
-    const PoolName pool(entry.key.substr(sizeof(cell_keys::kTermPrefix) - 1));
+    const PartName part(entry.key.substr(sizeof(cell_keys::kTermPrefix) - 1));
     TermEntry term;
     term.term = std::strtoll(entry.value.c_str(), nullptr, 10);
     term.revision = entry.revision;
-    if (terms_[pool].revision < term.revision) {
-      terms_[pool] = term;
+    if (terms_[part].revision < term.revision) {
+      terms_[part] = term;
+    }
+    return;
+  }
+  if (absl::StartsWith(entry.key, cell_keys::kPartCountPrefix)) {
+    int count = 0;
+    if (absl::SimpleAtoi(entry.value, &count) && count > 0) {
+      part_counts_[PoolName(entry.key.substr(sizeof(cell_keys::kPartCountPrefix) - 1))] = count;
     }
     return;
   }
@@ -390,13 +427,13 @@
     const CellMember member = ReadMember(*value);
     members_[member.id] = member;
   } else if (absl::StartsWith(entry.key, cell_keys::kClaimPrefix)) {
-    const PoolName pool(entry.key.substr(sizeof(cell_keys::kClaimPrefix) - 1));
-    PoolClaim claim{pool, ReadMember(*value), value->value("incarnation", ""),
+    const PartName part(entry.key.substr(sizeof(cell_keys::kClaimPrefix) - 1));
+    PartClaim claim{part, ReadMember(*value), value->value("incarnation", ""),
                     value->value("term", int64_t{0}), entry.revision};
-    const auto known = claims_.find(pool);
+    const auto known = claims_.find(part);
     if (known == claims_.end() || known->second.revision < claim.revision) {
-      claims_[pool] = claim;
-      unowned_since_.erase(pool);
+      claims_[part] = claim;
+      unowned_since_.erase(part);
     }
   }
 }
@@ -424,12 +461,12 @@
       if (absl::StartsWith(key, cell_keys::kMemberPrefix)) {
         members_.erase(InstanceId(key.substr(sizeof(cell_keys::kMemberPrefix) - 1)));
       } else if (absl::StartsWith(key, cell_keys::kClaimPrefix)) {
-        const PoolName pool(key.substr(sizeof(cell_keys::kClaimPrefix) - 1));
-        const auto claim = claims_.find(pool);
+        const PartName part(key.substr(sizeof(cell_keys::kClaimPrefix) - 1));
+        const auto claim = claims_.find(part);
         // A claim newer than this batch was made after the deletion.
         if (claim != claims_.end() && claim->second.revision <= batch.next) {
           claims_.erase(claim);
-          unowned_since_[pool] = clock_->Now();
+          unowned_since_[part] = clock_->Now();
         }
       }
     }
@@ -440,8 +477,8 @@
 
 void CellMembership::Reconcile() {
   absl::MutexLock reconcile(&reconcile_mutex_);
-  std::vector<PoolClaim> won;
-  std::vector<PoolName> lost;
+  std::vector<PartClaim> won;
+  std::vector<PartName> lost;
   {
     absl::MutexLock lock(&mutex_);
     for (auto it = owned_.begin(); it != owned_.end();) {
@@ -455,17 +492,17 @@
         it = owned_.erase(it);
       }
     }
-    for (const auto& [pool, claim] : claims_) {
-      if (IsOwn(claim) && owned_.count(pool) == 0 && !stopping_) {
-        owned_[pool] = claim.term;
+    for (const auto& [part, claim] : claims_) {
+      if (IsOwn(claim) && owned_.count(part) == 0 && !stopping_) {
+        owned_[part] = claim.term;
         won.push_back(claim);
       }
     }
   }
-  for (const PoolName& pool : lost) {
-    callbacks_.lost(pool);
+  for (const PartName& part : lost) {
+    callbacks_.lost(part);
   }
-  for (const PoolClaim& claim : won) {
+  for (const PartClaim& claim : won) {
     callbacks_.claimed(claim);
   }
 }
--- a/packages/cell/cell_membership.h
+++ b/packages/cell/cell_membership.h
@@ -14,6 +14,7 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "base/strong_id.h"
+#include "cell/pool_part.h"
 #include "cell/prefix_mirror.h"
 #include "ports/transactional_store.h"
 
@@ -22,15 +23,17 @@
 struct CellMember {
   InstanceId id;
   std::string peer_address;
+  // Processor share of its VM in thousandths of a core: how much it should own.
+  int64_t cpu_milli = 1000;
 
   friend bool operator==(const CellMember& a, const CellMember& b) {
-    return a.id == b.id && a.peer_address == b.peer_address;
+    return a.id == b.id && a.peer_address == b.peer_address && a.cpu_milli == b.cpu_milli;
   }
 };
 
 // Who owns a pool, as the store says.
-struct PoolClaim {
-  PoolName pool;
+struct PartClaim {
+  PartName part;
   CellMember owner;
   // Differs for each start of the owner's process.
   std::string incarnation;
@@ -40,9 +43,9 @@
   Revision revision;
 };
 
-// Chooses the instance that should own each pool: spreads pools over members, stable while the
-// members stay.
-std::map<PoolName, InstanceId> AssignPools(const std::vector<PoolName>& pools,
+// Chooses the instance that should own each part: spreads parts over members by their processor
+// shares, stable while the members stay.
+std::map<PartName, InstanceId> AssignParts(const std::vector<PartName>& parts,
                                            const std::vector<CellMember>& members);
 
 // Keeps this instance's lease, shows it to the others, and claims pools that have no owner. A claim
@@ -51,8 +54,8 @@
  public:
   struct Callbacks {
     // Called on the membership's threads, in order for each pool.
-    std::function<void(const PoolClaim&)> claimed;
-    std::function<void(const PoolName&)> lost;
+    std::function<void(const PartClaim&)> claimed;
+    std::function<void(const PartName&)> lost;
     // Asks all other members whether the store answers them. True when each of them says that it
     // does not.
     std::function<bool()> store_is_down_for_all;
@@ -69,9 +72,14 @@
   // Gives up all claims and the place among the members, so that others take over at once, but
   // goes on following the others.
   void Resign();
+  // The pools of the configuration; those whose number of parts is known are claimed.
   void SetPools(const std::vector<PoolName>& pools);
+  // Pools of the configuration whose number of parts is not stored yet.
+  std::vector<PoolName> UncountedPools() const;
+  // No value: not known yet.
+  std::optional<int> PartCount(const PoolName& pool) const;
   std::vector<CellMember> members() const;
-  std::optional<PoolClaim> ClaimOf(const PoolName& pool) const;
+  std::optional<PartClaim> ClaimOf(const PartName& pool) const;
   // The last contact with the store, or the last try, is recent. False after this process stood
   // still: another instance may have claimed its pools meanwhile, so nothing may be ordered.
   bool CheckedRecently() const;
@@ -84,7 +92,7 @@
   // renewal, which is made at once.
   void NoteStoreFailure();
   // A worker has seen a newer owner of the pool.
-  void ReportFenced(const PoolName& pool);
+  void ReportFenced(const PartName& pool);
 
  private:
   struct TermEntry {
@@ -96,13 +104,14 @@
   void KeepOnce();
   bool Register();
   void ConsiderClaims();
-  void TryClaim(const PoolName& pool);
+  void TryClaim(const PartName& pool);
   void Apply(const WatchBatch& batch, bool complete);
+  std::vector<PartName> Parts() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ApplyEntry(const StoreEntry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Tells the callbacks about claims that were won or lost since the last call.
   void Reconcile();
-  bool IsOwn(const PoolClaim& claim) const;
-  bool MayClaim(const PoolName& pool, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  bool IsOwn(const PartClaim& claim) const;
+  bool MayClaim(const PartName& pool, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   const CellMember self_;
   const std::string incarnation_;
@@ -130,12 +139,13 @@
   bool store_answers_ ABSL_GUARDED_BY(mutex_) = false;
   std::vector<PoolName> pools_ ABSL_GUARDED_BY(mutex_);
   std::map<InstanceId, CellMember> members_ ABSL_GUARDED_BY(mutex_);
-  std::map<PoolName, PoolClaim> claims_ ABSL_GUARDED_BY(mutex_);
-  std::map<PoolName, TermEntry> terms_ ABSL_GUARDED_BY(mutex_);
+  std::map<PartName, PartClaim> claims_ ABSL_GUARDED_BY(mutex_);
+  std::map<PoolName, int> part_counts_ ABSL_GUARDED_BY(mutex_);
+  std::map<PartName, TermEntry> terms_ ABSL_GUARDED_BY(mutex_);
   // Since when a pool has had no owner.
-  std::map<PoolName, absl::Time> unowned_since_ ABSL_GUARDED_BY(mutex_);
+  std::map<PartName, absl::Time> unowned_since_ ABSL_GUARDED_BY(mutex_);
   // Pools that the callbacks know to be owned by this instance, with their terms.
-  std::map<PoolName, int64_t> owned_ ABSL_GUARDED_BY(mutex_);
+  std::map<PartName, int64_t> owned_ ABSL_GUARDED_BY(mutex_);
 };
 
 }  // namespace pomelotray
--- a/packages/cell/cell_node.cc
+++ b/packages/cell/cell_node.cc
@@ -1,5 +1,6 @@
 #include "cell/cell_node.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "cell/cell_keys.h"
@@ -15,6 +16,8 @@
 constexpr absl::Duration kHandOverLimit = absl::Milliseconds(300);
 // A peer answers from memory; between regions it takes 16 ms.
 constexpr absl::Duration kHealthTimeout = absl::Milliseconds(200);
+// How long a pool without workers stays uncounted: two of the workers' announcements.
+constexpr absl::Duration kWorkersAwaited = absl::Seconds(3);
 constexpr absl::Duration kPeerKeyRetry = absl::Milliseconds(200);
 
 PeerLimits MakePeerLimits() {
@@ -40,14 +43,14 @@
   advice_ = std::make_unique<AdviceDesk>(context_.id, context_.adviser, peer_client_.get(),
                                          context_.clock, context_.events);
   membership_ = std::make_unique<CellMembership>(
-      CellMember{context_.id, context_.peer_address}, MakeNonceText(), context_.store, context_.clock,
+      CellMember{context_.id, context_.peer_address, context_.cpu_milli}, MakeNonceText(), context_.store, context_.clock,
       context_.events,
-      CellMembership::Callbacks{[this](const PoolClaim& claim) { PoolClaimed(claim); },
-                                [this](const PoolName& pool) { PoolLost(pool); },
+      CellMembership::Callbacks{[this](const PartClaim& claim) { PartClaimed(claim); },
+                                [this](const PartName& part) { PartLost(part); },
                                 [this] { return StoreIsDownForAll(); }});
   std::unique_ptr<CellService> service = std::make_unique<CellService>(
       context_.id, context_.store, peer_client_.get(), membership_.get(), context_.clock,
-      context_.events, [this](const PoolName& pool) { return FindOwner(pool); });
+      context_.events, [this](const PartName& part) { return FindOwner(part); });
   {
     // Peers may call already.
     absl::MutexLock lock(&mutex_);
@@ -118,16 +121,16 @@
 }
 
 void CellNode::HandOver() {
-  std::map<PoolName, std::shared_ptr<PoolOwner>> owners;
+  std::map<PartName, std::shared_ptr<PoolOwner>> owners;
   {
     absl::MutexLock lock(&mutex_);
     owners = owners_;
   }
-  for (const auto& [pool, owner] : owners) {
+  for (const auto& [part, owner] : owners) {
     owner->Finish(kHandOverLimit);
   }
   membership_->Resign();
-  for (const auto& [pool, owner] : owners) {
+  for (const auto& [part, owner] : owners) {
     owner->Halt();
   }
 }
@@ -140,7 +143,7 @@
     }
     stopping_ = true;
     changed_.SignalAll();
-    for (const auto& [pool, owner] : owners_) {
+    for (const auto& [part, owner] : owners_) {
       owner->Halt();
     }
   }
@@ -156,7 +159,7 @@
   if (advice_ != nullptr) {
     advice_->Stop();
   }
-  std::map<PoolName, std::shared_ptr<PoolOwner>> owners;
+  std::map<PartName, std::shared_ptr<PoolOwner>> owners;
   {
     absl::MutexLock lock(&mutex_);
     owners.swap(owners_);
@@ -190,9 +193,9 @@
          membership_->StoreAnswers();
 }
 
-void CellNode::PoolClaimed(const PoolClaim& claim) {
+void CellNode::PartClaimed(const PartClaim& claim) {
   context_.events->Record(EventCode::kShardClaimed)
-      .With("pool", claim.pool.value())
+      .With("part", claim.part.value())
       .With("term", claim.term)
       .Emit();
   PoolOwnerContext owner_context;
@@ -203,21 +206,21 @@
   owner_context.membership = membership_.get();
   owner_context.clock = context_.clock;
   owner_context.events = context_.events;
-  owner_context.deposed = [this](const PoolName& pool) { membership_->ReportFenced(pool); };
+  owner_context.deposed = [this](const PartName& part) { membership_->ReportFenced(part); };
   const std::shared_ptr<PoolOwner> owner =
       std::make_shared<PoolOwner>(claim, context_.limits, std::move(owner_context));
   absl::MutexLock lock(&mutex_);
   if (stopping_) {
     return;
   }
-  owners_[claim.pool] = owner;
+  owners_[claim.part] = owner;
   starting_.push_back(owner);
   changed_.SignalAll();
 }
 
-void CellNode::PoolLost(const PoolName& pool) {
+void CellNode::PartLost(const PartName& part) {
   absl::MutexLock lock(&mutex_);
-  const auto it = owners_.find(pool);
+  const auto it = owners_.find(part);
   if (it == owners_.end()) {
     return;
   }
@@ -227,9 +230,9 @@
   changed_.SignalAll();
 }
 
-std::shared_ptr<PoolOwner> CellNode::FindOwner(const PoolName& pool) const {
+std::shared_ptr<PoolOwner> CellNode::FindOwner(const PartName& part) const {
   absl::MutexLock lock(&mutex_);
-  const auto it = owners_.find(pool);
+  const auto it = owners_.find(part);
   return it == owners_.end() ? nullptr : it->second;
 }
 
@@ -249,6 +252,32 @@
   return true;
 }
 
+void CellNode::CountPools() {
+  for (const PoolName& pool : membership_->UncountedPools()) {
+    const Outcome<std::vector<WorkerDescription>> listed =
+        Capture([this] { return context_.directory->List(); });
+    if (!listed.ok()) {
+      return;
+    }
+    const size_t workers =
+        std::count_if(listed.value().begin(), listed.value().end(),
+                      [&pool](const WorkerDescription& worker) { return worker.pool == pool; });
+    const absl::Time now = context_.clock->Now();
+    const absl::Time first = uncounted_since_.emplace(pool, now).first->second;
+    // Workers announce themselves while the instances start.
+    if (workers == 0 && now - first < kWorkersAwaited) {
+      continue;
+    }
+    StoreTransaction create;
+    create.conditions = {StoreCondition{cell_keys::PartCount(pool), Revision(0)}};
+    create.writes = {StoreWrite{cell_keys::PartCount(pool), std::to_string(CountParts(workers)),
+                                std::nullopt}};
+    // Whoever is first decides; the membership's view shows what was decided.
+    const Outcome<Revision> written = Capture([&] { return context_.store->Commit(create); });
+    (void)written;
+  }
+}
+
 void CellNode::MaintenanceLoop() {
   for (;;) {
     std::vector<std::shared_ptr<PoolOwner>> starting;
@@ -269,6 +298,7 @@
       owner->Start();
     }
     advice_->SetMembers(membership_->members());
+    CountPools();
   }
 }
 
--- a/packages/cell/cell_node.h
+++ b/packages/cell/cell_node.h
@@ -25,6 +25,8 @@
   InstanceId id;
   // "ip:port" for calls of other instances.
   std::string peer_address;
+  // Processor share of this VM in thousandths of a core.
+  int64_t cpu_milli = 1000;
   PoolLimits limits;
   TransactionalStore* store = nullptr;
   WorkerDirectory* directory = nullptr;
@@ -55,12 +57,14 @@
  private:
   Result<std::string> SharedPeerKey();
   Result<void> StartPeers();
-  void PoolClaimed(const PoolClaim& claim);
-  void PoolLost(const PoolName& pool);
-  std::shared_ptr<PoolOwner> FindOwner(const PoolName& pool) const;
+  void PartClaimed(const PartClaim& claim);
+  void PartLost(const PartName& part);
+  std::shared_ptr<PoolOwner> FindOwner(const PartName& part) const;
   Result<nlohmann::json> AnswerPeer(const PeerCall& call);
   // Asks each other member; false as soon as one reaches the store or does not answer.
   bool StoreIsDownForAll() const;
+  // Stores the number of parts of pools that have none yet.
+  void CountPools();
   void MaintenanceLoop();
 
   const CellNodeContext context_;
@@ -70,10 +74,12 @@
   std::unique_ptr<CellMembership> membership_;
   std::unique_ptr<CellService> service_;
   std::thread maintenance_;
+  // Used by the maintenance thread only.
+  std::map<PoolName, absl::Time> uncounted_since_;
   mutable absl::Mutex mutex_;
   absl::CondVar changed_;
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
-  std::map<PoolName, std::shared_ptr<PoolOwner>> owners_ ABSL_GUARDED_BY(mutex_);
+  std::map<PartName, std::shared_ptr<PoolOwner>> owners_ ABSL_GUARDED_BY(mutex_);
   // Won claims whose owners are to be started, and halted owners to be destroyed.
   std::vector<std::shared_ptr<PoolOwner>> starting_ ABSL_GUARDED_BY(mutex_);
   std::vector<std::shared_ptr<PoolOwner>> retired_ ABSL_GUARDED_BY(mutex_);
--- a/packages/cell/cell_service.cc
+++ b/packages/cell/cell_service.cc
@@ -63,12 +63,12 @@
   writer_.Stop();
 }
 
-void CellService::NotifyOwner(const PoolName& pool, const std::string& key,
+void CellService::NotifyOwner(const PartName& part, const std::string& key,
                               const std::string& value) {
   absl::MutexLock lock(&mutex_);
   // The watch brings what is left out here.
   if (notices_.size() < kMaxNotices) {
-    notices_.push_back(Notice{pool, key, value});
+    notices_.push_back(Notice{part, key, value});
     noticed_.Signal();
   }
 }
@@ -89,7 +89,7 @@
     }
     // A notice that is lost costs time only.
     const Outcome<json> told = Capture([&] {
-      return CallOwner(notice.pool, "notify", {{"key", notice.key}, {"value", notice.value}},
+      return CallOwner(notice.part, "notify", {{"key", notice.key}, {"value", notice.value}},
                        clock_->Now() + kNoticeTimeout);
     });
     (void)told;
@@ -110,36 +110,37 @@
                                  absl::Time deadline) {
   BOOST_LEAF_CHECK(CheckWorkflow(spec, WorkflowLimits()));
   const JobIntake intake{id, route.policy, std::move(spec), clock_->Now()};
-  const std::string key = cell_keys::Job(route.policy.pool, id);
+  BOOST_LEAF_AUTO(part, PartOf(route, id));
+  const std::string key = cell_keys::Job(part, id);
   const std::string value = EncodeIntake(intake);
-  return CreateEntry(route.policy.pool, key, value, deadline);
+  return CreateEntry(part, key, value, deadline);
 }
 
-Result<void> CellService::CreateEntry(const PoolName& pool, const std::string& key,
+Result<void> CellService::CreateEntry(const PartName& part, const std::string& key,
                                       const std::string& value, absl::Time deadline) {
   if (!membership_->StoreAnswers()) {
-    return CreateByPeer(pool, key, value, deadline);
+    return CreateByPeer(part, key, value, deadline);
   }
-  const Outcome<void> created = Capture([&] { return CreateHere(pool, key, value, deadline); });
+  const Outcome<void> created = Capture([&] { return CreateHere(part, key, value, deadline); });
   if (!created.ok() && created.error().kind == ErrorKind::kStoreUnavailable) {
-    return CreateByPeer(pool, key, value, deadline);
+    return CreateByPeer(part, key, value, deadline);
   }
   return created.ToResult();
 }
 
-Result<void> CellService::CreateHere(const PoolName& pool, const std::string& key,
+Result<void> CellService::CreateHere(const PartName& part, const std::string& key,
                                      const std::string& value, absl::Time deadline) {
   const Outcome<void> created = Capture([&] { return writer_.Create(key, value, deadline); });
   if (created.ok()) {
-    NotifyOwner(pool, key, value);
+    NotifyOwner(part, key, value);
   }
   return created.ToResult();
 }
 
-Result<void> CellService::CreateByPeer(const PoolName& pool, const std::string& key,
+Result<void> CellService::CreateByPeer(const PartName& part, const std::string& key,
                                        const std::string& value, absl::Time deadline) {
   // The peer tells the owner: without the store, this instance may believe in a former owner.
-  const json body = {{"pool", pool.value()}, {"key", key}, {"value", value}};
+  const json body = {{"part", part.value()}, {"key", key}, {"value", value}};
   bool maybe_written = false;
   size_t tried = 0;
   for (const CellMember& member : membership_->members()) {
@@ -166,14 +167,14 @@
               kOwnerRetryAfter);
 }
 
-Result<json> CellService::CallOwner(const PoolName& pool, const std::string& method, json body,
+Result<json> CellService::CallOwner(const PartName& part, const std::string& method, json body,
                                     absl::Time deadline) {
-  const std::optional<PoolClaim> claim = membership_->ClaimOf(pool);
+  const std::optional<PartClaim> claim = membership_->ClaimOf(part);
   if (!claim.has_value()) {
     return Fail(ErrorKind::kOwnerUnavailable, "No instance owns the pool now; ask again later.",
                 kOwnerRetryAfter);
   }
-  body["pool"] = pool.value();
+  body["part"] = part.value();
   if (claim->owner.id == self_) {
     return AnswerPeer(PeerCall{self_, method, std::move(body), deadline});
   }
@@ -181,19 +182,19 @@
                       std::min(kOwnerTimeout, deadline - clock_->Now()));
 }
 
-Result<std::optional<CellJobState>> CellService::StateFromOwner(const PoolName& pool,
+Result<std::optional<CellJobState>> CellService::StateFromOwner(const PartName& part,
                                                                 const JobId& id,
                                                                 absl::Time deadline) {
-  BOOST_LEAF_AUTO(answer, CallOwner(pool, "state", {{"job", id.value()}}, deadline));
+  BOOST_LEAF_AUTO(answer, CallOwner(part, "state", {{"job", id.value()}}, deadline));
   return ParseState(answer.value("state", json()));
 }
 
-Result<CellJobState> CellService::StateFromStore(const PoolName& pool, const JobId& id) {
-  BOOST_LEAF_AUTO(progress, store_->Get(cell_keys::Progress(pool, id)));
+Result<CellJobState> CellService::StateFromStore(const PartName& part, const JobId& id) {
+  BOOST_LEAF_AUTO(progress, store_->Get(cell_keys::Progress(part, id)));
   if (progress.has_value()) {
     return DecodeProgressState(progress->value);
   }
-  BOOST_LEAF_AUTO(intake, store_->Get(cell_keys::Job(pool, id)));
+  BOOST_LEAF_AUTO(intake, store_->Get(cell_keys::Job(part, id)));
   if (intake.has_value()) {
     return CellJobState::kQueued;
   }
@@ -202,12 +203,12 @@
 
 Result<CellJobState> CellService::State(const QueueRoute& route, const JobId& id,
                                         absl::Time deadline) {
-  const PoolName& pool = route.policy.pool;
+  BOOST_LEAF_AUTO(part, PartOf(route, id));
   const Outcome<std::optional<CellJobState>> told =
-      Capture([&] { return StateFromOwner(pool, id, deadline); });
+      Capture([&] { return StateFromOwner(part, id, deadline); });
   const bool known = told.ok() && told.value().has_value();
   const Outcome<CellJobState> state = known ? Outcome<CellJobState>(*told.value())
-                                            : Capture([&] { return StateFromStore(pool, id); });
+                                            : Capture([&] { return StateFromStore(part, id); });
   events_->Record(EventCode::kJobStateTold)
       .Job(id)
       .With(event_field::kState,
@@ -218,16 +219,35 @@
 }
 
 Result<void> CellService::Cancel(const QueueRoute& route, const JobId& id, absl::Time deadline) {
-  const PoolName& pool = route.policy.pool;
+  BOOST_LEAF_AUTO(part, PartOf(route, id));
   BOOST_LEAF_CHECK(State(route, id, deadline));
-  BOOST_LEAF_CHECK(CreateEntry(pool, cell_keys::Cancel(pool, id), "1", deadline));
+  BOOST_LEAF_CHECK(CreateEntry(part, cell_keys::Cancel(part, id), "1", deadline));
   events_->Record(EventCode::kJobCancelled).Job(id).Emit();
   return {};
 }
 
 Result<int64_t> CellService::Pending(const QueueRoute& route, absl::Time deadline) {
-  BOOST_LEAF_AUTO(answer, CallOwner(route.policy.pool, "pending", json::object(), deadline));
-  return answer.value("queues", json::object()).value(route.policy.name, int64_t{0});
+  BOOST_LEAF_AUTO(count, PartCount(route));
+  int64_t pending = 0;
+  for (const PoolPart& part : PoolPart::All(route.policy.pool, count)) {
+    BOOST_LEAF_AUTO(answer, CallOwner(part.Name(), "pending", json::object(), deadline));
+    pending += answer.value("queues", json::object()).value(route.policy.name, int64_t{0});
+  }
+  return pending;
+}
+
+Result<int> CellService::PartCount(const QueueRoute& route) const {
+  const std::optional<int> count = membership_->PartCount(route.policy.pool);
+  if (!count.has_value()) {
+    return Fail(ErrorKind::kOwnerUnavailable, "The pool is not set up yet; ask again later.",
+                kOwnerRetryAfter);
+  }
+  return *count;
+}
+
+Result<PartName> CellService::PartOf(const QueueRoute& route, const JobId& id) const {
+  BOOST_LEAF_AUTO(count, PartCount(route));
+  return PoolPart::OfJob(route.policy.pool, id, count).Name();
 }
 
 Result<json> CellService::AnswerPeer(const PeerCall& call) {
@@ -240,10 +260,10 @@
       return Fail(ErrorKind::kStoreUnavailable, "The store does not answer here either.");
     }
     BOOST_LEAF_CHECK(
-        CreateHere(PoolName(text("pool")), text("key"), text("value"), call.deadline));
+        CreateHere(PartName(text("part")), text("key"), text("value"), call.deadline));
     return json::object();
   }
-  const std::shared_ptr<PoolOwner> owner = find_owner_(PoolName(text("pool")));
+  const std::shared_ptr<PoolOwner> owner = find_owner_(PartName(text("part")));
   if (owner == nullptr || !owner->IsServing()) {
     return Fail(ErrorKind::kOwnerUnavailable,
                 "This instance does not own the pool now; ask again later.", kOwnerRetryAfter);
--- a/packages/cell/cell_service.h
+++ b/packages/cell/cell_service.h
@@ -28,7 +28,7 @@
 // does not answer. Thread-safe.
 class CellService {
  public:
-  using FindOwner = std::function<std::shared_ptr<PoolOwner>(const PoolName&)>;
+  using FindOwner = std::function<std::shared_ptr<PoolOwner>(const PartName&)>;
 
   ~CellService();
   CellService(InstanceId self, TransactionalStore* store, PeerPort* peers,
@@ -54,17 +54,20 @@
   void Stop();
 
  private:
+  Result<int> PartCount(const QueueRoute& route) const;
+  // The part of the queue's pool that the job belongs to.
+  Result<PartName> PartOf(const QueueRoute& route, const JobId& id) const;
   // Creates an entry here or, when the store turns this instance away, by way of another.
-  Result<void> CreateEntry(const PoolName& pool, const std::string& key, const std::string& value,
+  Result<void> CreateEntry(const PartName& part, const std::string& key, const std::string& value,
                            absl::Time deadline);
-  Result<void> CreateHere(const PoolName& pool, const std::string& key, const std::string& value,
+  Result<void> CreateHere(const PartName& part, const std::string& key, const std::string& value,
                           absl::Time deadline);
-  Result<void> CreateByPeer(const PoolName& pool, const std::string& key, const std::string& value,
+  Result<void> CreateByPeer(const PartName& part, const std::string& key, const std::string& value,
                             absl::Time deadline);
-  Result<std::optional<CellJobState>> StateFromOwner(const PoolName& pool, const JobId& id,
+  Result<std::optional<CellJobState>> StateFromOwner(const PartName& part, const JobId& id,
                                                      absl::Time deadline);
-  Result<CellJobState> StateFromStore(const PoolName& pool, const JobId& id);
-  Result<nlohmann::json> CallOwner(const PoolName& pool, const std::string& method,
+  Result<CellJobState> StateFromStore(const PartName& part, const JobId& id);
+  Result<nlohmann::json> CallOwner(const PartName& part, const std::string& method,
                                    nlohmann::json body, absl::Time deadline);
 
   const InstanceId self_;
@@ -75,11 +78,11 @@
   EventLog* const events_;
   const FindOwner find_owner_;
   // Tells the pool's owner what was stored, without waiting for it.
-  void NotifyOwner(const PoolName& pool, const std::string& key, const std::string& value);
+  void NotifyOwner(const PartName& part, const std::string& key, const std::string& value);
   void NotifyLoop();
 
   struct Notice {
-    PoolName pool;
+    PartName part;
     std::string key;
     std::string value;
   };
--- a/packages/cell/commit_lane.cc
+++ b/packages/cell/commit_lane.cc
@@ -7,31 +7,31 @@
 
 namespace pomelotray {
 
-CommitLane::CommitLane(TransactionalStore* store, PoolClaim claim, int number,
+CommitLane::CommitLane(TransactionalStore* store, PartClaim claim, int number,
                        const std::optional<StoreEntry>& entry)
-    : store_(store), claim_(std::move(claim)), key_(Key(claim_.pool, number)) {
+    : store_(store), claim_(std::move(claim)), key_(Key(claim_.part, number)) {
   if (entry.has_value()) {
     revision_ = entry->revision;
   }
 }
 
-std::string CommitLane::Prefix(const PoolName& pool) {
-  return absl::StrCat("pomelotray/lanes/", pool.value(), "/");
+std::string CommitLane::Prefix(const PartName& part) {
+  return absl::StrCat("pomelotray/lanes/", part.value(), "/");
 }
 
-std::string CommitLane::Key(const PoolName& pool, int number) {
-  return absl::StrCat(Prefix(pool), number);
+std::string CommitLane::Key(const PartName& part, int number) {
+  return absl::StrCat(Prefix(part), number);
 }
 
 LaneOutcome CommitLane::Store(const std::vector<ProgressRecord>& records) {
   StoreTransaction transaction;
-  transaction.conditions = {StoreCondition{cell_keys::Claim(claim_.pool), claim_.revision},
+  transaction.conditions = {StoreCondition{cell_keys::Claim(claim_.part), claim_.revision},
                             StoreCondition{key_, revision_}};
   transaction.writes = {
       StoreWrite{key_, absl::StrCat(claim_.term, ":", ++sequence_), std::nullopt}};
   for (const ProgressRecord& record : records) {
     transaction.writes.push_back(
-        StoreWrite{cell_keys::Progress(claim_.pool, record.job), record.text, std::nullopt});
+        StoreWrite{cell_keys::Progress(claim_.part, record.job), record.text, std::nullopt});
   }
   pending_ = std::move(transaction);
   return Resume();
--- a/packages/cell/commit_lane.h
+++ b/packages/cell/commit_lane.h
@@ -28,12 +28,12 @@
   static constexpr size_t kMaxRecords = kMaxTransactionEntries - 3;
 
   // `entry`: the lane's entry as it was read after the claim; none when it does not exist.
-  CommitLane(TransactionalStore* store, PoolClaim claim, int number,
+  CommitLane(TransactionalStore* store, PartClaim claim, int number,
              const std::optional<StoreEntry>& entry);
 
   // Where the lanes of a pool have their entries.
-  static std::string Prefix(const PoolName& pool);
-  static std::string Key(const PoolName& pool, int number);
+  static std::string Prefix(const PartName& part);
+  static std::string Key(const PartName& part, int number);
 
   // Only when nothing is pending.
   LaneOutcome Store(const std::vector<ProgressRecord>& records);
@@ -45,7 +45,7 @@
   LaneOutcome Inspect();
 
   TransactionalStore* const store_;
-  const PoolClaim claim_;
+  const PartClaim claim_;
   const std::string key_;
   Revision revision_;
   int64_t sequence_ = 0;
--- a/packages/cell/pool_owner.cc
+++ b/packages/cell/pool_owner.cc
@@ -36,11 +36,12 @@
 
 }  // namespace
 
-PoolOwner::PoolOwner(PoolClaim claim, PoolLimits limits, PoolOwnerContext context)
+PoolOwner::PoolOwner(PartClaim claim, PoolLimits limits, PoolOwnerContext context)
     : claim_(std::move(claim)),
+      part_(PoolPart::Parse(claim_.part).value_or(PoolPart())),
       limits_(limits),
       context_(std::move(context)),
-      scheduler_(claim_.pool, claim_.term, limits_, context_.events) {}
+      scheduler_(part_, claim_.term, limits_, context_.events) {}
 
 PoolOwner::~PoolOwner() {
   Halt();
@@ -93,7 +94,7 @@
       break;
     }
     context_.events->Record(EventCode::kJournalRecovered)
-        .With("pool", claim_.pool.value())
+        .With("part", claim_.part.value())
         .With(event_field::kReason, loaded.error().message)
         .Emit();
     if (!Pause(kLoadRetry)) {
@@ -115,18 +116,18 @@
 PoolOwner::StoredState PoolOwner::ReadStored() const {
   StoredState state;
   TransactionalStore* const store = context_.store;
-  const PoolName& pool = claim_.pool;
+  const PartName& part = claim_.part;
   // Read at the same time: a slow store would make a takeover wait for each in turn.
   std::thread progress([&] {
-    state.progress = Capture([&] { return store->ListAll(cell_keys::ProgressPrefix(pool)); });
+    state.progress = Capture([&] { return store->ListAll(cell_keys::ProgressPrefix(part)); });
   });
   std::thread intake([&] {
-    state.intake = Capture([&] { return store->ListAll(cell_keys::IntakePrefix(pool)); });
+    state.intake = Capture([&] { return store->ListAll(cell_keys::IntakePrefix(part)); });
   });
   std::thread lanes([&] {
-    state.lanes = Capture([&] { return store->ListAll(CommitLane::Prefix(pool)); });
+    state.lanes = Capture([&] { return store->ListAll(CommitLane::Prefix(part)); });
   });
-  state.roster = Capture([&] { return store->Get(cell_keys::Roster(pool)); });
+  state.roster = Capture([&] { return store->Get(cell_keys::Roster(part)); });
   progress.join();
   intake.join();
   lanes.join();
@@ -136,7 +137,7 @@
 void PoolOwner::MakeLanes(const StoreListing& listing) {
   lanes_.clear();
   for (size_t lane = 0; lane < kCommitLanes; ++lane) {
-    const std::string key = CommitLane::Key(claim_.pool, static_cast<int>(lane));
+    const std::string key = CommitLane::Key(claim_.part, static_cast<int>(lane));
     std::optional<StoreEntry> present;
     for (const StoreEntry& entry : listing.entries) {
       if (entry.key == key) {
@@ -154,7 +155,7 @@
   BOOST_LEAF_AUTO(intake, state.intake.ToResult());
   BOOST_LEAF_AUTO(lane_listing, state.lanes.ToResult());
   MakeLanes(lane_listing);
-  const std::string progress_prefix = cell_keys::ProgressPrefix(claim_.pool);
+  const std::string progress_prefix = cell_keys::ProgressPrefix(claim_.part);
   std::vector<RosterEntry> roster;
   if (roster_entry.has_value()) {
     roster_revision_ = roster_entry->revision;
@@ -164,8 +165,8 @@
   for (StoreEntry& entry : progress_listing.entries) {
     progress.emplace(JobId(IdBelow(entry.key, progress_prefix)), std::move(entry.value));
   }
-  const std::string job_prefix = cell_keys::JobPrefix(claim_.pool);
-  const std::string cancel_prefix = cell_keys::CancelPrefix(claim_.pool);
+  const std::string job_prefix = cell_keys::JobPrefix(claim_.part);
+  const std::string cancel_prefix = cell_keys::CancelPrefix(claim_.part);
   std::vector<JobIntake> jobs;
   std::vector<JobId> cancelled;
   for (const StoreEntry& entry : intake.entries) {
@@ -178,7 +179,7 @@
   }
   const absl::Time now = context_.clock->Now();
   context_.events->Record(EventCode::kJournalRecovered)
-      .With("pool", claim_.pool.value())
+      .With("part", claim_.part.value())
       .With("term", claim_.term)
       .With("jobs", static_cast<int64_t>(jobs.size()))
       .With("roster", static_cast<int64_t>(roster.size()))
@@ -190,15 +191,15 @@
   }
   ++change_count_;
   intake_ = std::make_unique<PrefixMirror>(
-      context_.store, cell_keys::IntakePrefix(claim_.pool), context_.clock, context_.events,
+      context_.store, cell_keys::IntakePrefix(claim_.part), context_.clock, context_.events,
       [this](const WatchBatch& batch, bool) { ApplyIntake(batch); });
   intake_->Start(intake.as_of);
   return {};
 }
 
 void PoolOwner::ApplyIntake(const WatchBatch& batch) {
-  const std::string job_prefix = cell_keys::JobPrefix(claim_.pool);
-  const std::string cancel_prefix = cell_keys::CancelPrefix(claim_.pool);
+  const std::string job_prefix = cell_keys::JobPrefix(claim_.part);
+  const std::string cancel_prefix = cell_keys::CancelPrefix(claim_.part);
   std::vector<JobIntake> jobs;
   for (const StoreEntry& entry : batch.changed) {
     if (!absl::StartsWith(entry.key, job_prefix)) {
@@ -418,10 +419,10 @@
     return false;
   }
   StoreTransaction transaction;
-  transaction.conditions = {StoreCondition{cell_keys::Claim(claim_.pool), claim_.revision},
-                            StoreCondition{cell_keys::Roster(claim_.pool), roster_revision_}};
+  transaction.conditions = {StoreCondition{cell_keys::Claim(claim_.part), claim_.revision},
+                            StoreCondition{cell_keys::Roster(claim_.part), roster_revision_}};
   transaction.writes = {
-      StoreWrite{cell_keys::Roster(claim_.pool), text, std::nullopt}};
+      StoreWrite{cell_keys::Roster(claim_.part), text, std::nullopt}};
   const Outcome<Revision> written = Capture([&] { return context_.store->Commit(transaction); });
   if (!written.ok()) {
     RereadRoster();
@@ -438,7 +439,7 @@
   // An earlier write whose answer was lost may have changed the entry. If the claim is gone, the
   // lanes find out.
   const Outcome<std::optional<StoreEntry>> entry =
-      Capture([this] { return context_.store->Get(cell_keys::Roster(claim_.pool)); });
+      Capture([this] { return context_.store->Get(cell_keys::Roster(claim_.part)); });
   if (entry.ok()) {
     roster_revision_ = entry.value().has_value() ? entry.value()->revision : Revision(0);
   }
@@ -454,11 +455,11 @@
     return;
   }
   StoreTransaction transaction;
-  transaction.conditions = {StoreCondition{cell_keys::Claim(claim_.pool), claim_.revision}};
+  transaction.conditions = {StoreCondition{cell_keys::Claim(claim_.part), claim_.revision}};
   for (const JobId& id : expired) {
-    transaction.removals.push_back(cell_keys::Job(claim_.pool, id));
-    transaction.removals.push_back(cell_keys::Cancel(claim_.pool, id));
-    transaction.removals.push_back(cell_keys::Progress(claim_.pool, id));
+    transaction.removals.push_back(cell_keys::Job(claim_.part, id));
+    transaction.removals.push_back(cell_keys::Cancel(claim_.part, id));
+    transaction.removals.push_back(cell_keys::Progress(claim_.part, id));
   }
   // A later owner purges what remains after a failure.
   const Outcome<Revision> written = Capture([&] { return context_.store->Commit(transaction); });
@@ -474,11 +475,11 @@
     deposed_ = true;
   }
   context_.events->Record(EventCode::kShardDeposed)
-      .With("pool", claim_.pool.value())
+      .With("part", claim_.part.value())
       .With("term", claim_.term)
       .With(event_field::kReason, reason)
       .Emit();
-  context_.deposed(claim_.pool);
+  context_.deposed(claim_.part);
 }
 
 std::optional<CellJobState> PoolOwner::StateOf(const JobId& id) const {
--- a/packages/cell/pool_owner.h
+++ b/packages/cell/pool_owner.h
@@ -41,14 +41,14 @@
   const Clock* clock = nullptr;
   EventLog* events = nullptr;
   // A worker, or a write under the claim's condition, showed that another instance took over.
-  std::function<void(const PoolName&)> deposed;
+  std::function<void(const PartName&)> deposed;
 };
 
-// Runs one pool while this instance's claim lasts: reads what earlier owners stored, follows new
+// Runs one part of a pool while this instance's claim lasts: reads what earlier owners stored, follows new
 // jobs in the store, keeps the workers' leases, starts tasks and stores their ends.
 class PoolOwner : public std::enable_shared_from_this<PoolOwner>, private WorkerSessionListener {
  public:
-  PoolOwner(PoolClaim claim, PoolLimits limits, PoolOwnerContext context);
+  PoolOwner(PartClaim claim, PoolLimits limits, PoolOwnerContext context);
   ~PoolOwner() override;
 
   // Reads the stored state, then starts the threads. Retries until it succeeds or Halt().
@@ -64,7 +64,7 @@
   std::optional<CellJobState> StateOf(const JobId& id) const;
   bool IsServing() const;
   std::map<std::string, int64_t> PendingByQueue() const;
-  const PoolClaim& claim() const { return claim_; }
+  const PartClaim& claim() const { return claim_; }
 
  private:
   bool WaitForPermission() override;
@@ -104,7 +104,8 @@
   void ApplyAdvice(const AdviceRequest& request, const std::optional<Advice>& advice);
   void Wake() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
-  const PoolClaim claim_;
+  const PartClaim claim_;
+  const PoolPart part_;
   const PoolLimits limits_;
   const PoolOwnerContext context_;
 
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -113,8 +113,8 @@
 
 }  // namespace
 
-PoolScheduler::PoolScheduler(PoolName pool, int64_t term, PoolLimits limits, EventLog* events)
-    : pool_(std::move(pool)),
+PoolScheduler::PoolScheduler(PoolPart part, int64_t term, PoolLimits limits, EventLog* events)
+    : part_(std::move(part)),
       limits_(limits),
       events_(events),
       first_run_((term - 1) * kRunsPerTerm) {}
@@ -232,7 +232,7 @@
 void PoolScheduler::UpdateDirectory(const std::vector<WorkerDescription>& workers, absl::Time now) {
   std::set<WorkerId> listed;
   for (const WorkerDescription& description : workers) {
-    if (description.pool != pool_) {
+    if (description.pool != part_.pool || !part_.Owns(description.id)) {
       continue;
     }
     listed.insert(description.id);
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -14,6 +14,7 @@
 #include "cell/cell_job.h"
 #include "cell/cell_ports.h"
 #include "cell/job_record.h"
+#include "cell/pool_part.h"
 #include "cell/schedule_round.h"
 #include "cell/worker_book.h"
 
@@ -52,12 +53,12 @@
   bool never_sent = false;
 };
 
-// Everything that a pool's owner knows and decides: jobs, workers, attempts. Has no threads and no
+// Everything that the owner of a pool's part knows and decides: jobs, workers, attempts. Has no threads and no
 // input or output, so that each rule can be tested with a clock of the test's own; the caller
 // serializes all calls. A task is started again only when its last attempt is known to be over.
 class PoolScheduler {
  public:
-  PoolScheduler(PoolName pool, int64_t term, PoolLimits limits, EventLog* events);
+  PoolScheduler(PoolPart part, int64_t term, PoolLimits limits, EventLog* events);
 
   // Jobs and roster of earlier owners, before the first Schedule(). Their tasks wait until each
   // worker of the roster has reported or its leases are over. Of a frozen worker only the tasks that
@@ -161,7 +162,7 @@
   bool IsCurrent(const CellWorker& worker, const Attempt& attempt);
   absl::Duration LeaseBound() const;
 
-  const PoolName pool_;
+  const PoolPart part_;
   const PoolLimits limits_;
   EventLog* const events_;
   // Numbers of this owner's attempts are above those of all earlier owners.
--- a/tests/cell/cell_membership_test.cc
+++ b/tests/cell/cell_membership_test.cc
@@ -16,17 +16,18 @@
 // Bounds the wait for something that takes 3 s at most; no test asserts a time.
 constexpr absl::Duration kPatience = absl::Seconds(30);
 
-const PoolName kPool("rendering");
+const PartName kPool("rendering.0.1");
 
 // One instance's membership with what it was told.
 class Node {
  public:
   Node(const std::string& id, const std::string& incarnation, FakeStore* store)
-      : membership_({InstanceId(id), id + ":1"}, incarnation, store, &clock_, &events_,
-                    CellMembership::Callbacks{[this](const PoolClaim& claim) { Won(claim); },
-                                              [this](const PoolName&) { Lost(); },
+      : counted_(store->Put("pomelotray/control/parts/rendering", "1")),
+        membership_({InstanceId(id), id + ":1"}, incarnation, store, &clock_, &events_,
+                    CellMembership::Callbacks{[this](const PartClaim& claim) { Won(claim); },
+                                              [this](const PartName&) { Lost(); },
                                               [this] { return down_for_all_.load(); }}) {
-    membership_.SetPools({kPool});
+    membership_.SetPools({PoolName("rendering")});
     membership_.Start();
   }
 
@@ -39,7 +40,7 @@
   void SetDownForAll(bool down) { down_for_all_ = down; }
 
  private:
-  void Won(const PoolClaim& claim) {
+  void Won(const PartClaim& claim) {
     absl::MutexLock lock(&mutex_);
     term_ = claim.term;
   }
@@ -48,6 +49,7 @@
     term_ = 0;
   }
 
+  const Revision counted_;
   SystemClock clock_;
   HybridClock hybrid_clock_{&clock_};
   EventLog events_{"test", &hybrid_clock_};
@@ -110,9 +112,9 @@
 BOOST_AUTO_TEST_CASE(RestartedInstanceReplacesItsOwnClaim) {
   SystemClock clock;
   FakeStore store(&clock);
-  store.Put("pomelotray/control/claims/rendering",
+  store.Put("pomelotray/control/claims/rendering.0.1",
             R"({"instance":"a","peer_address":"a:1","incarnation":"old","term":4})");
-  store.Put("pomelotray/control/terms/rendering", "4");
+  store.Put("pomelotray/control/terms/rendering.0.1", "4");
   Node a("a", "new", &store);
   BOOST_TEST(Eventually([&] { return a.term() == 5; }));
 }
@@ -135,8 +137,8 @@
 BOOST_AUTO_TEST_CASE(PoolsAreSpreadOverMembers) {
   const std::vector<CellMember> members = {
       {InstanceId("a"), ""}, {InstanceId("b"), ""}, {InstanceId("c"), ""}};
-  const std::map<PoolName, InstanceId> assigned =
-      AssignPools({PoolName("p1"), PoolName("p2"), PoolName("p3")}, members);
+  const std::map<PartName, InstanceId> assigned =
+      AssignParts({PartName("p1"), PartName("p2"), PartName("p3")}, members);
   std::set<InstanceId> used;
   for (const auto& [pool, instance] : assigned) {
     used.insert(instance);
--- a/tests/cell/commit_lane_test.cc
+++ b/tests/cell/commit_lane_test.cc
@@ -8,7 +8,7 @@
 namespace pomelotray {
 namespace {
 
-const PoolName kPool("rendering");
+const PartName kPool("rendering.0.1");
 
 ProgressRecord Record(const std::string& job, const std::string& text) {
   ProgressRecord record;
@@ -20,7 +20,7 @@
 // A claimed pool on a fake store.
 struct Claimed {
   Claimed() {
-    claim.pool = kPool;
+    claim.part = kPool;
     claim.term = 1;
     claim.revision = store.Put(cell_keys::Claim(kPool), "owner");
   }
@@ -30,7 +30,7 @@
 
   ManualClock clock;
   FakeStore store{&clock};
-  PoolClaim claim;
+  PartClaim claim;
 };
 
 BOOST_AUTO_TEST_SUITE(CommitLaneTest)
