--- a/packages/cell/cell_node.cc
+++ b/packages/cell/cell_node.cc
@@ -16,8 +16,9 @@
 constexpr absl::Duration kHandOverLimit = absl::Milliseconds(300);
 // A peer answers from memory; between regions it takes 16 ms.
 constexpr absl::Duration kHealthTimeout = absl::Milliseconds(200);
-// How long a pool without workers stays uncounted: two of the workers' announcements.
-constexpr absl::Duration kWorkersAwaited = absl::Seconds(3);
+// How long the number of a pool's workers must be unchanged before its parts are counted: longer than
+// the interval of the workers' announcements (1.5 s).
+constexpr absl::Duration kWorkersAwaited = absl::Seconds(2);
 constexpr absl::Duration kPeerKeyRetry = absl::Milliseconds(200);
 
 PeerLimits MakePeerLimits() {
@@ -263,9 +264,12 @@
         std::count_if(listed.value().begin(), listed.value().end(),
                       [&pool](const WorkerDescription& worker) { return worker.pool == pool; });
     const absl::Time now = context_.clock->Now();
-    const absl::Time first = uncounted_since_.emplace(pool, now).first->second;
-    // Workers announce themselves while the instances start.
-    if (workers == 0 && now - first < kWorkersAwaited) {
+    // Workers announce themselves while the instances start: the number has to hold for a while.
+    WorkerCount& count = worker_counts_[pool];
+    if (count.workers != workers || count.since == absl::InfinitePast()) {
+      count = WorkerCount{workers, now};
+    }
+    if (now - count.since < kWorkersAwaited) {
       continue;
     }
     StoreTransaction create;
--- a/packages/cell/cell_node.h
+++ b/packages/cell/cell_node.h
@@ -75,7 +75,11 @@
   std::unique_ptr<CellService> service_;
   std::thread maintenance_;
   // Used by the maintenance thread only.
-  std::map<PoolName, absl::Time> uncounted_since_;
+  struct WorkerCount {
+    size_t workers = 0;
+    absl::Time since = absl::InfinitePast();
+  };
+  std::map<PoolName, WorkerCount> worker_counts_;
   mutable absl::Mutex mutex_;
   absl::CondVar changed_;
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
