cell: Keep filling work away from tasks that serve users

A step with a latency target and a step that fills unused capacity never share a worker, and filling work stops where a serving task finds no room otherwise.

--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -44,6 +44,12 @@
          (attempt.phase == AttemptPhase::kRunning && attempt.confirmed_at < sent);
 }
 
+void SetNeeds(const StepSpec& step, Attempt* attempt) {
+  attempt->reserved = ReservedFor(step);
+  attempt->serves = IsServing(step);
+  attempt->fills = step.fills;
+}
+
 const char* EndName(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kSucceeded:
@@ -453,7 +459,7 @@
     StepRun* run = FindRun(*attempt->task);
     CellJob* job = FindJob(attempt->task->job);
     CellTask& task = run->tasks[attempt->task->task];
-    attempt->reserved = ReservedFor(job->Step(*run));
+    SetNeeds(job->Step(*run), attempt);
     wanted = task.phase == TaskPhase::kWaiting && !job->cancel_requested &&
              attempt->key.run >= task.last_run;
     if (wanted) {
@@ -509,7 +515,7 @@
   const CellJob* job =
       ParseTaskName(attempt->key.task, &parts) ? FindJob(JobId(parts.job)) : nullptr;
   if (job != nullptr && parts.step < static_cast<int>(job->intake.spec.steps.size())) {
-    attempt->reserved = ReservedFor(job->intake.spec.steps[parts.step]);
+    SetNeeds(job->intake.spec.steps[parts.step], attempt);
   } else {
     attempt->unknown_load = true;
   }
@@ -781,7 +787,7 @@
   Attempt attempt;
   attempt.key = AttemptKey{TaskName(*job, *run, placed.task.task), task.last_run};
   attempt.task = placed.task;
-  attempt.reserved = ReservedFor(step);
+  SetNeeds(step, &attempt);
   attempt.checkpoint = task.checkpoint;
   worker->used += attempt.reserved;
   if (job->state == CellJobState::kQueued) {
@@ -834,6 +840,11 @@
     FindRun(request.step)->advice.outstanding = true;
     result.advice.push_back(std::move(request));
   }
+  for (const WorkerId& id : round.to_clear) {
+    for (auto& [key, attempt] : workers_[id].attempts) {
+      attempt.stop_wanted = attempt.stop_wanted || attempt.fills;
+    }
+  }
   for (auto& [id, worker] : workers_) {
     StopAttempts(&worker, now, &result);
   }
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -49,6 +49,8 @@
   return reserved;
 }
 
+bool IsServing(const StepSpec& step) { return step.latency_target > absl::ZeroDuration(); }
+
 bool IsStartable(const CellJob& job, const StepRun& run, absl::Time now) {
   if (run.waiting == 0 || run.due > now) {
     return false;
@@ -64,7 +66,8 @@
     : jobs_(jobs), now_(now) {
   for (const auto& [id, worker] : workers) {
     if (worker.AcceptsStarts(now)) {
-      rooms_.push_back(Room{&worker, worker.Free(), false});
+      rooms_.push_back(
+          Room{&worker, worker.Free(), false, worker.HasServing(), worker.HasFilling()});
     }
   }
 }
@@ -126,7 +129,8 @@
 bool ScheduleRound::MayUse(const Candidate& candidate, const Room& room, bool with_ticket) const {
   const StepRun& run = candidate.job->runs[candidate.run];
   const StepSpec& step = candidate.job->Step(run);
-  return !room.kept && room.worker->HasLabel(step.required_label) &&
+  return !room.kept && !(room.serving && step.fills) && !(room.filling && IsServing(step)) &&
+         room.worker->HasLabel(step.required_label) &&
          (!candidate.job->intake.policy.advice.has_value() ||
           HasTicket(run, room.worker->description.id, with_ticket));
 }
@@ -195,7 +199,7 @@
       }
       to_renew.insert(room->worker->description.id);
     }
-    room->free -= ReservedFor(step);
+    Take(step, room);
     ++per_worker[room->worker->description.id.value()];
   }
   if (!to_renew.empty()) {
@@ -205,12 +209,30 @@
     const size_t missing = std::count_if(waiting.begin(), waiting.end(), [&](int index) {
       return index >= first_missing;
     });
-    if (IsLarge(step)) {
+    if (IsServing(step)) {
+      ClearForServing(candidate);
+    } else if (IsLarge(step)) {
       KeepRoom(candidate, missing);
     }
   }
 }
 
+void ScheduleRound::ClearForServing(const Candidate& candidate) {
+  const StepRun& run = candidate.job->runs[candidate.run];
+  const StepSpec& step = candidate.job->Step(run);
+  const bool needs_ticket = candidate.job->intake.policy.advice.has_value();
+  for (Room& room : rooms_) {
+    const WorkerId& id = room.worker->description.id;
+    if (room.filling && !room.kept && ReservedFor(step).FitsInto(room.free) &&
+        room.worker->HasLabel(step.required_label) &&
+        (!needs_ticket || HasTicket(run, id, /*valid=*/false))) {
+      room.kept = true;
+      result_.to_clear.push_back(id);
+      return;
+    }
+  }
+}
+
 bool ScheduleRound::IsLarge(const StepSpec& step) const {
   return std::any_of(rooms_.begin(), rooms_.end(), [&step](const Room& room) {
     return DominantShare(ReservedFor(step), room.worker->description.capacity) >= kLargeShare;
@@ -223,6 +245,12 @@
   }
 }
 
+void ScheduleRound::Take(const StepSpec& step, Room* room) const {
+  room->free -= ReservedFor(step);
+  room->serving = room->serving || IsServing(step);
+  room->filling = room->filling || step.fills;
+}
+
 PlacedTask ScheduleRound::Place(const Candidate& candidate, int task, const Room& room) const {
   const StepRun& run = candidate.job->runs[candidate.run];
   const WorkerId& id = room.worker->description.id;
@@ -233,7 +261,7 @@
 
 void ScheduleRound::PlaceGang(const Candidate& candidate, const std::vector<int>& waiting) {
   const StepRun& run = candidate.job->runs[candidate.run];
-  const Resources needed = ReservedFor(candidate.job->Step(run));
+  const StepSpec& step = candidate.job->Step(run);
   for (const bool with_ticket : {true, false}) {
     const std::vector<Room> before = rooms_;
     TaskCounts per_worker;
@@ -244,7 +272,7 @@
       if (room == nullptr) {
         break;
       }
-      room->free -= needed;
+      Take(step, room);
       ++per_worker[room->worker->description.id.value()];
       used.insert(room->worker->description.id);
       placed.push_back(Place(candidate, index, *room));
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -32,6 +32,8 @@
 struct RoundResult {
   std::vector<PlacedTask> placed;
   std::vector<AdviceRequest> advice;
+  // Workers whose filling work has to stop, because a serving task finds no room elsewhere.
+  std::vector<WorkerId> to_clear;
 };
 
 // One pass over all waiting tasks of a pool: decides what starts where. Reads the jobs and workers
@@ -57,6 +59,9 @@
     Resources free;
     // A step waits for this worker to empty: later steps do not start here.
     bool kept = false;
+    // Filling work slows serving tasks on the same worker, so the two keep apart.
+    bool serving = false;
+    bool filling = false;
   };
 
   // Tasks of one step on each worker.
@@ -66,11 +71,14 @@
   void ConsiderStep(const Candidate& candidate);
   void PlaceTasks(const Candidate& candidate, const std::vector<int>& waiting);
   void PlaceGang(const Candidate& candidate, const std::vector<int>& waiting);
+  // Chooses a worker whose filling work makes room for one serving task.
+  void ClearForServing(const Candidate& candidate);
   // Keeps the emptiest usable workers free for `tasks` tasks that do not fit anywhere now.
   void KeepRoom(const Candidate& candidate, size_t tasks);
   // Asks early about a step whose dependencies are all running and short.
   void AskAhead(const Candidate& candidate);
 
+  void Take(const StepSpec& step, Room* room) const;
   PlacedTask Place(const Candidate& candidate, int task, const Room& room) const;
   // The best room for one task, or null. With `with_ticket`, the step's ticket must still be valid;
   // otherwise it is enough that the worker is known to be allowed.
@@ -102,6 +110,8 @@
 // What a task occupies on a worker: the processors of filling work do not count.
 Resources ReservedFor(const StepSpec& step);
 
+bool IsServing(const StepSpec& step);
+
 // True when all steps that the run waits for have succeeded and its time has come.
 bool IsStartable(const CellJob& job, const StepRun& run, absl::Time now);
 
--- a/packages/cell/worker_book.cc
+++ b/packages/cell/worker_book.cc
@@ -20,4 +20,14 @@
                      [](const auto& entry) { return entry.second.unknown_load; });
 }
 
+bool CellWorker::HasServing() const {
+  return std::any_of(attempts.begin(), attempts.end(),
+                     [](const auto& entry) { return entry.second.serves; });
+}
+
+bool CellWorker::HasFilling() const {
+  return std::any_of(attempts.begin(), attempts.end(),
+                     [](const auto& entry) { return entry.second.fills; });
+}
+
 }  // namespace pomelotray
--- a/packages/cell/worker_book.h
+++ b/packages/cell/worker_book.h
@@ -28,6 +28,9 @@
   // No value: belongs to no task that is known here.
   std::optional<TaskRef> task;
   Resources reserved;
+  // The step has a latency target, or fills unused capacity.
+  bool serves = false;
+  bool fills = false;
   // What it needs is unknown, so that nothing may start beside it.
   bool unknown_load = false;
   AttemptPhase phase = AttemptPhase::kOrdered;
@@ -81,6 +84,8 @@
   bool HasLabel(const std::string& label) const;
   bool AcceptsStarts(absl::Time now) const;
   bool HasUnknownLoad() const;
+  bool HasServing() const;
+  bool HasFilling() const;
   Resources Free() const { return description.capacity - used; }
 };
 
--- a/tests/cell/schedule_round_test.cc
+++ b/tests/cell/schedule_round_test.cc
@@ -72,6 +72,53 @@
   BOOST_TEST(Starts(fixture.Round()).size() == 1U);
 }
 
+// Guards against noisy neighbours: work that fills unused capacity slows tasks that serve users, so
+// the two never share a worker, whichever comes first.
+BOOST_AUTO_TEST_CASE(FillingWorkKeepsAwayFromServingTasks) {
+  for (const bool serving_first : {true, false}) {
+    Fixture fixture;
+    fixture.AddWorkers({Fixture::Worker("w1", 4000), Fixture::Worker("w2", 4000)});
+    StepSpec serving = Fixture::Step(1, 1000);
+    serving.long_running = true;
+    serving.latency_target = absl::Milliseconds(30);
+    StepSpec filling = Fixture::Step(8, 1000);
+    filling.fills = true;
+    const JobIntake serve = Fixture::Job("serve", {serving});
+    const JobIntake fill = Fixture::Job("fill", {filling}, 2, /*priority=*/2);
+    fixture.AddJob(serving_first ? serve : fill);
+    const std::vector<SentOrder> first = Starts(fixture.Round());
+    BOOST_REQUIRE(!first.empty());
+    fixture.AddJob(serving_first ? fill : serve);
+    const std::vector<SentOrder> second = Starts(fixture.Round());
+    for (const SentOrder& a : first) {
+      for (const SentOrder& b : second) {
+        BOOST_TEST(a.worker.value() != b.worker.value());
+      }
+    }
+  }
+}
+
+// Guards against services that find no worker because filling work is everywhere: it makes room.
+BOOST_AUTO_TEST_CASE(FillingWorkMakesRoomForServingTasks) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w1", 4000)});
+  StepSpec filling = Fixture::Step(2, 1000);
+  filling.fills = true;
+  fixture.AddJob(Fixture::Job("fill", {filling}, 2, /*priority=*/2));
+  const std::vector<SentOrder> first = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(first.size(), 2U);
+  StepSpec serving = Fixture::Step(1, 1000);
+  serving.long_running = true;
+  serving.latency_target = absl::Milliseconds(30);
+  fixture.AddJob(Fixture::Job("serve", {serving}));
+  BOOST_TEST(Stops(fixture.Round()).size() == 2U);
+  fixture.Report("w1", {}, {{first[0].order.key, AttemptEnd::kStopped},
+                            {first[1].order.key, AttemptEnd::kStopped}});
+  const std::vector<SentOrder> next = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(next.size(), 1U);
+  BOOST_TEST(next[0].order.key.task == "serve.0.0.0");
+}
+
 // Guards against priority inversion: urgent work takes free room before older, less urgent work.
 BOOST_AUTO_TEST_CASE(UrgentWorkGoesFirst) {
   Fixture fixture;
