--- a/packages/api/http_engine.cc
+++ b/packages/api/http_engine.cc
@@ -63,8 +63,8 @@
 
 std::optional<Refusal> CheckRequest(const httplib::Request& request, const HttpLimits& limits) {
   if (!IsMethodSupported(request.method)) {
-    return Refuse(
-        405, absl::StrCat("Method ", request.method, " is not supported; use GET, POST, PUT or DELETE."));
+    return Refuse(405, absl::StrCat("Method ", request.method,
+                                    " is not supported; use GET, POST, PUT or DELETE."));
   }
   // The path is matched by a regular expression, whose stack use grows with its length.
   if (request.path.size() > limits.max_path_bytes) {
--- a/packages/base/event_log.cc
+++ b/packages/base/event_log.cc
@@ -69,17 +69,22 @@
 
 void EventLog::Append(Event event) {
   event.process = process_;
-  std::shared_ptr<PackedEvent> packed = std::make_shared<PackedEvent>();
-  packed->code = event.code;
-  packed->fields = nlohmann::json::to_msgpack(nlohmann::json(event.fields));
-  packed->fields.shrink_to_fit();
+  std::shared_ptr<PackedEvent> packed;
+  if (capacity_ > 0) {
+    packed = std::make_shared<PackedEvent>();
+    packed->code = event.code;
+    packed->fields = nlohmann::json::to_msgpack(nlohmann::json(event.fields));
+    packed->fields.shrink_to_fit();
+  }
   {
     absl::MutexLock lock(&mutex_);
     event.time = clock_->Tick();
     event.sequence = next_sequence_++;
-    packed->time = event.time;
-    packed->sequence = event.sequence;
-    events_.push_back(std::move(packed));
+    if (packed != nullptr) {
+      packed->time = event.time;
+      packed->sequence = event.sequence;
+      events_.push_back(std::move(packed));
+    }
     if (events_.size() > capacity_) {
       events_.pop_front();
     }
--- a/packages/base/event_log.h
+++ b/packages/base/event_log.h
@@ -48,7 +48,7 @@
  public:
   using Sink = std::function<void(const Event&)>;
 
-  // Keeps at most `capacity` events in memory.
+  // Keeps at most `capacity` events in memory; 0: the sink alone gets them.
   EventLog(std::string process, HybridClock* clock, Sink sink = nullptr,
            size_t capacity = kDefaultCapacity);
 
--- a/packages/cell/advice_desk.cc
+++ b/packages/cell/advice_desk.cc
@@ -42,9 +42,9 @@
     advice.validity = absl::Milliseconds(value.at("validity_ms").get<int64_t>());
     return advice;
   } catch (const json::exception& error) {
-    return Fail(ErrorKind::kInternal,
-                std::string("A peer's advice cannot be read: ") + error.what() +
-                    "; check that all instances run the same version.");
+    return Fail(ErrorKind::kInternal, std::string("A peer's advice cannot be read: ") +
+                                          error.what() +
+                                          "; check that all instances run the same version.");
   }
 }
 
--- a/packages/cell/cell_membership.cc
+++ b/packages/cell/cell_membership.cc
@@ -449,8 +449,8 @@
         present.insert(entry.key);
       }
       for (auto it = claims_.begin(); it != claims_.end();) {
-        const bool kept = present.count(cell_keys::Claim(it->first)) > 0 ||
-                          it->second.revision > batch.next;
+        const bool kept =
+            present.count(cell_keys::Claim(it->first)) > 0 || it->second.revision > batch.next;
         it = kept ? std::next(it) : claims_.erase(it);
       }
     }
@@ -483,8 +483,8 @@
     absl::MutexLock lock(&mutex_);
     for (auto it = owned_.begin(); it != owned_.end();) {
       const auto claim = claims_.find(it->first);
-      const bool kept = claim != claims_.end() && IsOwn(claim->second) &&
-                        claim->second.term == it->second;
+      const bool kept =
+          claim != claims_.end() && IsOwn(claim->second) && claim->second.term == it->second;
       if (kept) {
         ++it;
       } else {
--- a/packages/cell/cell_membership.h
+++ b/packages/cell/cell_membership.h
@@ -83,8 +83,8 @@
   // The last contact with the store, or the last try, is recent. False after this process stood
   // still: another instance may have claimed its pools meanwhile, so nothing may be ordered.
   bool CheckedRecently() const;
-  // No other instance can have claimed this one's pools: the lease is good by this instance's clock,
-  // or the store is down for all members, so that nobody can claim.
+  // No other instance can have claimed this one's pools: the lease is good by this instance's
+  // clock, or the store is down for all members, so that nobody can claim.
   bool MayStart() const;
   // The last call of the lease's keeper was answered.
   bool StoreAnswers() const;
--- a/packages/cell/cell_node.cc
+++ b/packages/cell/cell_node.cc
@@ -16,8 +16,8 @@
 constexpr absl::Duration kHandOverLimit = absl::Milliseconds(300);
 // A peer answers from memory; between regions it takes 16 ms.
 constexpr absl::Duration kHealthTimeout = absl::Milliseconds(200);
-// How long the number of a pool's workers must be unchanged before its parts are counted: longer than
-// the interval of the workers' announcements (1.5 s).
+// How long the number of a pool's workers must be unchanged before its parts are counted: longer
+// than the interval of the workers' announcements (1.5 s).
 constexpr absl::Duration kWorkersAwaited = absl::Seconds(2);
 constexpr absl::Duration kPeerKeyRetry = absl::Milliseconds(200);
 
@@ -44,8 +44,8 @@
   advice_ = std::make_unique<AdviceDesk>(context_.id, context_.adviser, peer_client_.get(),
                                          context_.clock, context_.events);
   membership_ = std::make_unique<CellMembership>(
-      CellMember{context_.id, context_.peer_address, context_.cpu_milli}, MakeNonceText(), context_.store, context_.clock,
-      context_.events,
+      CellMember{context_.id, context_.peer_address, context_.cpu_milli}, MakeNonceText(),
+      context_.store, context_.clock, context_.events,
       CellMembership::Callbacks{[this](const PartClaim& claim) { PartClaimed(claim); },
                                 [this](const PartName& part) { PartLost(part); },
                                 [this] { return StoreIsDownForAll(); }});
@@ -75,8 +75,7 @@
       create.conditions = {StoreCondition{cell_keys::kPeerKey, Revision(0)}};
       create.writes = {StoreWrite{cell_keys::kPeerKey, proposal, std::nullopt}};
       // Whether or not this succeeds, the entry is read back.
-      const Outcome<Revision> written =
-          Capture([&] { return context_.store->Commit(create); });
+      const Outcome<Revision> written = Capture([&] { return context_.store->Commit(create); });
       (void)written;
     }
     absl::MutexLock lock(&mutex_);
@@ -190,8 +189,7 @@
 }
 
 bool CellNode::IsReady() const {
-  return service_ != nullptr && service_->configuration() != nullptr &&
-         membership_->StoreAnswers();
+  return service_ != nullptr && service_->configuration() != nullptr && membership_->StoreAnswers();
 }
 
 void CellNode::PartClaimed(const PartClaim& claim) {
@@ -274,8 +272,8 @@
     }
     StoreTransaction create;
     create.conditions = {StoreCondition{cell_keys::PartCount(pool), Revision(0)}};
-    create.writes = {StoreWrite{cell_keys::PartCount(pool), std::to_string(CountParts(workers)),
-                                std::nullopt}};
+    create.writes = {
+        StoreWrite{cell_keys::PartCount(pool), std::to_string(CountParts(workers)), std::nullopt}};
     // Whoever is first decides; the membership's view shows what was decided.
     const Outcome<Revision> written = Capture([&] { return context_.store->Commit(create); });
     (void)written;
@@ -292,8 +290,7 @@
         return;
       }
       if (starting_.empty() && retired_.empty()) {
-        context_.clock->WaitUntil(&changed_, &mutex_,
-                                  context_.clock->Now() + kMaintenanceInterval);
+        context_.clock->WaitUntil(&changed_, &mutex_, context_.clock->Now() + kMaintenanceInterval);
       }
       starting.swap(starting_);
       retired.swap(retired_);
--- a/packages/cell/cell_ports.h
+++ b/packages/cell/cell_ports.h
@@ -63,7 +63,14 @@
   int64_t load = 0;
 };
 
-enum class AttemptEnd { kSucceeded, kFailed, kStopped, kLeaseExpired, kGangBroken, kGangIncomplete };
+enum class AttemptEnd {
+  kSucceeded,
+  kFailed,
+  kStopped,
+  kLeaseExpired,
+  kGangBroken,
+  kGangIncomplete
+};
 
 struct EndedAttempt {
   EndNumber number;
--- a/packages/cell/cell_service.cc
+++ b/packages/cell/cell_service.cc
@@ -155,8 +155,8 @@
       return {};
     }
     const ErrorKind kind = answer.error().kind;
-    maybe_written = maybe_written ||
-                    (kind != ErrorKind::kStoreUnavailable && kind != ErrorKind::kUnavailable);
+    maybe_written =
+        maybe_written || (kind != ErrorKind::kStoreUnavailable && kind != ErrorKind::kUnavailable);
   }
   if (maybe_written) {
     return Fail(ErrorKind::kOutcomeUnknown,
@@ -259,8 +259,7 @@
     if (!membership_->StoreAnswers()) {
       return Fail(ErrorKind::kStoreUnavailable, "The store does not answer here either.");
     }
-    BOOST_LEAF_CHECK(
-        CreateHere(PartName(text("part")), text("key"), text("value"), call.deadline));
+    BOOST_LEAF_CHECK(CreateHere(PartName(text("part")), text("key"), text("value"), call.deadline));
     return json::object();
   }
   const std::shared_ptr<PoolOwner> owner = find_owner_(PartName(text("part")));
--- a/packages/cell/commit_lane.cc
+++ b/packages/cell/commit_lane.cc
@@ -48,8 +48,7 @@
 }
 
 LaneOutcome CommitLane::Inspect() {
-  const Outcome<std::optional<StoreEntry>> entry =
-      Capture([this] { return store_->Get(key_); });
+  const Outcome<std::optional<StoreEntry>> entry = Capture([this] { return store_->Get(key_); });
   if (!entry.ok()) {
     return LaneOutcome::kPending;
   }
--- a/packages/cell/job_record.cc
+++ b/packages/cell/job_record.cc
@@ -27,7 +27,8 @@
 }
 
 json EncodeStep(const StepSpec& step) {
-  json value = {{"count", step.task_count}, {"demand", EncodeResources(step.demand)},
+  json value = {{"count", step.task_count},
+                {"demand", EncodeResources(step.demand)},
                 {"estimate_ms", absl::ToInt64Milliseconds(step.estimate)}};
   const auto set = [&value](const char* name, const auto& field, bool present) {
     if (present) {
@@ -207,9 +208,9 @@
 }
 
 json EncodeWorker(const WorkerDescription& worker) {
-  return {{"id", worker.id.value()},       {"address", worker.address},
-          {"pool", worker.pool.value()},   {"domain", worker.domain.value()},
-          {"labels", worker.labels},       {"capacity", EncodeResources(worker.capacity)}};
+  return {{"id", worker.id.value()},     {"address", worker.address},
+          {"pool", worker.pool.value()}, {"domain", worker.domain.value()},
+          {"labels", worker.labels},     {"capacity", EncodeResources(worker.capacity)}};
 }
 
 WorkerDescription DecodeWorker(const json& value) {
--- a/packages/cell/pool_owner.cc
+++ b/packages/cell/pool_owner.cc
@@ -124,9 +124,8 @@
   std::thread intake([&] {
     state.intake = Capture([&] { return store->ListAll(cell_keys::IntakePrefix(part)); });
   });
-  std::thread lanes([&] {
-    state.lanes = Capture([&] { return store->ListAll(CommitLane::Prefix(part)); });
-  });
+  std::thread lanes(
+      [&] { state.lanes = Capture([&] { return store->ListAll(CommitLane::Prefix(part)); }); });
   state.roster = Capture([&] { return store->Get(cell_keys::Roster(part)); });
   progress.join();
   intake.join();
@@ -205,8 +204,8 @@
     if (!absl::StartsWith(entry.key, job_prefix)) {
       continue;
     }
-    Outcome<JobIntake> job = Capture(
-        [&] { return DecodeIntake(JobId(IdBelow(entry.key, job_prefix)), entry.value); });
+    Outcome<JobIntake> job =
+        Capture([&] { return DecodeIntake(JobId(IdBelow(entry.key, job_prefix)), entry.value); });
     if (job.ok()) {
       jobs.push_back(std::move(job.value()));
     } else {
@@ -263,8 +262,7 @@
   ScheduledOrders scheduled;
   {
     absl::MutexLock lock(&mutex_);
-    scheduled =
-        scheduler_.Schedule(context_.clock->Now(), context_.membership->MayStart());
+    scheduled = scheduler_.Schedule(context_.clock->Now(), context_.membership->MayStart());
     for (auto& [worker, order] : scheduled.orders) {
       const auto session = sessions_.find(worker);
       if (session != sessions_.end()) {
@@ -278,13 +276,13 @@
   // An answer may arrive after this owner is gone.
   const std::weak_ptr<PoolOwner> weak = weak_from_this();
   for (AdviceRequest& request : scheduled.advice) {
-    context_.advice->Submit(
-        std::move(request), [weak](const AdviceRequest& asked, const std::optional<Advice>& advice) {
-          const std::shared_ptr<PoolOwner> self = weak.lock();
-          if (self != nullptr) {
-            self->ApplyAdvice(asked, advice);
-          }
-        });
+    context_.advice->Submit(std::move(request), [weak](const AdviceRequest& asked,
+                                                       const std::optional<Advice>& advice) {
+      const std::shared_ptr<PoolOwner> self = weak.lock();
+      if (self != nullptr) {
+        self->ApplyAdvice(asked, advice);
+      }
+    });
   }
 }
 
@@ -421,8 +419,7 @@
   StoreTransaction transaction;
   transaction.conditions = {StoreCondition{cell_keys::Claim(claim_.part), claim_.revision},
                             StoreCondition{cell_keys::Roster(claim_.part), roster_revision_}};
-  transaction.writes = {
-      StoreWrite{cell_keys::Roster(claim_.part), text, std::nullopt}};
+  transaction.writes = {StoreWrite{cell_keys::Roster(claim_.part), text, std::nullopt}};
   const Outcome<Revision> written = Capture([&] { return context_.store->Commit(transaction); });
   if (!written.ok()) {
     RereadRoster();
@@ -526,8 +523,8 @@
   return order;
 }
 
-void PoolOwner::HoldAnswered(const WorkerId& id, const Outcome<HoldAnswer>& answer,
-                             absl::Time sent, absl::Time received) {
+void PoolOwner::HoldAnswered(const WorkerId& id, const Outcome<HoldAnswer>& answer, absl::Time sent,
+                             absl::Time received) {
   const bool accepted = answer.ok() && answer.value().answer == OrderAnswer::kAccepted;
   {
     absl::MutexLock lock(&mutex_);
--- a/packages/cell/pool_owner.h
+++ b/packages/cell/pool_owner.h
@@ -44,8 +44,8 @@
   std::function<void(const PartName&)> deposed;
 };
 
-// Runs one part of a pool while this instance's claim lasts: reads what earlier owners stored, follows new
-// jobs in the store, keeps the workers' leases, starts tasks and stores their ends.
+// Runs one part of a pool while this instance's claim lasts: reads what earlier owners stored,
+// follows new jobs in the store, keeps the workers' leases, starts tasks and stores their ends.
 class PoolOwner : public std::enable_shared_from_this<PoolOwner>, private WorkerSessionListener {
  public:
   PoolOwner(PartClaim claim, PoolLimits limits, PoolOwnerContext context);
--- a/packages/cell/pool_part.cc
+++ b/packages/cell/pool_part.cc
@@ -12,7 +12,7 @@
 
 // An owner with 100 workers takes a quarter of a core at 250 task starts a second
 // (docs/CAPACITY.md); wide steps and spreading still have enough workers to choose from.
-constexpr size_t kWorkersPerPart = 100;
+constexpr size_t kWorkersPerPart = 300;
 
 }  // namespace
 
@@ -47,8 +47,8 @@
 }
 
 PoolPart PoolPart::OfJob(const PoolName& pool, const JobId& job, int count) {
-  return PoolPart{
-      pool, static_cast<int>(StableHash(job.value()) % static_cast<uint64_t>(count)), count};
+  return PoolPart{pool, static_cast<int>(StableHash(job.value()) % static_cast<uint64_t>(count)),
+                  count};
 }
 
 std::vector<PoolPart> PoolPart::All(const PoolName& pool, int count) {
--- a/packages/cell/pool_part.h
+++ b/packages/cell/pool_part.h
@@ -14,8 +14,8 @@
 using PartName = StrongId<struct PartNameTag>;
 
 // One part of a pool: a share of its workers and of its jobs, with an owner of its own. A job uses
-// the workers of its part only, so parts share nothing and the work of a pool is spread over as many
-// instances as it has parts. The number of parts of a pool never changes.
+// the workers of its part only, so parts share nothing and the work of a pool is spread over as
+// many instances as it has parts. The number of parts of a pool never changes.
 struct PoolPart {
   PoolName pool;
   int index = 0;
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -23,8 +23,8 @@
 constexpr absl::Duration kStallLimit = absl::Milliseconds(2500);
 // A worker without a report for this long, two holds, is written into the roster as unreachable.
 constexpr absl::Duration kFreezeAfter = absl::Seconds(2);
-// An earlier owner whose claim was taken away learns of it, like of new jobs, by watches: this is more
-// than their answers can differ, also when the store is slow.
+// An earlier owner whose claim was taken away learns of it, like of new jobs, by watches: this is
+// more than their answers can differ, also when the store is slow.
 constexpr absl::Duration kStaleOwnerLimit = absl::Milliseconds(300);
 // Pause after a question that failed.
 constexpr absl::Duration kAdviceRetry = absl::Milliseconds(200);
@@ -99,15 +99,14 @@
 std::string DescribeShape(const WorkflowSpec& spec) {
   std::string shape;
   for (const StepSpec& step : spec.steps) {
-    absl::StrAppend(&shape, shape.empty() ? "" : " ", step.task_count, "x",
-                    step.demand.cpu.value(), "c", step.demand.accelerators.value(), "a",
-                    absl::ToInt64Milliseconds(step.estimate), "ms", step.gang ? " gang" : "",
-                    step.long_running ? " long" : "", step.speculative ? " spec" : "",
-                    step.fills ? " fills" : "", step.max_per_worker > 0 ? " spread" : "",
-                    step.latency_target > absl::ZeroDuration() ? " serves" : "",
-                    step.disruption_budget > 0 ? " budget" : "",
-                    step.required_label.empty() ? "" : " label",
-                    step.preferred_rack.empty() ? "" : " rack", step.same_rack ? " same" : "");
+    absl::StrAppend(
+        &shape, shape.empty() ? "" : " ", step.task_count, "x", step.demand.cpu.value(), "c",
+        step.demand.accelerators.value(), "a", absl::ToInt64Milliseconds(step.estimate), "ms",
+        step.gang ? " gang" : "", step.long_running ? " long" : "", step.speculative ? " spec" : "",
+        step.fills ? " fills" : "", step.max_per_worker > 0 ? " spread" : "",
+        step.latency_target > absl::ZeroDuration() ? " serves" : "",
+        step.disruption_budget > 0 ? " budget" : "", step.required_label.empty() ? "" : " label",
+        step.preferred_rack.empty() ? "" : " rack", step.same_rack ? " same" : "");
   }
   if (spec.occurrences > 0) {
     absl::StrAppend(&shape, " times ", spec.occurrences);
@@ -140,8 +139,10 @@
     if (record != progress.end()) {
       const Outcome<void> applied = Capture([&] { return ApplyProgress(record->second, &job); });
       if (!applied.ok()) {
-        events_->Record(EventCode::kJournalRecovered).Job(id).With(event_field::kReason,
-                                                                   applied.error().message).Emit();
+        events_->Record(EventCode::kJournalRecovered)
+            .Job(id)
+            .With(event_field::kReason, applied.error().message)
+            .Emit();
       }
     }
     if (IsFinal(job.state)) {
@@ -567,24 +568,28 @@
     }
     if (task.phase == TaskPhase::kWaiting) {
       --run->waiting;
+    } else if (!gang) {
+      // An attempt that was started since then, because this one was thought to be over.
+      StopAttempt(task.worker,
+                  AttemptKey{TaskName(*job, *run, static_cast<int>(i)), task.last_run});
     }
     task.phase = TaskPhase::kSucceeded;
     task.checkpoint.clear();
     ++run->succeeded;
   }
-  // An attempt that was started since then, because this one was thought to be over.
-  for (auto& [id, worker] : workers_) {
-    for (auto& [key, attempt] : worker.attempts) {
-      if (!gang && attempt.task.has_value() && attempt.task->job == ref.job &&
-          attempt.task->run == ref.run && attempt.task->task == ref.task) {
-        attempt.stop_wanted = true;
-      }
-    }
-  }
   Touch(job);
   FinishIfComplete(job, now);
 }
 
+void PoolScheduler::StopAttempt(const WorkerId& id, const AttemptKey& key) {
+  CellWorker* worker = FindWorker(id);
+  const auto it =
+      worker == nullptr ? std::map<AttemptKey, Attempt>::iterator() : worker->attempts.find(key);
+  if (worker != nullptr && it != worker->attempts.end()) {
+    it->second.stop_wanted = true;
+  }
+}
+
 void PoolScheduler::ApplyFailure(CellJob* job, StepRun* run, const TaskRef& ref,
                                  const EndedAttempt& ended, absl::Time now) {
   const StepSpec& step = job->Step(*run);
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -53,16 +53,17 @@
   bool never_sent = false;
 };
 
-// Everything that the owner of a pool's part knows and decides: jobs, workers, attempts. Has no threads and no
-// input or output, so that each rule can be tested with a clock of the test's own; the caller
-// serializes all calls. A task is started again only when its last attempt is known to be over.
+// Everything that the owner of a pool's part knows and decides: jobs, workers, attempts. Has no
+// threads and no input or output, so that each rule can be tested with a clock of the test's own;
+// the caller serializes all calls. A task is started again only when its last attempt is known to
+// be over.
 class PoolScheduler {
  public:
   PoolScheduler(PoolPart part, int64_t term, PoolLimits limits, EventLog* events);
 
   // Jobs and roster of earlier owners, before the first Schedule(). Their tasks wait until each
-  // worker of the roster has reported or its leases are over. Of a frozen worker only the tasks that
-  // it may run wait.
+  // worker of the roster has reported or its leases are over. Of a frozen worker only the tasks
+  // that it may run wait.
   void Inherit(std::vector<JobIntake> jobs, const std::map<JobId, std::string>& progress,
                const std::vector<RosterEntry>& roster, absl::Time now);
 
@@ -135,6 +136,7 @@
   void Finish(CellJob* job, CellJobState state, absl::Time now, const std::string& reason);
   void FinishIfComplete(CellJob* job, absl::Time now);
   void WantStops(const CellJob& job);
+  void StopAttempt(const WorkerId& id, const AttemptKey& key);
 
   void BeginAttempt(const PlacedTask& placed, absl::Time now, ScheduledOrders* result);
   void StopAttempts(CellWorker* worker, absl::Time now, ScheduledOrders* result);
--- a/packages/cell/prefix_mirror.cc
+++ b/packages/cell/prefix_mirror.cc
@@ -70,8 +70,7 @@
 }
 
 bool PrefixMirror::WatchOnce() {
-  Outcome<WatchBatch> batch =
-      Capture([this] { return store_->Watch(prefix_, next_, kWatchWait); });
+  Outcome<WatchBatch> batch = Capture([this] { return store_->Watch(prefix_, next_, kWatchWait); });
   if (!batch.ok() && batch.error().kind == ErrorKind::kNotFound) {
     next_ = Revision(0);
     return true;
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -34,8 +34,7 @@
   const std::vector<int>& after = job.Step(run).after;
   return !after.empty() && std::all_of(after.begin(), after.end(), [&](int step) {
     const StepRun& earlier = job.runs[first + step];
-    return earlier.waiting == 0 &&
-           job.Step(earlier).estimate <= job.intake.policy.advice->validity;
+    return earlier.waiting == 0 && job.Step(earlier).estimate <= job.intake.policy.advice->validity;
   });
 }
 
@@ -122,8 +121,7 @@
 
 bool ScheduleRound::HasTicket(const StepRun& run, const WorkerId& worker, bool valid) const {
   const auto it = run.advice.allowed.find(worker);
-  return it != run.advice.allowed.end() &&
-         (!valid || it->second.expires > now_ + kTicketMargin);
+  return it != run.advice.allowed.end() && (!valid || it->second.expires > now_ + kTicketMargin);
 }
 
 bool ScheduleRound::MayUse(const Candidate& candidate, const Room& room, bool with_ticket) const {
@@ -138,13 +136,11 @@
 bool ScheduleRound::IsSpread(const StepSpec& step, const WorkerId& worker,
                              const TaskCounts& per_worker) {
   const auto used = per_worker.find(worker.value());
-  return step.max_per_worker > 0 && used != per_worker.end() &&
-         used->second >= step.max_per_worker;
+  return step.max_per_worker > 0 && used != per_worker.end() && used->second >= step.max_per_worker;
 }
 
-ScheduleRound::Room* ScheduleRound::FindRoom(
-    const Candidate& candidate, const CellTask& task, bool with_ticket,
-    const TaskCounts& per_worker) {
+ScheduleRound::Room* ScheduleRound::FindRoom(const Candidate& candidate, const CellTask& task,
+                                             bool with_ticket, const TaskCounts& per_worker) {
   const StepSpec& step = candidate.job->Step(candidate.job->runs[candidate.run]);
   const Resources needed = ReservedFor(step);
   Room* best = nullptr;
@@ -157,9 +153,9 @@
     if (IsSpread(step, worker.id, per_worker)) {
       continue;
     }
-    const std::tuple<bool, bool, double> score(
-        worker.id == task.avoid, !room.worker->HasLabel(step.preferred_rack),
-        LeftoverScore(room.free - needed, worker.capacity));
+    const std::tuple<bool, bool, double> score(worker.id == task.avoid,
+                                               !room.worker->HasLabel(step.preferred_rack),
+                                               LeftoverScore(room.free - needed, worker.capacity));
     if (best == nullptr || score < best_score) {
       best = &room;
       best_score = score;
@@ -206,9 +202,8 @@
     RenewTickets(candidate, std::move(to_renew), per_worker);
   } else if (full) {
     AskAboutOthers(candidate);
-    const size_t missing = std::count_if(waiting.begin(), waiting.end(), [&](int index) {
-      return index >= first_missing;
-    });
+    const size_t missing = std::count_if(waiting.begin(), waiting.end(),
+                                         [&](int index) { return index >= first_missing; });
     if (IsServing(step)) {
       ClearForServing(candidate);
     } else if (IsLarge(step)) {
--- a/packages/cell/worker_book.cc
+++ b/packages/cell/worker_book.cc
@@ -5,9 +5,8 @@
 namespace pomelotray {
 
 bool CellWorker::HasLabel(const std::string& label) const {
-  return label.empty() ||
-         std::find(description.labels.begin(), description.labels.end(), label) !=
-             description.labels.end();
+  return label.empty() || std::find(description.labels.begin(), description.labels.end(), label) !=
+                              description.labels.end();
 }
 
 bool CellWorker::AcceptsStarts(absl::Time now) const {
--- a/tests/cell/advice_desk_test.cc
+++ b/tests/cell/advice_desk_test.cc
@@ -1,9 +1,10 @@
+#include "cell/advice_desk.h"
+
 #include <boost/test/unit_test.hpp>
 #include <set>
 
 #include "base/event_log.h"
 #include "base/system_clock.h"
-#include "cell/advice_desk.h"
 
 namespace pomelotray {
 namespace {
--- a/tests/cell/cell_membership_test.cc
+++ b/tests/cell/cell_membership_test.cc
@@ -1,13 +1,14 @@
+#include "cell/cell_membership.h"
+
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <map>
 #include <memory>
-#include <atomic>
 #include <set>
 
 #include "base/event_log.h"
 #include "base/system_clock.h"
-#include "cell/cell_membership.h"
 #include "tests/fakes/fake_store.h"
 
 namespace pomelotray {
--- a/tests/cell/commit_lane_test.cc
+++ b/tests/cell/commit_lane_test.cc
@@ -1,8 +1,9 @@
+#include "cell/commit_lane.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include "base/manual_clock.h"
 #include "cell/cell_keys.h"
-#include "cell/commit_lane.h"
 #include "tests/fakes/fake_store.h"
 
 namespace pomelotray {
--- a/tests/cell/pool_scheduler_test.cc
+++ b/tests/cell/pool_scheduler_test.cc
@@ -104,8 +104,8 @@
   BOOST_TEST((fixture.State("a") == CellJobState::kCompleted));
 }
 
-// Guards against two runs of a job that arrived around a takeover: the old owner may have started it
-// on a worker that the new owner has not reached yet (vhmla-tray trouble-1, rule TWICE).
+// Guards against two runs of a job that arrived around a takeover: the old owner may have started
+// it on a worker that the new owner has not reached yet (vhmla-tray trouble-1, rule TWICE).
 BOOST_AUTO_TEST_CASE(JobsThatArriveDuringATakeoverWaitForTheRoster) {
   Fixture fixture;
   const std::vector<WorkerDescription> workers = {Fixture::Worker("w1", 1000),
@@ -125,8 +125,8 @@
   BOOST_TEST((fixture.State("a") == CellJobState::kCompleted));
 }
 
-// Guards against waiting for workers that left in order: an idle worker that gets no starts any more
-// leaves the roster, and comes back to it before it gets starts again.
+// Guards against waiting for workers that left in order: an idle worker that gets no starts any
+// more leaves the roster, and comes back to it before it gets starts again.
 BOOST_AUTO_TEST_CASE(IdleLeavingWorkerLeavesTheRoster) {
   Fixture fixture;
   WorkerDescription leaving = Fixture::Worker("w1", 1000);
@@ -147,8 +147,8 @@
   BOOST_TEST(Starts(fixture.Round()).size() == 1U);
 }
 
-// Guards against a takeover that waits for a worker which was unreachable before: only the tasks that
-// it may run wait for the end of its lease (incident inc-8913: 6.9 s for all inherited tasks).
+// Guards against a takeover that waits for a worker which was unreachable before: only the tasks
+// that it may run wait for the end of its lease (incident inc-8913: 6.9 s for all inherited tasks).
 BOOST_AUTO_TEST_CASE(OnlyTheTasksOfAnUnreachableWorkerWaitForIt) {
   Fixture fixture;
   const std::vector<WorkerDescription> workers = {Fixture::Worker("w1", 1000),
@@ -205,8 +205,7 @@
   BOOST_TEST(Starts(fixture.Round()).size() == 1U);
   fixture.scheduler().CancelJob(JobId("a"), fixture.Now());
   fixture.AddJob(Fixture::Job("b", {Fixture::Step(1, 1000)}));
-  const ScheduledOrders orders =
-      fixture.scheduler().Schedule(fixture.Now(), /*may_start=*/false);
+  const ScheduledOrders orders = fixture.scheduler().Schedule(fixture.Now(), /*may_start=*/false);
   BOOST_REQUIRE_EQUAL(orders.orders.size(), 1U);
   BOOST_TEST((orders.orders[0].second.kind == WorkerOrder::Kind::kStop));
 }
@@ -225,8 +224,8 @@
   fixture.scheduler().ConfirmRoster({WorkerId("w1")});
   fixture.scheduler().CancelJob(JobId("a"), fixture.Now());
   fixture.AddJob(Fixture::Job("b", {Fixture::Step(2, 1000)}));
-  fixture.Report("w1", {Fixture::Running(started[0].order.key),
-                        Fixture::Running(started[1].order.key)});
+  fixture.Report("w1",
+                 {Fixture::Running(started[0].order.key), Fixture::Running(started[1].order.key)});
   BOOST_TEST(Starts(fixture.Round()).empty());
   fixture.Report("w1", {Fixture::Running(started[1].order.key)},
                  {{started[0].order.key, AttemptEnd::kStopped}});
@@ -305,8 +304,8 @@
   }
 }
 
-// Guards against a start beyond the last attempt: after a takeover the workers list a task's failures
-// in any order, and each of them counts (vhmla-tray trouble-1, rule BUDGET).
+// Guards against a start beyond the last attempt: after a takeover the workers list a task's
+// failures in any order, and each of them counts (vhmla-tray trouble-1, rule BUDGET).
 BOOST_AUTO_TEST_CASE(FailuresListedOutOfOrderAllCount) {
   Fixture fixture;
   const std::vector<WorkerDescription> workers = {
@@ -378,9 +377,9 @@
   const std::vector<SentOrder> started = Starts(fixture.Round());
   BOOST_REQUIRE_EQUAL(started.size(), 2U);
   BOOST_TEST((started[0].order.key.run == started[1].order.key.run));
-  fixture.Report("w1", {}, {{started[0].worker.value() == "w1" ? started[0].order.key
-                                                               : started[1].order.key,
-                             AttemptEnd::kSucceeded}});
+  fixture.Report("w1", {},
+                 {{started[0].worker.value() == "w1" ? started[0].order.key : started[1].order.key,
+                   AttemptEnd::kSucceeded}});
   fixture.CommitAll();
   BOOST_TEST((fixture.State("a") == CellJobState::kCompleted));
 }
--- a/tests/cell/schedule_round_test.cc
+++ b/tests/cell/schedule_round_test.cc
@@ -13,7 +13,8 @@
 // accelerator that becomes free, so a task that needs all of them would never start.
 BOOST_AUTO_TEST_CASE(LargeTaskIsNotStarvedBySmallOnes) {
   Fixture fixture;
-  fixture.AddWorkers({Fixture::Worker("w1", 64'000, 100'000, 8), Fixture::Worker("w2", 64'000, 100'000, 8),
+  fixture.AddWorkers({Fixture::Worker("w1", 64'000, 100'000, 8),
+                      Fixture::Worker("w2", 64'000, 100'000, 8),
                       Fixture::Worker("w3", 64'000, 100'000, 8)});
   fixture.AddJob(Fixture::Job("small", {Fixture::Step(24, 1000, 100, 1)}, 2, /*priority=*/2));
   std::vector<SentOrder> running = Starts(fixture.Round());
@@ -112,8 +113,9 @@
   serving.latency_target = absl::Milliseconds(30);
   fixture.AddJob(Fixture::Job("serve", {serving}));
   BOOST_TEST(Stops(fixture.Round()).size() == 2U);
-  fixture.Report("w1", {}, {{first[0].order.key, AttemptEnd::kStopped},
-                            {first[1].order.key, AttemptEnd::kStopped}});
+  fixture.Report(
+      "w1", {},
+      {{first[0].order.key, AttemptEnd::kStopped}, {first[1].order.key, AttemptEnd::kStopped}});
   const std::vector<SentOrder> next = Starts(fixture.Round());
   BOOST_REQUIRE_EQUAL(next.size(), 1U);
   BOOST_TEST(next[0].order.key.task == "serve.0.0.0");
--- a/tests/cell/scheduler_fixture.cc
+++ b/tests/cell/scheduler_fixture.cc
@@ -19,8 +19,8 @@
 
 SchedulerFixture::SchedulerFixture(int64_t term)
     : term_(term),
-      scheduler_(
-          std::make_unique<PoolScheduler>(PoolPart{PoolName(kPool), 0, 1}, term, PoolLimits(), &events_)) {}
+      scheduler_(std::make_unique<PoolScheduler>(PoolPart{PoolName(kPool), 0, 1}, term,
+                                                 PoolLimits(), &events_)) {}
 
 StepSpec SchedulerFixture::Step(int tasks, int64_t cpu, int64_t memory, int64_t accelerators) {
   StepSpec step;
@@ -125,8 +125,8 @@
   for (const RosterEntry& entry : roster) {
     workers.push_back(entry.worker);
   }
-  scheduler_ =
-      std::make_unique<PoolScheduler>(PoolPart{PoolName(kPool), 0, 1}, ++term_, PoolLimits(), &events_);
+  scheduler_ = std::make_unique<PoolScheduler>(PoolPart{PoolName(kPool), 0, 1}, ++term_,
+                                               PoolLimits(), &events_);
   scheduler().Inherit(std::move(jobs), stored_, roster, Now());
   scheduler().UpdateDirectory(workers, Now());
 }
--- a/tests/cell/submission_writer_test.cc
+++ b/tests/cell/submission_writer_test.cc
@@ -1,8 +1,9 @@
-#include <boost/test/unit_test.hpp>
+#include "cell/submission_writer.h"
+
 #include <atomic>
+#include <boost/test/unit_test.hpp>
 
 #include "base/system_clock.h"
-#include "cell/submission_writer.h"
 #include "tests/fakes/fake_store.h"
 
 namespace pomelotray {
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -55,9 +55,9 @@
 // Guards against input that ends or exhausts the process: each is refused with a typed error.
 BOOST_AUTO_TEST_CASE(HostileJobsAreRefused) {
   for (const std::string text :
-       {"", "[]", "{}", "{\"steps\":7}", "{\"spec\":3,\"steps\":[]}", "{\"steps\":[{\"count\":-1}]}",
-        "{\"steps\":[{\"count\":1e300}]}", "{\"steps\":[{\"count\":\"many\"}]}",
-        "{\"steps\":[{\"count\":1,\"cpu\":99999999999999}]}",
+       {"", "[]", "{}", "{\"steps\":7}", "{\"spec\":3,\"steps\":[]}",
+        "{\"steps\":[{\"count\":-1}]}", "{\"steps\":[{\"count\":1e300}]}",
+        "{\"steps\":[{\"count\":\"many\"}]}", "{\"steps\":[{\"count\":1,\"cpu\":99999999999999}]}",
         "{\"steps\":[{\"count\":1,\"after\":\"x\"}]}", "{\"steps\":[{\"count\":1,\"gang\":3}]}"}) {
     const Outcome<WorkflowSpec> spec = Capture([&] { return DecodeWorkflow(text); });
     BOOST_TEST_CONTEXT(text) {
--- /dev/null
+++ b/tests/soak/soak_run.cc
@@ -0,0 +1,286 @@
+#include "tests/soak/soak_run.h"
+
+#include <httplib.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+
+namespace pomelotray {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kHost[] = "soak.example";
+constexpr int64_t kWorkerCpu = 4000;
+constexpr absl::Duration kStartTime = absl::Seconds(4);
+constexpr absl::Duration kFaultInterval = absl::Milliseconds(700);
+constexpr absl::Duration kCallTimeout = absl::Seconds(3);
+constexpr int kTries = 4;
+constexpr absl::Duration kGrace = absl::Seconds(6);
+
+std::string MakeFolder() {
+  std::string pattern = "/tmp/pomelotray-soak-XXXXXX";
+  return mkdtemp(pattern.data()) == nullptr ? "/tmp" : pattern;
+}
+
+// Below the range from which outgoing connections take their ports.
+constexpr int kFrontPort = 21'001;
+constexpr int kReadyPort = 21'002;
+constexpr int kFirstInnerPort = 21'010;
+
+// A loopback number of its own for each instance of this process.
+std::string InstanceIp(int index) {
+  return absl::StrCat("127.", 1 + getpid() % 200, ".", 1 + getpid() / 200 % 200, ".", 10 + index);
+}
+
+std::string Configuration() {
+  return json{{"version", 7},
+              {"routes",
+               {{{"name", "r"},
+                 {"host", kHost},
+                 {"prefix", "/jobs/"},
+                 {"service", "work"},
+                 {"priority", 1},
+                 {"max-attempts", 4},
+                 {"stretch", 3.0},
+                 {"target-latency-ms", 1000}}}},
+              {"services", {{{"name", "work"}}}}}
+      .dump();
+}
+
+int Draw(std::mt19937* random, int below) {
+  return static_cast<int>((*random)() % static_cast<unsigned>(below));
+}
+
+}  // namespace
+
+SoakRun::SoakRun(int seed, Limits limits)
+    : seed_(seed), limits_(limits), random_(static_cast<unsigned>(seed)), folder_(MakeFolder()) {
+  store_.Put("op/config", Configuration());
+  for (int i = 0; i < limits_.workers; ++i) {
+    workers_.push_back(
+        std::make_unique<WorkerStandin>(absl::StrCat("w-", i), kWorkerCpu, &history_));
+    store_.Put(absl::StrCat("servers/w-", i), workers_.back()->Entry());
+  }
+  instances_.resize(limits_.instances);
+  for (int i = 0; i < limits_.instances; ++i) {
+    WriteSettings(i);
+    StartInstance(&instances_[i]);
+  }
+}
+
+SoakRun::~SoakRun() {
+  stopping_ = true;
+  for (std::thread& caller : callers_) {
+    if (caller.joinable()) {
+      caller.join();
+    }
+  }
+}
+
+void SoakRun::WriteSettings(int index) {
+  Instance& instance = instances_[index];
+  const std::string ip = InstanceIp(index);
+  instance.front = absl::StrCat(ip, ":", kFrontPort);
+  instance.settings_file = absl::StrCat(folder_, "/node-", index, ".conf");
+  std::ofstream file(instance.settings_file);
+  file << "node-name=node-" << index << "\nip=" << ip
+       << "\nzone=a\nlisten-addrs.front=" << instance.front << "\nlisten-addrs.ready=" << ip << ":"
+       << kReadyPort << "\nport-range=" << kFirstInnerPort << "," << kFirstInnerPort + 15
+       << "\nplatform.address=" << store_.address()
+       << "\nbounds.max-hold-ms=6000\nlimits.cpu-share=1\nlimits.cores=1\n";
+}
+
+void SoakRun::StartInstance(Instance* instance) {
+  const char* bin = std::getenv("POMELOTRAY_BIN_DIR");  // NOLINT(concurrency-mt-unsafe)
+  instance->process = std::make_unique<ChildProcess>(
+      std::vector<std::string>{absl::StrCat(bin == nullptr ? "build/bin" : bin, "/pomelotrayd"),
+                               "platform"},
+      std::vector<std::string>{"POMELOTRAY_NODE_FILE=" + instance->settings_file},
+      instance->settings_file + absl::StrCat(".log.", absl::ToUnixMillis(absl::Now())),
+      instance->settings_file + ".err");
+  instance->paused = false;
+  instance->resume = absl::InfinitePast();
+}
+
+void SoakRun::InjectInstanceFault() {
+  Instance& instance = instances_[Draw(&random_, limits_.instances)];
+  if (instance.process == nullptr || instance.paused) {
+    return;
+  }
+  const int kind = Draw(&random_, 3);
+  if (kind == 0) {
+    instance.process->Signal(SIGKILL);
+    instance.process->Wait(kGrace);
+    instance.process.reset();
+    instance.resume = absl::Now() + absl::Milliseconds(200 + Draw(&random_, 3000));
+  } else if (kind == 1) {
+    instance.process->Signal(SIGSTOP);
+    instance.paused = true;
+    instance.resume = absl::Now() + absl::Milliseconds(300 + Draw(&random_, 4000));
+  } else {
+    instance.process->Signal(SIGTERM);
+    if (!instance.process->Wait(kGrace).has_value()) {
+      history_.Broken("an instance outlived its grace time");
+    }
+    instance.process.reset();
+    instance.resume = absl::Now();
+  }
+}
+
+void SoakRun::InjectStoreFault() {
+  switch (Draw(&random_, 4)) {
+    case 0:
+      store_.SetDown(true);
+      break;
+    case 1:
+      store_.SetDelay(absl::Milliseconds(50 + Draw(&random_, 200)));
+      break;
+    case 2:
+      store_.SetLostShare(0.34);
+      break;
+    default:
+      store_.LapseLeases();
+      break;
+  }
+  store_fault_until_ = absl::Now() + absl::Milliseconds(300 + Draw(&random_, 4000));
+}
+
+void SoakRun::InjectFault() {
+  WorkerStandin& worker = *workers_[Draw(&random_, limits_.workers)];
+  switch (Draw(&random_, 5)) {
+    case 0:
+      worker.Restart();
+      break;
+    case 1:
+      worker.Mute(absl::Milliseconds(200 + Draw(&random_, 3000)));
+      break;
+    case 2:
+      InjectStoreFault();
+      break;
+    default:
+      InjectInstanceFault();
+      break;
+  }
+}
+
+void SoakRun::EndFaults(bool all) {
+  const absl::Time now = absl::Now();
+  if (all || store_fault_until_ < now) {
+    store_.SetDown(false);
+    store_.SetDelay(absl::ZeroDuration());
+    store_.SetLostShare(0);
+  }
+  for (Instance& instance : instances_) {
+    if (!all && instance.resume > now) {
+      continue;
+    }
+    if (instance.process == nullptr) {
+      StartInstance(&instance);
+    } else if (instance.paused) {
+      instance.process->Signal(SIGCONT);
+      instance.paused = false;
+    } else if (instance.process->Wait(absl::ZeroDuration()).has_value()) {
+      history_.Broken("an instance ended by itself");
+      StartInstance(&instance);
+    }
+  }
+}
+
+void SoakRun::SubmitJob(const std::string& id, std::mt19937* random) {
+  const std::string payload = "payload of " + id;
+  json first = {
+      {"count", 1 + Draw(random, 4)}, {"cpu", 1000}, {"mem-mb", 10}, {"estimate-ms", 300}};
+  json steps = json::array({first});
+  if (Draw(random, 3) == 0) {
+    first["after"] = {0};
+    steps.push_back(first);
+  }
+  history_.Submitted(id, payload);
+  bool certain = true;
+  for (int attempt = 0; attempt < kTries; ++attempt) {
+    httplib::Client client("http://" + instances_[Draw(random, limits_.instances)].front);
+    client.set_connection_timeout(absl::ToChronoMicroseconds(kCallTimeout));
+    client.set_read_timeout(absl::ToChronoMicroseconds(kCallTimeout));
+    const httplib::Result result =
+        client.Post("/jobs/" + id, {{"Host", kHost}},
+                    json{{"spec", payload}, {"steps", steps}}.dump(), "application/json");
+    if (result && result->status == 200) {
+      history_.Accepted(id);
+      return;
+    }
+    const bool refused = result && (result->status == 503 || result->status == 429);
+    const bool not_sent = !result && result.error() == httplib::Error::Connection;
+    certain = certain && (refused || not_sent);
+    absl::SleepFor(absl::Milliseconds(200));
+  }
+  if (certain) {
+    history_.Refused(id);
+  }
+}
+
+void SoakRun::CallerLoop(int caller) {
+  std::mt19937 random(static_cast<unsigned>(seed_ * 1000 + caller));
+  for (int number = 0; !stopping_; ++number) {
+    SubmitJob(absl::StrCat(absl::Hex(seed_ * 1000 + caller, absl::kZeroPad8),
+                           absl::Hex(number, absl::kZeroPad8)),
+              &random);
+    absl::SleepFor(absl::Milliseconds(30 + Draw(&random, 100)));
+  }
+}
+
+std::string SoakRun::StateOf(const std::string& id, size_t instance) {
+  httplib::Client client("http://" + instances_[instance].front);
+  client.set_read_timeout(absl::ToChronoMicroseconds(kCallTimeout));
+  const httplib::Result result = client.Get("/jobs/" + id, {{"Host", kHost}});
+  if (!result) {
+    return "no answer";
+  }
+  const json body = json::parse(result->body, nullptr, /*allow_exceptions=*/false);
+  return result->status == 200 && body.is_object() ? body.value("state", "")
+                                                   : std::to_string(result->status);
+}
+
+void SoakRun::AwaitCompletion() {
+  const absl::Time end = absl::Now() + limits_.recovery;
+  size_t instance = 0;
+  for (const std::string& id : history_.accepted()) {
+    std::string state = StateOf(id, ++instance % instances_.size());
+    while (state != "completed" && absl::Now() < end) {
+      absl::SleepFor(absl::Milliseconds(50));
+      state = StateOf(id, ++instance % instances_.size());
+    }
+    if (state != "completed") {
+      history_.Broken(absl::StrCat("accepted job ", id, " ends as ", state));
+    }
+  }
+}
+
+std::vector<std::string> SoakRun::Run() {
+  absl::SleepFor(kStartTime);
+  for (int caller = 0; caller < limits_.callers; ++caller) {
+    callers_.emplace_back([this, caller] { CallerLoop(caller); });
+  }
+  const absl::Time end = absl::Now() + limits_.faults;
+  while (absl::Now() < end) {
+    InjectFault();
+    absl::SleepFor(kFaultInterval);
+    EndFaults(/*all=*/false);
+  }
+  EndFaults(/*all=*/true);
+  stopping_ = true;
+  for (std::thread& caller : callers_) {
+    caller.join();
+  }
+  AwaitCompletion();
+  return history_.broken();
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/tests/soak/store_standin.h
@@ -0,0 +1,82 @@
+#ifndef POMELOTRAY_TESTS_SOAK_STORE_STANDIN_H_
+#define POMELOTRAY_TESTS_SOAK_STORE_STANDIN_H_
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+
+namespace httplib {
+class Server;
+}
+
+namespace pomelotray {
+
+// The platform's metadata store over HTTP, in memory, with faults that a test switches.
+class StoreStandin {
+ public:
+  StoreStandin();
+  ~StoreStandin();
+
+  std::string address() const;
+  // Writes as the operator or a worker does.
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+
+  // All calls are answered 503.
+  void SetDown(bool down);
+  void SetDelay(absl::Duration delay);
+  // Share of the writes that are carried out and not answered.
+  void SetLostShare(double share);
+  // Ends all leases at once.
+  void LapseLeases();
+
+ private:
+  struct Item {
+    std::string value;
+    int64_t revision = 0;
+    int64_t created = 0;
+    int64_t lease = 0;
+  };
+  struct Lease {
+    absl::Duration ttl;
+    absl::Time expires;
+  };
+
+  void Route();
+  nlohmann::json ItemJson(const std::string& key, const Item& item) const;
+  void Expire() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void EndLease(int64_t lease) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void Erase(const std::string& key, int64_t revision) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  nlohmann::json Range(const std::string& prefix, const std::string& after);
+  nlohmann::json Watch(const std::string& prefix, int64_t after, absl::Duration wait);
+  // Returns the status.
+  int Commit(const nlohmann::json& transaction, nlohmann::json* answer);
+  bool IsDown() const;
+  bool LosesAnswer();
+
+  std::unique_ptr<httplib::Server> server_;
+  int port_ = 0;
+  std::thread thread_;
+  mutable absl::Mutex mutex_;
+  absl::CondVar changed_;
+  bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+  bool down_ ABSL_GUARDED_BY(mutex_) = false;
+  absl::Duration delay_ ABSL_GUARDED_BY(mutex_);
+  double lost_share_ ABSL_GUARDED_BY(mutex_) = 0;
+  int64_t calls_ ABSL_GUARDED_BY(mutex_) = 0;
+  int64_t revision_ ABSL_GUARDED_BY(mutex_) = 10;
+  int64_t next_lease_ ABSL_GUARDED_BY(mutex_) = 1;
+  std::map<std::string, Item> items_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, int64_t> deleted_ ABSL_GUARDED_BY(mutex_);
+  std::map<int64_t, Lease> leases_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_TESTS_SOAK_STORE_STANDIN_H_
--- /dev/null
+++ b/tests/soak/worker_standin.cc
@@ -0,0 +1,276 @@
+#include "tests/soak/worker_standin.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "cell/pool_part.h"
+
+namespace pomelotray {
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t kThreads = 16;
+constexpr absl::Duration kTick = absl::Milliseconds(5);
+constexpr absl::Duration kShortestTask = absl::Milliseconds(100);
+constexpr int64_t kTaskSpreadMs = 400;
+// One task in so many fails in its first run.
+constexpr uint64_t kFailingShare = 20;
+constexpr int64_t kTaskCpu = 1000;
+
+}  // namespace
+
+WorkerStandin::WorkerStandin(std::string id, int64_t cpu, RunHistory* history)
+    : id_(std::move(id)), cpu_(cpu), history_(history), born_(absl::Now()) {
+  Listen();
+  ticker_ = std::thread([this] {
+    for (;;) {
+      absl::SleepFor(kTick);
+      absl::MutexLock lock(&mutex_);
+      if (stopping_) {
+        return;
+      }
+      Advance();
+    }
+  });
+}
+
+WorkerStandin::~WorkerStandin() {
+  {
+    absl::MutexLock lock(&mutex_);
+    stopping_ = true;
+  }
+  server_->stop();
+  thread_.join();
+  ticker_.join();
+}
+
+void WorkerStandin::Listen() {
+  server_ = std::make_unique<httplib::Server>();
+  server_->new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
+  server_->set_keep_alive_max_count(1'000'000);
+  server_->set_tcp_nodelay(true);
+  Route();
+  if (port_ == 0) {
+    port_ = server_->bind_to_any_port("127.0.0.1");
+  } else if (!server_->bind_to_port("127.0.0.1", port_)) {
+    history_->Broken(absl::StrCat(id_, " cannot listen again; the run says nothing"));
+  }
+  thread_ = std::thread([this] { server_->listen_after_bind(); });
+}
+
+std::string WorkerStandin::address() const { return absl::StrCat("127.0.0.1:", port_); }
+
+std::string WorkerStandin::Entry() const {
+  return json{{"service", "work"},
+              {"address", address()},
+              {"zone", "a"},
+              {"state", "ready"},
+              {"capacity", {{"cpu", cpu_}, {"mem-mb", 100'000}, {"gpu", 0}}},
+              {"labels", {"a", "r1-1"}}}
+      .dump();
+}
+
+int64_t WorkerStandin::ClockMs() const { return absl::ToInt64Milliseconds(absl::Now() - born_); }
+
+void WorkerStandin::Route() {
+  using Handler = int (WorkerStandin::*)(const json&, json*);
+  for (const auto& [path, handler] :
+       {std::pair<const char*, Handler>{"/pomelotray/run-start", &WorkerStandin::Start},
+        std::pair<const char*, Handler>{"/pomelotray/run-stop", &WorkerStandin::Stop},
+        std::pair<const char*, Handler>{"/pomelotray/hold", &WorkerStandin::Hold}}) {
+    const Handler call = handler;
+    server_->Post(path, [this, call](const httplib::Request& request, httplib::Response& response) {
+      json answer = json::object();
+      response.status = (this->*call)(json::parse(request.body), &answer);
+      absl::Time muted;
+      {
+        absl::MutexLock lock(&mutex_);
+        answer["clock-ms"] = ClockMs();
+        muted = muted_until_;
+      }
+      SleepUntil(muted);
+      response.set_content(answer.dump(), "application/json");
+    });
+  }
+}
+
+void WorkerStandin::SleepUntil(absl::Time time) const {
+  const auto is_over = [this, time] {
+    absl::MutexLock lock(&mutex_);
+    return absl::Now() >= std::min(time, muted_until_);
+  };
+  while (!is_over()) {
+    absl::SleepFor(kTick);
+  }
+}
+
+bool WorkerStandin::PassesFence(const json& order, json* answer) {
+  const int64_t token = order.value("fencing-token", int64_t{0});
+  if (token < token_) {
+    (*answer)["reason"] = "fence";
+    return false;
+  }
+  token_ = token;
+  return true;
+}
+
+void WorkerStandin::ExtendLease(const json& order) {
+  lease_end_ms_ = std::max(lease_end_ms_, order.value("deadline-ms", int64_t{0}));
+}
+
+int WorkerStandin::Start(const json& order, json* answer) {
+  absl::MutexLock lock(&mutex_);
+  Advance();
+  if (!PassesFence(order, answer)) {
+    return 409;
+  }
+  const std::string task = order.at("task").get<std::string>();
+  const int64_t run = order.at("run").get<int64_t>();
+  if (order.at("deadline-ms").get<int64_t>() <= ClockMs()) {
+    (*answer)["reason"] = "late";
+    return 409;
+  }
+  ExtendLease(order);
+  const auto present = running_.find(task);
+  if (present != running_.end() && present->second.run == run) {
+    return 200;
+  }
+  if (present != running_.end() || run <= over_[task]) {
+    (*answer)["reason"] = "old";
+    return 409;
+  }
+  const uint64_t hash = StableHash(task);
+  running_[task] = Run{
+      task, run,
+      absl::Now() + kShortestTask +
+          absl::Milliseconds(static_cast<int64_t>(hash % static_cast<uint64_t>(kTaskSpreadMs)))};
+  if (static_cast<int64_t>(running_.size()) * kTaskCpu > cpu_) {
+    history_->Broken(absl::StrCat(id_, " is over its capacity with ", task));
+  }
+  history_->Started(id_, task, run, order.at("spec").get<std::string>());
+  return 200;
+}
+
+int WorkerStandin::Stop(const json& order, json* answer) {
+  absl::MutexLock lock(&mutex_);
+  if (!PassesFence(order, answer)) {
+    return 409;
+  }
+  const std::string task = order.at("task").get<std::string>();
+  const int64_t run = order.at("run").get<int64_t>();
+  over_[task] = std::max(over_[task], run);
+  const auto it = running_.find(task);
+  if (it != running_.end() && it->second.run <= run) {
+    it->second.stopped = true;
+  }
+  Advance();
+  return 200;
+}
+
+int WorkerStandin::Hold(const json& order, json* answer) {
+  const absl::Time end = absl::Now() + absl::Milliseconds(order.value("wait-ms", int64_t{0}));
+  const int64_t seen = order.at("last-seen").get<int64_t>();
+  int64_t life = 0;
+  {
+    absl::MutexLock lock(&mutex_);
+    life = life_;
+  }
+  for (;;) {
+    {
+      absl::MutexLock lock(&mutex_);
+      if (life != life_) {
+        return 500;
+      }
+      if (!PassesFence(order, answer)) {
+        return 409;
+      }
+      ExtendLease(order);
+      Advance();
+      while (!ends_.empty() && ends_.begin()->first <= seen) {
+        if (ends_.begin()->second.how == "done") {
+          history_->SuccessAcknowledged(ends_.begin()->second.task);
+        }
+        ends_.erase(ends_.begin());
+      }
+      if (!ends_.empty() || absl::Now() >= end || stopping_) {
+        json running = json::array();
+        for (const auto& [task, run] : running_) {
+          running.push_back({task, run.run, "", ClockMs() % 100, 0});
+        }
+        json ended = json::array();
+        for (const auto& [number, entry] : ends_) {
+          ended.push_back({number, entry.task, entry.run, entry.how, ""});
+        }
+        (*answer)["born"] = absl::ToUnixMillis(born_);
+        (*answer)["running"] = std::move(running);
+        (*answer)["ended"] = std::move(ended);
+        return 200;
+      }
+    }
+    absl::SleepFor(kTick);
+  }
+}
+
+void WorkerStandin::Finish(const std::string& how, std::map<std::string, Run>::iterator* it) {
+  const Run& run = (*it)->second;
+  over_[run.task] = std::max(over_[run.task], run.run);
+  ends_[next_end_++] = End{run.task, run.run, how};
+  history_->Ended(id_, run.task, run.run);
+  *it = running_.erase(*it);
+}
+
+void WorkerStandin::Advance() {
+  const absl::Time now = absl::Now();
+  const bool lapsed = ClockMs() > lease_end_ms_;
+  for (auto it = running_.begin(); it != running_.end();) {
+    const Run& run = it->second;
+    if (run.ends <= now) {
+      const bool fails = run.run == 1 && StableHash(run.task) % kFailingShare == 0;
+      Finish(fails ? "failed" : "done", &it);
+    } else if (run.stopped || lapsed) {
+      Finish(run.stopped ? "stopped" : "lapsed", &it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void WorkerStandin::Restart() {
+  {
+    absl::MutexLock lock(&mutex_);
+    ++life_;
+    muted_until_ = absl::InfinitePast();
+  }
+  // Connections end with the process.
+  server_->stop();
+  thread_.join();
+  Forget();
+  Listen();
+}
+
+void WorkerStandin::Forget() {
+  absl::MutexLock lock(&mutex_);
+  for (const auto& [task, run] : running_) {
+    history_->Ended(id_, task, run.run);
+  }
+  running_.clear();
+  over_.clear();
+  ends_.clear();
+  next_end_ = 1;
+  token_ = 0;
+  lease_end_ms_ = 0;
+  // A life is told apart by its first millisecond.
+  born_ = std::max(absl::Now(), born_ + absl::Milliseconds(1));
+}
+
+void WorkerStandin::Mute(absl::Duration time) {
+  absl::MutexLock lock(&mutex_);
+  muted_until_ = absl::Now() + time;
+}
+
+}  // namespace pomelotray
