--- a/packages/cell/advice_desk.cc
+++ b/packages/cell/advice_desk.cc
@@ -50,9 +50,8 @@
 
 }  // namespace
 
-AdviceDesk::AdviceDesk(InstanceId self, Adviser* adviser, PeerPort* peers, const Clock* clock,
-                       EventLog* events)
-    : self_(std::move(self)), adviser_(adviser), peers_(peers), clock_(clock), events_(events) {}
+AdviceDesk::AdviceDesk(InstanceId self, Adviser* adviser, PeerPort* peers, EventLog* events)
+    : self_(std::move(self)), adviser_(adviser), peers_(peers), events_(events) {}
 
 AdviceDesk::~AdviceDesk() { Stop(); }
 
--- a/packages/cell/advice_desk.h
+++ b/packages/cell/advice_desk.h
@@ -12,7 +12,6 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
-#include "base/clock.h"
 #include "base/event_log.h"
 #include "cell/cell_membership.h"
 #include "cell/cell_ports.h"
@@ -29,8 +28,7 @@
  public:
   using Done = std::function<void(const AdviceRequest&, const std::optional<Advice>&)>;
 
-  AdviceDesk(InstanceId self, Adviser* adviser, PeerPort* peers, const Clock* clock,
-             EventLog* events);
+  AdviceDesk(InstanceId self, Adviser* adviser, PeerPort* peers, EventLog* events);
   ~AdviceDesk();
 
   void SetMembers(const std::vector<CellMember>& members);
@@ -66,7 +64,6 @@
   const InstanceId self_;
   Adviser* const adviser_;
   PeerPort* const peers_;
-  const Clock* const clock_;
   EventLog* const events_;
   absl::Mutex mutex_;
   absl::CondVar changed_;
--- a/packages/cell/cell_membership.cc
+++ b/packages/cell/cell_membership.cc
@@ -46,33 +46,6 @@
 
 }  // namespace
 
-std::map<PartName, InstanceId> AssignParts(const std::vector<PartName>& parts,
-                                           const std::vector<CellMember>& members) {
-  std::map<PartName, InstanceId> assigned;
-  if (members.empty()) {
-    return assigned;
-  }
-  std::vector<PartName> sorted = parts;
-  std::sort(sorted.begin(), sorted.end());
-  std::map<InstanceId, int> load;
-  for (const PartName& part : sorted) {
-    // The member with the largest processor share for each part that it would own.
-    const auto key = [&](const CellMember& member) {
-      return std::make_pair(member.cpu_milli / (load[member.id] + 1),
-                            StableHash(part.value() + "/" + member.id.value()));
-    };
-    const CellMember* best = &members.front();
-    for (const CellMember& member : members) {
-      if (key(member) > key(*best)) {
-        best = &member;
-      }
-    }
-    assigned[part] = best->id;
-    ++load[best->id];
-  }
-  return assigned;
-}
-
 CellMembership::CellMembership(CellMember self, std::string incarnation, TransactionalStore* store,
                                const Clock* clock, EventLog* events, Callbacks callbacks)
     : self_(std::move(self)),
--- a/packages/cell/cell_membership.h
+++ b/packages/cell/cell_membership.h
@@ -14,23 +14,13 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "base/strong_id.h"
+#include "cell/part_assignment.h"
 #include "cell/pool_part.h"
 #include "cell/prefix_mirror.h"
 #include "ports/transactional_store.h"
 
 namespace pomelotray {
 
-struct CellMember {
-  InstanceId id;
-  std::string peer_address;
-  // Processor share of its VM in thousandths of a core: how much it should own.
-  int64_t cpu_milli = 1000;
-
-  friend bool operator==(const CellMember& a, const CellMember& b) {
-    return a.id == b.id && a.peer_address == b.peer_address && a.cpu_milli == b.cpu_milli;
-  }
-};
-
 // Who owns a pool, as the store says.
 struct PartClaim {
   PartName part;
@@ -43,11 +33,6 @@
   Revision revision;
 };
 
-// Chooses the instance that should own each part: spreads parts over members by their processor
-// shares, stable while the members stay.
-std::map<PartName, InstanceId> AssignParts(const std::vector<PartName>& parts,
-                                           const std::vector<CellMember>& members);
-
 // Keeps this instance's lease, shows it to the others, and claims pools that have no owner. A claim
 // lasts as long as its instance's lease and carries a term that no other claim of the pool has.
 class CellMembership {
--- /dev/null
+++ b/packages/cell/pool_owner_sessions.cc
@@ -0,0 +1,94 @@
+// What the sessions with the workers ask of their owner and tell it.
+
+#include "cell/pool_owner.h"
+
+namespace pomelotray {
+namespace {
+
+// How long a worker waits for an end before it answers a hold; also the age of a report.
+constexpr absl::Duration kHoldWait = absl::Milliseconds(1000);
+// How long a hold waits for ends to be stored, so that it can acknowledge them.
+constexpr absl::Duration kStoreWait = absl::Milliseconds(400);
+constexpr absl::Duration kPermissionPoll = absl::Milliseconds(50);
+
+}  // namespace
+
+bool PoolOwner::WaitForPermission() {
+  while (!context_.membership->CheckedRecently()) {
+    if (!Pause(kPermissionPoll)) {
+      return false;
+    }
+  }
+  absl::MutexLock lock(&mutex_);
+  return !halted_ && !finishing_;
+}
+
+HoldOrder PoolOwner::NextHold(const WorkerId& id) {
+  absl::MutexLock lock(&mutex_);
+  // Ends that are not stored cannot be acknowledged, and the worker would answer at once again.
+  const absl::Time end = context_.clock->Now() + kStoreWait;
+  while (!halted_ && scheduler_.HasUnacknowledged(id) && context_.clock->Now() < end) {
+    context_.clock->WaitUntil(&stored_, &mutex_, end);
+  }
+  HoldOrder order;
+  order.token = token();
+  order.acknowledged = scheduler_.Acknowledged(id);
+  const std::optional<WorkerTime> lease_end =
+      context_.membership->MayStart() ? scheduler_.ExtendLease(id, context_.clock->Now())
+                                      : std::nullopt;
+  order.lease_end = lease_end.value_or(WorkerTime(0));
+  // A worker that is not known well answers at once.
+  order.wait = scheduler_.IsTrusted(id) ? kHoldWait : absl::ZeroDuration();
+  return order;
+}
+
+void PoolOwner::HoldAnswered(const WorkerId& id, const Outcome<HoldAnswer>& answer, absl::Time sent,
+                             absl::Time received) {
+  const bool accepted = answer.ok() && answer.value().answer == OrderAnswer::kAccepted;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (halted_) {
+      return;
+    }
+    if (accepted) {
+      scheduler_.ApplyReport(id, answer.value().report, sent, received);
+    } else if (answer.ok() && answer.value().answer == OrderAnswer::kWrongWorker) {
+      scheduler_.WorkerReplaced(id, received);
+    } else {
+      scheduler_.HoldFailed(id, received);
+    }
+    Wake();
+  }
+  if (answer.ok() && answer.value().answer == OrderAnswer::kFenced) {
+    Depose("a worker has seen a newer owner");
+  }
+}
+
+std::optional<WorkerTime> PoolOwner::PrepareStart(const WorkerId& id, const AttemptKey& key) {
+  absl::MutexLock lock(&mutex_);
+  if (halted_ || !context_.membership->MayStart()) {
+    return std::nullopt;
+  }
+  return scheduler_.PrepareStart(id, key, context_.clock->Now());
+}
+
+void PoolOwner::OrderAnswered(const WorkerId& id, const WorkerOrder& order,
+                              const OrderOutcome& outcome) {
+  {
+    absl::MutexLock lock(&mutex_);
+    const absl::Time now = context_.clock->Now();
+    if (order.kind == WorkerOrder::Kind::kStart) {
+      scheduler_.StartFinished(id, order.key, outcome, now);
+    } else {
+      scheduler_.StopFinished(id, order.key, outcome, now);
+    }
+    if (outcome.answer != OrderAnswer::kAccepted) {
+      Wake();
+    }
+  }
+  if (outcome.answer == OrderAnswer::kFenced) {
+    Depose("a worker has seen a newer owner");
+  }
+}
+
+}  // namespace pomelotray
--- a/packages/cell/pool_part.cc
+++ b/packages/cell/pool_part.cc
@@ -53,6 +53,7 @@
 
 std::vector<PoolPart> PoolPart::All(const PoolName& pool, int count) {
   std::vector<PoolPart> parts;
+  parts.reserve(static_cast<size_t>(count));
   for (int index = 0; index < count; ++index) {
     parts.push_back(PoolPart{pool, index, count});
   }
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -11,6 +11,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/time/time.h"
 #include "base/event_log.h"
+#include "cell/attempt_text.h"
 #include "cell/cell_job.h"
 #include "cell/cell_ports.h"
 #include "cell/job_record.h"
@@ -45,14 +46,6 @@
   std::vector<AdviceRequest> advice;
 };
 
-// What a start or stop came to.
-struct OrderOutcome {
-  // No value: no answer came.
-  std::optional<OrderAnswer> answer;
-  // The order was never sent, so it cannot be carried out later.
-  bool never_sent = false;
-};
-
 // Everything that the owner of a pool's part knows and decides: jobs, workers, attempts. Has no
 // threads and no input or output, so that each rule can be tested with a clock of the test's own;
 // the caller serializes all calls. A task is started again only when its last attempt is known to
--- /dev/null
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -0,0 +1,431 @@
+// What workers report and answer: attempts, ends and failures.
+
+#include <algorithm>
+#include <utility>
+
+#include "cell/pool_scheduler.h"
+
+namespace pomelotray {
+namespace {
+
+// Failures of this many jobs without a success in between make a worker suspect: with a twentieth
+// of all tasks failing by their own fault, three in a row happen once in 8,000.
+constexpr size_t kQuarantineJobs = 3;
+// Two thirds of the shortest published failure of a worker (6.5 s).
+constexpr absl::Duration kQuarantine = absl::Seconds(4);
+// A task whose progress stands still this long is started elsewhere. Reports arrive once a second.
+constexpr absl::Duration kStallLimit = absl::Milliseconds(2500);
+// A stop takes at most 0.9 s; a task that is being stopped occupies its room meanwhile, whether the
+// worker still lists it or not.
+constexpr absl::Duration kStopTime = absl::Milliseconds(1500);
+
+// Whether an attempt that is missing from a report, which was asked for at `sent`, is over although
+// no end was listed.
+bool HasVanished(const Attempt& attempt, absl::Time sent) {
+  if (attempt.stop_sent_at > absl::InfinitePast() && attempt.listed) {
+    return attempt.stop_sent_at + kStopTime < sent;
+  }
+  return attempt.stop_confirmed_at < sent ||
+         (attempt.phase == AttemptPhase::kRunning && attempt.confirmed_at < sent);
+}
+
+}  // namespace
+
+bool PoolScheduler::IsCurrent(const CellWorker& worker, const Attempt& attempt) {
+  if (!attempt.task.has_value()) {
+    return false;
+  }
+  const StepRun* run = FindRun(*attempt.task);
+  if (run == nullptr) {
+    return false;
+  }
+  const CellTask& task = run->tasks[attempt.task->task];
+  return task.phase == TaskPhase::kActive && task.last_run == attempt.key.run &&
+         task.worker == worker.description.id;
+}
+
+void PoolScheduler::DropAttempt(CellWorker* worker, const AttemptKey& key, const char* reason,
+                                bool avoid_worker) {
+  const auto it = worker->attempts.find(key);
+  if (it == worker->attempts.end()) {
+    return;
+  }
+  const Attempt attempt = it->second;
+  const bool current = IsCurrent(*worker, attempt);
+  worker->used -= attempt.reserved;
+  worker->attempts.erase(it);
+  if (!current) {
+    return;
+  }
+  StepRun* run = FindRun(*attempt.task);
+  CellTask& task = run->tasks[attempt.task->task];
+  task.phase = TaskPhase::kWaiting;
+  ++run->waiting;
+  if (!attempt.checkpoint.empty()) {
+    task.checkpoint = attempt.checkpoint;
+  }
+  if (avoid_worker) {
+    task.avoid = worker->description.id;
+  }
+  if (reason == nullptr) {
+    return;
+  }
+  events_->Record(EventCode::kTaskRequeued)
+      .Job(attempt.task->job)
+      .Task(TaskId(key.task))
+      .With("run", key.run.value())
+      .Worker(worker->description.id)
+      .With(event_field::kReason, reason)
+      .Emit();
+}
+
+void PoolScheduler::DropAllAttempts(CellWorker* worker, const char* reason) {
+  while (!worker->attempts.empty()) {
+    DropAttempt(worker, AttemptKey(worker->attempts.begin()->first), reason, true);
+  }
+}
+
+void PoolScheduler::ApplyReport(const WorkerId& id, const WorkerReport& report, absl::Time sent,
+                                absl::Time received) {
+  CellWorker* worker = FindWorker(id);
+  if (worker == nullptr) {
+    return;
+  }
+  if (worker->born != report.born) {
+    if (worker->born != absl::InfinitePast()) {
+      events_->Record(EventCode::kWorkerRestored)
+          .Worker(id)
+          .With(event_field::kReason, "started again")
+          .Emit();
+      DropAllAttempts(worker, "the worker started again");
+    }
+    worker->born = report.born;
+    worker->seen_end = EndNumber(0);
+    worker->acknowledged = EndNumber(0);
+    worker->unacknowledged.clear();
+  }
+  if (!worker->fenced) {
+    worker->fenced = true;
+    events_->Record(EventCode::kWorkerFenced)
+        .Worker(id)
+        .With("running", static_cast<int64_t>(report.running.size()))
+        .With("ended", static_cast<int64_t>(report.ended.size()))
+        .Emit();
+  }
+  worker->clock = report.clock;
+  worker->clock_read_at = received;
+  worker->last_report = std::max(worker->last_report, sent);
+  for (const EndedAttempt& ended : report.ended) {
+    if (ended.number > worker->seen_end) {
+      worker->seen_end = ended.number;
+      ApplyEnd(worker, ended, received);
+    }
+  }
+  for (const RunningAttempt& running : report.running) {
+    ApplyRunning(worker, running, received);
+  }
+  DropVanished(worker, report, sent);
+  StopStalled(worker, received);
+  AdvanceAcknowledged(worker);
+  unreported_.erase(id);
+}
+
+void PoolScheduler::ApplyRunning(CellWorker* worker, const RunningAttempt& running,
+                                 absl::Time now) {
+  const auto it = worker->attempts.find(running.key);
+  if (it == worker->attempts.end()) {
+    Adopt(worker, running, now);
+    return;
+  }
+  Attempt& attempt = it->second;
+  attempt.phase = AttemptPhase::kRunning;
+  attempt.listed = true;
+  attempt.confirmed_at = std::min(attempt.confirmed_at, now);
+  if (running.percent != attempt.percent) {
+    attempt.percent = running.percent;
+    attempt.progress_at = now;
+  }
+  if (!running.checkpoint.empty()) {
+    attempt.checkpoint = running.checkpoint;
+  }
+}
+
+bool PoolScheduler::BindAttempt(CellWorker* worker, Attempt* attempt) {
+  attempt->task = Locate(attempt->key.task);
+  bool wanted = false;
+  if (attempt->task.has_value()) {
+    StepRun* run = FindRun(*attempt->task);
+    CellJob* job = FindJob(attempt->task->job);
+    CellTask& task = run->tasks[attempt->task->task];
+    SetNeeds(job->Step(*run), attempt);
+    wanted = task.phase == TaskPhase::kWaiting && !job->cancel_requested &&
+             attempt->key.run >= task.last_run;
+    if (wanted) {
+      task.phase = TaskPhase::kActive;
+      task.worker = worker->description.id;
+      task.last_run = attempt->key.run;
+      --run->waiting;
+      job->state = CellJobState::kRunning;
+      job->visible = CellJobState::kRunning;
+    }
+  } else {
+    ReserveUnwanted(attempt);
+  }
+  attempt->stop_wanted = !wanted;
+  worker->used += attempt->reserved;
+  return wanted;
+}
+
+void PoolScheduler::InheritFrozen(CellWorker* worker, const std::vector<AttemptKey>& attempts) {
+  for (const AttemptKey& key : attempts) {
+    Attempt attempt;
+    attempt.key = key;
+    // Confirmed by the earlier owner: the worker's first report says whether it still runs.
+    attempt.phase = AttemptPhase::kRunning;
+    attempt.confirmed_at = absl::InfinitePast();
+    BindAttempt(worker, &attempt);
+    worker->attempts.emplace(key, std::move(attempt));
+  }
+}
+
+void PoolScheduler::Adopt(CellWorker* worker, const RunningAttempt& running, absl::Time now) {
+  Attempt attempt;
+  attempt.key = running.key;
+  attempt.phase = AttemptPhase::kRunning;
+  attempt.listed = true;
+  attempt.confirmed_at = now;
+  attempt.percent = running.percent;
+  attempt.progress_at = now;
+  attempt.checkpoint = running.checkpoint;
+  const bool wanted = BindAttempt(worker, &attempt);
+  events_->Record(EventCode::kTaskAdopted)
+      .Task(TaskId(running.key.task))
+      .With("run", running.key.run.value())
+      .Worker(worker->description.id)
+      .With(event_field::kState, wanted ? "adopted" : "stopping")
+      .Emit();
+  worker->attempts.emplace(running.key, std::move(attempt));
+}
+
+void PoolScheduler::ReserveUnwanted(Attempt* attempt) {
+  // A final job has no tasks any more, but its steps still say what each of them needs.
+  TaskNameParts parts;
+  const CellJob* job =
+      ParseTaskName(attempt->key.task, &parts) ? FindJob(JobId(parts.job)) : nullptr;
+  if (job != nullptr && parts.step < static_cast<int>(job->intake.spec.steps.size())) {
+    SetNeeds(job->intake.spec.steps[parts.step], attempt);
+  } else {
+    attempt->unknown_load = true;
+  }
+}
+
+void PoolScheduler::ApplyEnd(CellWorker* worker, const EndedAttempt& ended, absl::Time now) {
+  const std::optional<TaskRef> ref = Locate(ended.key.task);
+  const auto it = worker->attempts.find(ended.key);
+  const bool lost_race = it != worker->attempts.end() && !IsCurrent(*worker, it->second);
+  if (it != worker->attempts.end() && !ended.checkpoint.empty()) {
+    it->second.checkpoint = ended.checkpoint;
+  }
+  events_->Record(EventCode::kTaskEnded)
+      .Task(TaskId(ended.key.task))
+      .With("run", ended.key.run.value())
+      .Worker(worker->description.id)
+      .With("end", EndName(ended.end))
+      .Emit();
+  const bool succeeded = ended.end == AttemptEnd::kSucceeded;
+  DropAttempt(worker, ended.key, succeeded ? nullptr : "ended without success",
+              ended.end == AttemptEnd::kFailed);
+  UnacknowledgedEnd pending{ended.number, JobId(), 0};
+  CellJob* job = ref.has_value() ? FindJob(ref->job) : nullptr;
+  if (job != nullptr && !IsFinal(job->state)) {
+    StepRun* run = FindRun(*ref);
+    const JobId id = job->intake.id;
+    if (succeeded) {
+      ApplySuccess(job, run, *ref, now);
+      worker->failed_jobs.clear();
+    } else if (ended.end == AttemptEnd::kFailed && !lost_race) {
+      RecordWorkerFailure(worker, id, now);
+      ApplyFailure(job, run, *ref, ended, now);
+    } else {
+      Touch(job);
+    }
+    pending.job = id;
+    pending.version = job->version;
+  }
+  worker->unacknowledged.push_back(pending);
+}
+
+void PoolScheduler::ApplySuccess(CellJob* job, StepRun* run, const TaskRef& ref, absl::Time now) {
+  const bool gang = job->Step(*run).gang;
+  for (size_t i = 0; i < run->tasks.size(); ++i) {
+    CellTask& task = run->tasks[i];
+    // Gang tasks succeed together; one end stands for all.
+    if ((!gang && static_cast<int>(i) != ref.task) || task.phase == TaskPhase::kSucceeded) {
+      continue;
+    }
+    if (task.phase == TaskPhase::kWaiting) {
+      --run->waiting;
+    } else if (!gang) {
+      // An attempt that was started since then, because this one was thought to be over.
+      StopAttempt(task.worker,
+                  AttemptKey{TaskName(*job, *run, static_cast<int>(i)), task.last_run});
+    }
+    task.phase = TaskPhase::kSucceeded;
+    task.checkpoint.clear();
+    ++run->succeeded;
+  }
+  Touch(job);
+  FinishIfComplete(job, now);
+}
+
+void PoolScheduler::StopAttempt(const WorkerId& id, const AttemptKey& key) {
+  CellWorker* worker = FindWorker(id);
+  const auto it =
+      worker == nullptr ? std::map<AttemptKey, Attempt>::iterator() : worker->attempts.find(key);
+  if (worker != nullptr && it != worker->attempts.end()) {
+    it->second.stop_wanted = true;
+  }
+}
+
+void PoolScheduler::ApplyFailure(CellJob* job, StepRun* run, const TaskRef& ref,
+                                 const EndedAttempt& ended, absl::Time now) {
+  const StepSpec& step = job->Step(*run);
+  if (step.long_running) {
+    Touch(job);
+    return;
+  }
+  std::set<RunNumber>& failed =
+      step.gang ? run->gang_failed_runs : run->tasks[ref.task].failed_runs;
+  failed.insert(ended.key.run);
+  if (static_cast<int>(failed.size()) >= job->intake.policy.max_attempts) {
+    Finish(job, CellJobState::kFailed, now, ended.key.task + " failed in its last attempt");
+  } else {
+    Touch(job);
+  }
+}
+
+void PoolScheduler::RecordWorkerFailure(CellWorker* worker, const JobId& job, absl::Time now) {
+  worker->failed_jobs.insert(job);
+  if (worker->failed_jobs.size() >= kQuarantineJobs) {
+    worker->quarantined_until = now + kQuarantine;
+    events_->Record(EventCode::kWorkerQuarantined)
+        .Worker(worker->description.id)
+        .With("failed_jobs", static_cast<int64_t>(worker->failed_jobs.size()))
+        .Emit();
+  }
+}
+
+void PoolScheduler::DropVanished(CellWorker* worker, const WorkerReport& report, absl::Time sent) {
+  std::set<AttemptKey> running;
+  for (const RunningAttempt& attempt : report.running) {
+    running.insert(attempt.key);
+  }
+  std::vector<AttemptKey> vanished;
+  for (const auto& [key, attempt] : worker->attempts) {
+    if (running.count(key) == 0 && HasVanished(attempt, sent)) {
+      vanished.push_back(key);
+    }
+  }
+  for (const AttemptKey& key : vanished) {
+    DropAttempt(worker, key, "the worker no longer lists it", false);
+  }
+}
+
+void PoolScheduler::StopStalled(CellWorker* worker, absl::Time now) {
+  for (auto& [key, attempt] : worker->attempts) {
+    if (attempt.phase != AttemptPhase::kRunning || attempt.stop_wanted || attempt.percent >= 100 ||
+        now - attempt.progress_at < kStallLimit || !IsCurrent(*worker, attempt)) {
+      continue;
+    }
+    attempt.stop_wanted = true;
+    FindRun(*attempt.task)->tasks[attempt.task->task].avoid = worker->description.id;
+    RecordWorkerFailure(worker, attempt.task->job, now);
+    events_->Record(EventCode::kTaskPreempted)
+        .Task(TaskId(key.task))
+        .Worker(worker->description.id)
+        .With(event_field::kReason, "no progress")
+        .With("percent", attempt.percent)
+        .With("age_ms", absl::ToInt64Milliseconds(now - attempt.progress_at))
+        .Emit();
+  }
+}
+
+void PoolScheduler::HoldFailed(const WorkerId& id, absl::Time now) {
+  CellWorker* worker = FindWorker(id);
+  if (worker == nullptr) {
+    return;
+  }
+  if (worker->suspect_since < worker->last_report) {
+    events_->Record(EventCode::kWorkerUnreachable)
+        .Worker(id)
+        .With("attempts", static_cast<int64_t>(worker->attempts.size()))
+        .With("report_age_ms", absl::ToInt64Milliseconds(now - worker->last_report))
+        .Emit();
+  }
+  worker->suspect_since = now;
+}
+
+void PoolScheduler::WorkerReplaced(const WorkerId& id, absl::Time now) {
+  CellWorker* worker = FindWorker(id);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->suspect_since = now;
+  worker->lease_over_at = now;
+  unreported_.erase(id);
+  DropAllAttempts(worker, "another worker has its address");
+}
+
+void PoolScheduler::StartFinished(const WorkerId& id, const AttemptKey& key,
+                                  const OrderOutcome& outcome, absl::Time now) {
+  CellWorker* worker = FindWorker(id);
+  if (worker == nullptr || worker->attempts.count(key) == 0) {
+    return;
+  }
+  Attempt& attempt = worker->attempts[key];
+  if (outcome.answer == OrderAnswer::kAccepted) {
+    if (attempt.phase == AttemptPhase::kOrdered) {
+      attempt.phase = AttemptPhase::kRunning;
+      attempt.confirmed_at = now;
+      attempt.progress_at = now;
+    }
+    return;
+  }
+  events_->Record(EventCode::kTaskStartRefused)
+      .Task(TaskId(key.task))
+      .With("run", key.run.value())
+      .Worker(id)
+      .With("answer", AnswerName(outcome))
+      .Emit();
+  if (!outcome.answer.has_value() && !outcome.never_sent) {
+    if (attempt.phase == AttemptPhase::kOrdered) {
+      attempt.phase = AttemptPhase::kUncertain;
+      attempt.stop_wanted = true;
+    }
+    worker->suspect_since = now;
+    return;
+  }
+  if (outcome.answer == OrderAnswer::kTicketRefused && attempt.task.has_value()) {
+    StepRun* run = FindRun(*attempt.task);
+    if (run != nullptr) {
+      run->advice.allowed[id].expires = absl::InfinitePast();
+    }
+  } else {
+    worker->suspect_since = now;
+  }
+  DropAttempt(worker, key, "the start was refused", true);
+}
+
+void PoolScheduler::StopFinished(const WorkerId& id, const AttemptKey& key,
+                                 const OrderOutcome& outcome, absl::Time now) {
+  CellWorker* worker = FindWorker(id);
+  if (worker == nullptr) {
+    return;
+  }
+  const auto it = worker->attempts.find(key);
+  if (it != worker->attempts.end() && outcome.answer == OrderAnswer::kAccepted) {
+    it->second.stop_confirmed_at = std::min(it->second.stop_confirmed_at, now);
+  }
+}
+
+}  // namespace pomelotray
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -50,6 +50,12 @@
 
 bool IsServing(const StepSpec& step) { return step.latency_target > absl::ZeroDuration(); }
 
+void SetNeeds(const StepSpec& step, Attempt* attempt) {
+  attempt->reserved = ReservedFor(step);
+  attempt->serves = IsServing(step);
+  attempt->fills = step.fills;
+}
+
 bool IsStartable(const CellJob& job, const StepRun& run, absl::Time now) {
   if (run.waiting == 0 || run.due > now) {
     return false;
@@ -381,6 +387,7 @@
   std::sort(others.begin(), others.end());
   others.resize(std::min(others.size(), std::clamp(affordable, kMinAsked, kMaxAsked)));
   std::vector<WorkerId> workers;
+  workers.reserve(others.size());
   for (const auto& [score, id] : others) {
     workers.push_back(id);
   }
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -111,6 +111,8 @@
 Resources ReservedFor(const StepSpec& step);
 
 bool IsServing(const StepSpec& step);
+// Fills in what an attempt of this step occupies and how it shares its worker.
+void SetNeeds(const StepSpec& step, Attempt* attempt);
 
 // True when all steps that the run waits for have succeeded and its time has come.
 bool IsStartable(const CellJob& job, const StepRun& run, absl::Time now);
--- a/tests/cell/advice_desk_test.cc
+++ b/tests/cell/advice_desk_test.cc
@@ -76,7 +76,7 @@
   EventLog events("test", &hybrid_clock);
   GatedAdviser adviser;
   LoopbackPeers peers(&adviser);
-  AdviceDesk desk(InstanceId("i1"), &adviser, &peers, &clock, &events);
+  AdviceDesk desk(InstanceId("i1"), &adviser, &peers, &events);
   desk.SetMembers({{InstanceId("i1"), "a"}, {InstanceId("i2"), "b"}, {InstanceId("i3"), "c"}});
   const AdviceDesk::Done ignore = [](const AdviceRequest&, const std::optional<Advice>&) {};
   for (int i = 0; i < 10; ++i) {
--- a/tests/cell/pool_scheduler_test.cc
+++ b/tests/cell/pool_scheduler_test.cc
@@ -333,6 +333,7 @@
 BOOST_AUTO_TEST_CASE(TicketsAreRenewedForWorkersThatTheStepCanUse) {
   Fixture fixture;
   std::vector<WorkerDescription> workers;
+  workers.reserve(6);
   for (int i = 0; i < 6; ++i) {
     workers.push_back(Fixture::Worker("w" + std::to_string(i), 4000));
   }
--- a/tests/cell/scheduler_fixture.cc
+++ b/tests/cell/scheduler_fixture.cc
@@ -63,6 +63,7 @@
 void SchedulerFixture::AddWorkers(const std::vector<WorkerDescription>& workers) {
   scheduler().UpdateDirectory(workers, Now());
   std::vector<WorkerId> ids;
+  ids.reserve(workers.size());
   for (const WorkerDescription& worker : workers) {
     ids.push_back(worker.id);
   }
@@ -88,7 +89,7 @@
 }
 
 void SchedulerFixture::Report(const std::string& worker, std::vector<RunningAttempt> running,
-                              std::vector<std::pair<AttemptKey, AttemptEnd>> ended) {
+                              const std::vector<std::pair<AttemptKey, AttemptEnd>>& ended) {
   Advance(absl::Milliseconds(1));
   WorkerReport report;
   report.clock = WorkerTime(1000);
@@ -113,6 +114,7 @@
 void SchedulerFixture::TakeOver(std::vector<JobIntake> jobs,
                                 const std::vector<WorkerDescription>& workers) {
   std::vector<RosterEntry> roster;
+  roster.reserve(workers.size());
   for (const WorkerDescription& worker : workers) {
     roster.push_back(RosterEntry{worker, false, {}});
   }
@@ -122,6 +124,7 @@
 void SchedulerFixture::TakeOver(std::vector<JobIntake> jobs,
                                 const std::vector<RosterEntry>& roster) {
   std::vector<WorkerDescription> workers;
+  workers.reserve(roster.size());
   for (const RosterEntry& entry : roster) {
     workers.push_back(entry.worker);
   }
--- a/tests/cell/scheduler_fixture.h
+++ b/tests/cell/scheduler_fixture.h
@@ -40,7 +40,7 @@
   std::vector<SentOrder> Round(bool confirm = true);
   // Reports what the worker runs and what ended since the last report; extends its lease.
   void Report(const std::string& worker, std::vector<RunningAttempt> running,
-              std::vector<std::pair<AttemptKey, AttemptEnd>> ended = {});
+              const std::vector<std::pair<AttemptKey, AttemptEnd>>& ended = {});
   // Stores all changed jobs.
   void CommitAll();
 
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -8,8 +8,9 @@
 namespace pomelotray {
 namespace {
 
-// Seeds that failed once, with the cause, stay here; CI plays them and one more.
-constexpr char kSeeds[] = "1";
+// Seeds that failed once. 1: a stop was not noticed during the start. 3: an end of a new life of a
+// worker was acknowledged unseen.
+constexpr char kSeeds[] = "1 3";
 
 std::string Setting(const char* name, const std::string& fallback) {
   const char* value = std::getenv(name);  // NOLINT(concurrency-mt-unsafe)
