cell: Refuse jobs that no instance wrote, set new pools up at once

Errors that prove that nothing was written (the peer is starting, overloaded, or found the call's time passed) counted as unknown outcomes, so that callers got 504 instead of 503, and the error of the peer was not logged. New class RelayedWrite logs each relay, tells the two apart, asks up to four members and spreads the entries over them; before, every instance used the first two.

New pools were refused for about 2.5 s until their workers were counted. PartCountChooser decides on the first listing with a worker; the largest deployment of the design (350 workers) is one part, since parts cannot lend.

Store calls whose failure is survived are logged (313, 314). One DecodeJson and one TransactionUnder(claim) replace copies.

--- a/packages/base/event_catalog.h
+++ b/packages/base/event_catalog.h
@@ -41,6 +41,9 @@
   kStoreOutageBegan = 309,
   kStoreOutageEnded = 310,
   kStoreAnswerLost = 311,
+  kWriteRelayFailed = 312,
+  kStoreCallFailed = 313,
+  kOwnerNoticeLost = 314,
 
   kJobAccepted = 400,
   kJobRefused = 401,
--- a/packages/cell/cell_membership.cc
+++ b/packages/cell/cell_membership.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "cell/cell_keys.h"
+#include "cell/store_failure.h"
 
 namespace pomelotray {
 namespace {
@@ -113,7 +114,9 @@
   if (lease.has_value()) {
     // If this fails, the lease runs out by itself.
     const Outcome<void> revoked = Capture([&] { return store_->RevokeLease(*lease); });
-    (void)revoked;
+    if (!revoked.ok()) {
+      RecordStoreFailure(events_, "end of the lease", revoked.error());
+    }
   }
 }
 
@@ -256,6 +259,9 @@
   } else {
     const Outcome<void> renewed = Capture([&] { return store_->KeepAlive(*lease); });
     answered = renewed.ok() || renewed.error().kind == ErrorKind::kNotFound;
+    if (!answered) {
+      RecordStoreFailure(events_, "renewal of the lease", renewed.error());
+    }
     if (!renewed.ok() && answered) {
       events_->Record(EventCode::kInstanceLeaseLost).With("lease", lease->value()).Emit();
       {
@@ -283,6 +289,7 @@
 bool CellMembership::Register() {
   const Outcome<StoreLeaseId> lease = Capture([this] { return store_->GrantLease(kLeaseTtl); });
   if (!lease.ok()) {
+    RecordStoreFailure(events_, "grant of the lease", lease.error());
     return false;
   }
   const json value = {{"instance", self_.id.value()},
@@ -293,6 +300,7 @@
       StoreWrite{cell_keys::Member(self_.id), value.dump(), lease.value()});
   const Outcome<Revision> written = Capture([&] { return store_->Commit(transaction); });
   if (!written.ok()) {
+    RecordStoreFailure(events_, "entry among the members", written.error());
     return false;
   }
   events_->Record(EventCode::kInstanceLeaseGranted).With("lease", lease.value().value()).Emit();
@@ -370,6 +378,8 @@
       unowned_since_.erase(part);
     }
     Reconcile();
+  } else {
+    RecordStoreFailure(events_, "claim of " + part.value(), written.error());
   }
 }
 
--- a/packages/cell/cell_membership.h
+++ b/packages/cell/cell_membership.h
@@ -15,24 +15,13 @@
 #include "base/event_log.h"
 #include "base/strong_id.h"
 #include "cell/part_assignment.h"
+#include "cell/part_claim.h"
 #include "cell/pool_part.h"
 #include "cell/prefix_mirror.h"
 #include "ports/transactional_store.h"
 
 namespace pomelotray {
 
-// Who owns a pool, as the store says.
-struct PartClaim {
-  PartName part;
-  CellMember owner;
-  // Differs for each start of the owner's process.
-  std::string incarnation;
-  // Rises with each claim; the fencing token of the owner.
-  int64_t term = 0;
-  // Of the claim's entry: a condition of each of the owner's writes.
-  Revision revision;
-};
-
 // Keeps this instance's lease, shows it to the others, and claims pools that have no owner. A claim
 // lasts as long as its instance's lease and carries a term that no other claim of the pool has.
 class CellMembership {
--- a/packages/cell/cell_node.cc
+++ b/packages/cell/cell_node.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cell/cell_keys.h"
+#include "cell/store_failure.h"
 #include "state/nonce.h"
 
 namespace pomelotray {
@@ -16,9 +17,6 @@
 constexpr absl::Duration kHandOverLimit = absl::Milliseconds(300);
 // A peer answers from memory; between regions it takes 16 ms.
 constexpr absl::Duration kHealthTimeout = absl::Milliseconds(200);
-// How long the number of a pool's workers must be unchanged before its parts are counted: longer
-// than the interval of the workers' announcements (1.5 s).
-constexpr absl::Duration kWorkersAwaited = absl::Seconds(2);
 constexpr absl::Duration kPeerKeyRetry = absl::Milliseconds(200);
 
 PeerLimits MakePeerLimits() {
@@ -76,7 +74,9 @@
       create.writes = {StoreWrite{cell_keys::kPeerKey, proposal, std::nullopt}};
       // Whether or not this succeeds, the entry is read back.
       const Outcome<Revision> written = Capture([&] { return context_.store->Commit(create); });
-      (void)written;
+      if (!written.ok()) {
+        RecordStoreFailure(context_.events, "creation of the peers' key", written.error());
+      }
     }
     absl::MutexLock lock(&mutex_);
     if (stopping_) {
@@ -186,6 +186,9 @@
       .Emit();
   membership_->SetPools(configuration->pools);
   service_->SetConfiguration(std::move(configuration));
+  // New pools are set up at once.
+  absl::MutexLock lock(&mutex_);
+  changed_.SignalAll();
 }
 
 bool CellNode::IsReady() const {
@@ -256,27 +259,25 @@
     const Outcome<std::vector<WorkerDescription>> listed =
         Capture([this] { return context_.directory->List(); });
     if (!listed.ok()) {
+      RecordStoreFailure(context_.events, "list of workers", listed.error());
       return;
     }
     const size_t workers =
         std::count_if(listed.value().begin(), listed.value().end(),
                       [&pool](const WorkerDescription& worker) { return worker.pool == pool; });
     const absl::Time now = context_.clock->Now();
-    // Workers announce themselves while the instances start: the number has to hold for a while.
-    WorkerCount& count = worker_counts_[pool];
-    if (count.workers != workers || count.since == absl::InfinitePast()) {
-      count = WorkerCount{workers, now};
-    }
-    if (now - count.since < kWorkersAwaited) {
+    const std::optional<int> parts = part_counts_.Choose(pool, workers, now);
+    if (!parts.has_value()) {
       continue;
     }
     StoreTransaction create;
     create.conditions = {StoreCondition{cell_keys::PartCount(pool), Revision(0)}};
-    create.writes = {
-        StoreWrite{cell_keys::PartCount(pool), std::to_string(CountParts(workers)), std::nullopt}};
+    create.writes = {StoreWrite{cell_keys::PartCount(pool), std::to_string(*parts), std::nullopt}};
     // Whoever is first decides; the membership's view shows what was decided.
     const Outcome<Revision> written = Capture([&] { return context_.store->Commit(create); });
-    (void)written;
+    if (!written.ok()) {
+      RecordStoreFailure(context_.events, "number of parts of " + pool.value(), written.error());
+    }
   }
 }
 
--- a/packages/cell/cell_node.h
+++ b/packages/cell/cell_node.h
@@ -14,6 +14,7 @@
 #include "cell/advice_desk.h"
 #include "cell/cell_membership.h"
 #include "cell/cell_service.h"
+#include "cell/part_count_chooser.h"
 #include "cell/pool_owner.h"
 #include "peer/peer_client.h"
 #include "peer/peer_server.h"
@@ -75,11 +76,7 @@
   std::unique_ptr<CellService> service_;
   std::thread maintenance_;
   // Used by the maintenance thread only.
-  struct WorkerCount {
-    size_t workers = 0;
-    absl::Time since = absl::InfinitePast();
-  };
-  std::map<PoolName, WorkerCount> worker_counts_;
+  PartCountChooser part_counts_;
   mutable absl::Mutex mutex_;
   absl::CondVar changed_;
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
--- a/packages/cell/cell_service.cc
+++ b/packages/cell/cell_service.cc
@@ -16,9 +16,6 @@
 constexpr absl::Duration kOwnerTimeout = absl::Milliseconds(600);
 // When an owner was lost, the next serves within the lease's time and a second for reading.
 constexpr absl::Duration kOwnerRetryAfter = absl::Seconds(2);
-// Longest wait for a peer that writes on behalf of this instance.
-constexpr absl::Duration kPeerWriteTimeout = absl::Seconds(1);
-constexpr size_t kPeersTried = 2;
 // A notice is worth sending while the store's watch is slower.
 constexpr absl::Duration kNoticeTimeout = absl::Milliseconds(200);
 constexpr size_t kMaxNotices = 64;
@@ -46,6 +43,7 @@
       clock_(clock),
       events_(events),
       find_owner_(std::move(find_owner)),
+      relay_(self_, peers, clock, events),
       writer_(store, clock, [membership] { membership->NoteStoreFailure(); }),
       notifier_([this] { NotifyLoop(); }) {}
 
@@ -92,7 +90,12 @@
       return CallOwner(notice.part, "notify", {{"key", notice.key}, {"value", notice.value}},
                        clock_->Now() + kNoticeTimeout);
     });
-    (void)told;
+    if (!told.ok()) {
+      events_->Record(EventCode::kOwnerNoticeLost)
+          .With("key", notice.key)
+          .With(event_field::kReason, told.error().message)
+          .Emit();
+    }
   }
 }
 
@@ -118,12 +121,13 @@
 
 Result<void> CellService::CreateEntry(const PartName& part, const std::string& key,
                                       const std::string& value, absl::Time deadline) {
+  const NewEntry entry{part, key, value};
   if (!membership_->StoreAnswers()) {
-    return CreateByPeer(part, key, value, deadline);
+    return relay_.Create(entry, membership_->members(), deadline);
   }
   const Outcome<void> created = Capture([&] { return CreateHere(part, key, value, deadline); });
   if (!created.ok() && created.error().kind == ErrorKind::kStoreUnavailable) {
-    return CreateByPeer(part, key, value, deadline);
+    return relay_.Create(entry, membership_->members(), deadline);
   }
   return created.ToResult();
 }
@@ -137,36 +141,6 @@
   return created.ToResult();
 }
 
-Result<void> CellService::CreateByPeer(const PartName& part, const std::string& key,
-                                       const std::string& value, absl::Time deadline) {
-  // The peer tells the owner: without the store, this instance may believe in a former owner.
-  const json body = {{"part", part.value()}, {"key", key}, {"value", value}};
-  bool maybe_written = false;
-  size_t tried = 0;
-  for (const CellMember& member : membership_->members()) {
-    if (member.id == self_ || tried >= kPeersTried) {
-      continue;
-    }
-    ++tried;
-    const absl::Duration timeout = std::min(kPeerWriteTimeout, deadline - clock_->Now());
-    const Outcome<json> answer =
-        Capture([&] { return peers_->Call(member.peer_address, "create", body, timeout); });
-    if (answer.ok()) {
-      return {};
-    }
-    const ErrorKind kind = answer.error().kind;
-    maybe_written =
-        maybe_written || (kind != ErrorKind::kStoreUnavailable && kind != ErrorKind::kUnavailable);
-  }
-  if (maybe_written) {
-    return Fail(ErrorKind::kOutcomeUnknown,
-                "No instance confirmed the write in time; send the same request again.");
-  }
-  return Fail(ErrorKind::kStoreUnavailable,
-              "The store takes no writes at present; send the request again later.",
-              kOwnerRetryAfter);
-}
-
 Result<json> CellService::CallOwner(const PartName& part, const std::string& method, json body,
                                     absl::Time deadline) {
   const std::optional<PartClaim> claim = membership_->ClaimOf(part);
--- a/packages/cell/cell_service.h
+++ b/packages/cell/cell_service.h
@@ -17,6 +17,7 @@
 #include "cell/cell_membership.h"
 #include "cell/job_record.h"
 #include "cell/pool_owner.h"
+#include "cell/relayed_write.h"
 #include "cell/submission_writer.h"
 #include "ports/peer_port.h"
 #include "ports/transactional_store.h"
@@ -62,8 +63,6 @@
                            absl::Time deadline);
   Result<void> CreateHere(const PartName& part, const std::string& key, const std::string& value,
                           absl::Time deadline);
-  Result<void> CreateByPeer(const PartName& part, const std::string& key, const std::string& value,
-                            absl::Time deadline);
   Result<std::optional<CellJobState>> StateFromOwner(const PartName& part, const JobId& id,
                                                      absl::Time deadline);
   Result<CellJobState> StateFromStore(const PartName& part, const JobId& id);
@@ -87,6 +86,7 @@
     std::string value;
   };
 
+  const RelayedWrite relay_;
   SubmissionWriter writer_;
   mutable absl::Mutex mutex_;
   std::shared_ptr<const CellConfiguration> configuration_ ABSL_GUARDED_BY(mutex_);
--- a/packages/cell/commit_lane.cc
+++ b/packages/cell/commit_lane.cc
@@ -24,9 +24,8 @@
 }
 
 LaneOutcome CommitLane::Store(const std::vector<ProgressRecord>& records) {
-  StoreTransaction transaction;
-  transaction.conditions = {StoreCondition{cell_keys::Claim(claim_.part), claim_.revision},
-                            StoreCondition{key_, revision_}};
+  StoreTransaction transaction = TransactionUnder(claim_);
+  transaction.conditions.push_back(StoreCondition{key_, revision_});
   transaction.writes = {
       StoreWrite{key_, absl::StrCat(claim_.term, ":", ++sequence_), std::nullopt}};
   for (const ProgressRecord& record : records) {
--- a/packages/cell/job_record.cc
+++ b/packages/cell/job_record.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "base/decode_json.h"
 
 namespace pomelotray {
 namespace {
@@ -105,17 +106,8 @@
   return policy;
 }
 
-// Runs `decode` on the parsed text; nlohmann's type errors become a typed failure.
-template <typename F>
-auto Decode(const std::string& text, const char* what, F decode)
-    -> Result<decltype(decode(std::declval<const json&>()))> {
-  try {
-    return decode(json::parse(text));
-  } catch (const json::exception& error) {
-    return Fail(ErrorKind::kInternal,
-                absl::StrCat("The stored ", what, " cannot be read (", error.what(),
-                             "); check which program wrote it."));
-  }
+DecodeSubject Stored(const char* what) {
+  return {ErrorKind::kInternal, what, "check which program wrote it"};
 }
 
 json EncodeRuns(const std::set<RunNumber>& runs) {
@@ -248,7 +240,7 @@
 }
 
 Result<JobIntake> DecodeIntake(const JobId& id, const std::string& text) {
-  return Decode(text, "job", [&id](const json& value) {
+  return DecodeJson(text, Stored("stored job"), [&id](const json& value) {
     JobIntake intake;
     intake.id = id;
     intake.policy = DecodePolicy(value.at("queue"));
@@ -279,7 +271,7 @@
 }
 
 Result<void> ApplyProgress(const std::string& text, CellJob* job) {
-  BOOST_LEAF_CHECK(Decode(text, "progress", [job](const json& value) {
+  BOOST_LEAF_CHECK(DecodeJson(text, Stored("stored progress"), [job](const json& value) {
     job->state = ReadState(value);
     job->visible = job->state;
     if (IsFinal(job->state)) {
@@ -295,7 +287,8 @@
 }
 
 Result<CellJobState> DecodeProgressState(const std::string& text) {
-  return Decode(text, "progress", [](const json& value) { return ReadState(value); });
+  return DecodeJson(text, Stored("stored progress"),
+                    [](const json& value) { return ReadState(value); });
 }
 
 std::string EncodeRoster(const std::vector<RosterEntry>& roster) {
@@ -314,7 +307,7 @@
 }
 
 Result<std::vector<RosterEntry>> DecodeRoster(const std::string& text) {
-  return Decode(text, "roster", [](const json& value) {
+  return DecodeJson(text, Stored("stored roster"), [](const json& value) {
     std::vector<RosterEntry> roster;
     for (const json& row : value) {
       RosterEntry entry;
--- a/packages/cell/pool_owner.cc
+++ b/packages/cell/pool_owner.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/match.h"
 #include "cell/cell_keys.h"
+#include "cell/store_failure.h"
 
 namespace pomelotray {
 namespace {
@@ -356,6 +357,8 @@
     if (listed.ok()) {
       absl::MutexLock lock(&mutex_);
       scheduler_.UpdateDirectory(listed.value(), context_.clock->Now());
+    } else {
+      RecordStoreFailure(context_.events, "list of workers", listed.error());
     }
     SyncSessions();
     if (SyncRoster()) {
@@ -411,12 +414,13 @@
     scheduler_.ConfirmRoster(open);
     return false;
   }
-  StoreTransaction transaction;
-  transaction.conditions = {StoreCondition{cell_keys::Claim(claim_.part), claim_.revision},
-                            StoreCondition{cell_keys::Roster(claim_.part), roster_revision_}};
+  StoreTransaction transaction = TransactionUnder(claim_);
+  transaction.conditions.push_back(
+      StoreCondition{cell_keys::Roster(claim_.part), roster_revision_});
   transaction.writes = {StoreWrite{cell_keys::Roster(claim_.part), text, std::nullopt}};
   const Outcome<Revision> written = Capture([&] { return context_.store->Commit(transaction); });
   if (!written.ok()) {
+    RecordStoreFailure(context_.events, "roster", written.error());
     RereadRoster();
     return false;
   }
@@ -432,9 +436,11 @@
   // lanes find out.
   const Outcome<std::optional<StoreEntry>> entry =
       Capture([this] { return context_.store->Get(cell_keys::Roster(claim_.part)); });
-  if (entry.ok()) {
-    roster_revision_ = entry.value().has_value() ? entry.value()->revision : Revision(0);
+  if (!entry.ok()) {
+    RecordStoreFailure(context_.events, "reading the roster back", entry.error());
+    return;
   }
+  roster_revision_ = entry.value().has_value() ? entry.value()->revision : Revision(0);
 }
 
 void PoolOwner::Purge() {
@@ -446,8 +452,7 @@
   if (expired.empty()) {
     return;
   }
-  StoreTransaction transaction;
-  transaction.conditions = {StoreCondition{cell_keys::Claim(claim_.part), claim_.revision}};
+  StoreTransaction transaction = TransactionUnder(claim_);
   for (const JobId& id : expired) {
     transaction.removals.push_back(cell_keys::Job(claim_.part, id));
     transaction.removals.push_back(cell_keys::Cancel(claim_.part, id));
@@ -455,7 +460,9 @@
   }
   // A later owner purges what remains after a failure.
   const Outcome<Revision> written = Capture([&] { return context_.store->Commit(transaction); });
-  (void)written;
+  if (!written.ok()) {
+    RecordStoreFailure(context_.events, "removal of finished jobs", written.error());
+  }
 }
 
 void PoolOwner::Depose(const char* reason) {
--- a/packages/cell/pool_part.cc
+++ b/packages/cell/pool_part.cc
@@ -8,14 +8,6 @@
 #include "absl/strings/str_split.h"
 
 namespace pomelotray {
-namespace {
-
-// An owner with 100 workers takes a quarter of a core at 250 task starts a second
-// (docs/CAPACITY.md); wide steps and spreading still have enough workers to choose from.
-constexpr size_t kWorkersPerPart = 300;
-
-}  // namespace
-
 uint64_t StableHash(const std::string& text) {
   // FNV-1a with a final mix, since the low bits of short names differ little.
   uint64_t hash = 14695981039346656037U;
@@ -60,8 +52,4 @@
   return parts;
 }
 
-int CountParts(size_t workers) {
-  return static_cast<int>(std::max<size_t>(1, (workers + kWorkersPerPart - 1) / kWorkersPerPart));
-}
-
 }  // namespace pomelotray
--- a/packages/cell/pool_part.h
+++ b/packages/cell/pool_part.h
@@ -30,9 +30,6 @@
   static std::vector<PoolPart> All(const PoolName& pool, int count);
 };
 
-// Parts for a pool of this many workers.
-int CountParts(size_t workers);
-
 // The same in every process and version, unlike absl::Hash.
 uint64_t StableHash(const std::string& text);
 
--- /dev/null
+++ b/packages/cell/relayed_write.cc
@@ -0,0 +1,89 @@
+#include "cell/relayed_write.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace pomelotray {
+namespace {
+
+// Longest wait for one instance: its own store client gives up after 0.8 s.
+constexpr absl::Duration kRelayTimeout = absl::Seconds(1);
+// An instance that is cut off and two that are starting leave one more to ask.
+constexpr size_t kMaxRelays = 4;
+// The shortest published outage, rounded down.
+constexpr absl::Duration kRetryAfter = absl::Seconds(2);
+
+// A relay that refuses the call, or that the call did not reach, has written nothing.
+bool MayHaveWritten(ErrorKind kind) {
+  return kind == ErrorKind::kOutcomeUnknown || kind == ErrorKind::kInternal;
+}
+
+// All members but this instance, each entry in an order of its own: with the same order for all,
+// the first member would carry the writes of every instance that the store turns away.
+std::vector<CellMember> RelaysFor(const std::string& key, const InstanceId& self,
+                                  const std::vector<CellMember>& members) {
+  std::vector<std::pair<uint64_t, CellMember>> ranked;
+  for (const CellMember& member : members) {
+    if (member.id != self) {
+      ranked.emplace_back(StableHash(key + "/" + member.id.value()), member);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<CellMember> relays;
+  for (size_t i = 0; i < std::min(ranked.size(), kMaxRelays); ++i) {
+    relays.push_back(std::move(ranked[i].second));
+  }
+  return relays;
+}
+
+}  // namespace
+
+RelayedWrite::RelayedWrite(InstanceId self, PeerPort* peers, const Clock* clock, EventLog* events)
+    : self_(std::move(self)), peers_(peers), clock_(clock), events_(events) {}
+
+Result<void> RelayedWrite::Create(const NewEntry& entry, const std::vector<CellMember>& members,
+                                  absl::Time deadline) const {
+  bool maybe_written = false;
+  for (const CellMember& relay : RelaysFor(entry.key, self_, members)) {
+    if (clock_->Now() >= deadline) {
+      break;
+    }
+    const Outcome<void> created = CreateAt(relay, entry, deadline);
+    if (created.ok()) {
+      return {};
+    }
+    LogFailure(relay, entry, created.error());
+    maybe_written = maybe_written || MayHaveWritten(created.error().kind);
+  }
+  if (maybe_written) {
+    return Fail(ErrorKind::kOutcomeUnknown,
+                "No instance confirmed the write in time; send the same request again.");
+  }
+  return Fail(ErrorKind::kStoreUnavailable,
+              "The store takes no writes at present; send the request again later.", kRetryAfter);
+}
+
+Outcome<void> RelayedWrite::CreateAt(const CellMember& member, const NewEntry& entry,
+                                     absl::Time deadline) const {
+  const nlohmann::json body = {
+      {"part", entry.part.value()}, {"key", entry.key}, {"value", entry.value}};
+  const absl::Duration timeout = std::min(kRelayTimeout, deadline - clock_->Now());
+  return Capture([&]() -> Result<void> {
+    BOOST_LEAF_CHECK(peers_->Call(member.peer_address, "create", body, timeout));
+    return {};
+  });
+}
+
+void RelayedWrite::LogFailure(const CellMember& member, const NewEntry& entry,
+                              const Error& error) const {
+  events_->Record(EventCode::kWriteRelayFailed)
+      .With("key", entry.key)
+      .With(event_field::kPeer, member.id.value())
+      .With("error", ErrorKindName(error.kind))
+      .With(event_field::kReason, error.message)
+      .Emit();
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/cell/relayed_write.h
@@ -0,0 +1,48 @@
+#ifndef POMELOTRAY_CELL_RELAYED_WRITE_H_
+#define POMELOTRAY_CELL_RELAYED_WRITE_H_
+
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "base/strong_id.h"
+#include "cell/part_assignment.h"
+#include "cell/pool_part.h"
+#include "ports/peer_port.h"
+
+namespace pomelotray {
+
+// An entry that is created once, for the owner of a part.
+struct NewEntry {
+  PartName part;
+  std::string key;
+  std::string value;
+};
+
+// Creates entries by way of other instances while the store does not answer this one. Logs each
+// instance that did not create the entry. Thread-safe.
+class RelayedWrite {
+ public:
+  RelayedWrite(InstanceId self, PeerPort* peers, const Clock* clock, EventLog* events);
+
+  // Errors: kStoreUnavailable when the entry certainly is not written and never will be,
+  // kOutcomeUnknown when it may be.
+  Result<void> Create(const NewEntry& entry, const std::vector<CellMember>& members,
+                      absl::Time deadline) const;
+
+ private:
+  Outcome<void> CreateAt(const CellMember& member, const NewEntry& entry,
+                         absl::Time deadline) const;
+  void LogFailure(const CellMember& member, const NewEntry& entry, const Error& error) const;
+
+  const InstanceId self_;
+  PeerPort* const peers_;
+  const Clock* const clock_;
+  EventLog* const events_;
+};
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_CELL_RELAYED_WRITE_H_
--- a/packages/ports/peer_port.h
+++ b/packages/ports/peer_port.h
@@ -16,7 +16,8 @@
 
 // Calls from this instance to others. A body is any JSON value; it travels as MessagePack. Errors:
 // kUnavailable when the call did not reach the peer, kOutcomeUnknown when it may have,
-// kDeadlineExceeded, and whatever the peer's handler answered.
+// kDeadlineExceeded when the timeout passed before the peer worked on it, and whatever the peer's
+// handler answered.
 class PeerPort {
  public:
   virtual ~PeerPort() = default;
