--- a/packages/cell/job_record.cc
+++ b/packages/cell/job_record.cc
@@ -291,6 +291,19 @@
                     [](const json& value) { return ReadState(value); });
 }
 
+Result<JobIntake> DecodeInherited(const JobId& id, const std::string& text,
+                                  const std::string& progress) {
+  if (!progress.empty()) {
+    BOOST_LEAF_AUTO(state, DecodeProgressState(progress));
+    if (IsFinal(state)) {
+      JobIntake finished;
+      finished.id = id;
+      return finished;
+    }
+  }
+  return DecodeIntake(id, text);
+}
+
 std::string EncodeRoster(const std::vector<RosterEntry>& roster) {
   json list = json::array();
   for (const RosterEntry& entry : roster) {
--- a/packages/cell/job_record.h
+++ b/packages/cell/job_record.h
@@ -28,6 +28,11 @@
 // Stored form of a job's progress (JSON): the state and, while it is not final, each step run that
 // has results.
 std::string EncodeProgress(const CellJob& job);
+// The intake of a job whose stored progress is `progress` (empty: none). A finished job is only
+// shown and purged, so its intake has the id alone: a new owner finds hundreds of them, and reading
+// their descriptions took it half a second in which nothing started.
+Result<JobIntake> DecodeInherited(const JobId& id, const std::string& text,
+                                  const std::string& progress);
 // Applies a stored progress to a job that MakeCellJob() built.
 Result<void> ApplyProgress(const std::string& text, CellJob* job);
 // The state alone.
--- a/packages/cell/pool_owner.cc
+++ b/packages/cell/pool_owner.cc
@@ -168,7 +168,10 @@
     if (absl::StartsWith(entry.key, cancel_prefix)) {
       cancelled.emplace_back(IdBelow(entry.key, cancel_prefix));
     } else if (absl::StartsWith(entry.key, job_prefix)) {
-      BOOST_LEAF_AUTO(job, DecodeIntake(JobId(IdBelow(entry.key, job_prefix)), entry.value));
+      const JobId id(IdBelow(entry.key, job_prefix));
+      const auto record = progress.find(id);
+      BOOST_LEAF_AUTO(
+          job, DecodeInherited(id, entry.value, record == progress.end() ? "" : record->second));
       jobs.push_back(std::move(job));
     }
   }
