cell: Backfill workers that are kept for large tasks

Change: a task starts in kept room when twice its estimate fits into the time until the worker should be free, by the progress or the estimates of what runs there (backfilling). Test: ScheduleRoundTest/ShortTasksRunInKeptRoomUntilItIsNeeded, red before.

Ruled out: the order of the classes stays as the operator's priorities say.

--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -16,6 +16,9 @@
 constexpr size_t kSpareRenewals = 2;
 // Share of the pool's workers that may be kept empty for large tasks; more would idle the pool.
 constexpr double kMaxKeptShare = 0.34;
+// Work backfills a worker that is kept for a large task when this many times its estimate fits into
+// the time until the worker should be free: estimates are up to 90% off.
+constexpr double kBackfillFactor = 2;
 // A task that needs this share of a worker is large: gaps of that size do not appear by themselves.
 constexpr double kLargeShare = 0.4;
 
@@ -54,6 +57,7 @@
   attempt->reserved = ReservedFor(step);
   attempt->serves = IsServing(step);
   attempt->fills = step.fills;
+  attempt->estimate = step.long_running ? absl::InfiniteDuration() : step.estimate;
 }
 
 bool IsStartable(const CellJob& job, const StepRun& run, absl::Time now) {
@@ -71,8 +75,12 @@
     : jobs_(jobs), now_(now) {
   for (const auto& [id, worker] : workers) {
     if (worker.AcceptsStarts(now)) {
-      rooms_.push_back(
-          Room{&worker, worker.Free(), false, worker.HasServing(), worker.HasFilling()});
+      Room room;
+      room.worker = &worker;
+      room.free = worker.Free();
+      room.serving = worker.HasServing();
+      room.filling = worker.HasFilling();
+      rooms_.push_back(room);
     }
   }
 }
@@ -133,12 +141,17 @@
 bool ScheduleRound::MayUse(const Candidate& candidate, const Room& room, bool with_ticket) const {
   const StepRun& run = candidate.job->runs[candidate.run];
   const StepSpec& step = candidate.job->Step(run);
-  return !room.kept && !(room.serving && step.fills) && !(room.filling && IsServing(step)) &&
-         room.worker->HasLabel(step.required_label) &&
+  return (!room.kept || EndsInTime(step, room)) && !(room.serving && step.fills) &&
+         !(room.filling && IsServing(step)) && room.worker->HasLabel(step.required_label) &&
          (!candidate.job->intake.policy.advice.has_value() ||
           HasTicket(run, room.worker->description.id, with_ticket));
 }
 
+bool ScheduleRound::EndsInTime(const StepSpec& step, const Room& room) const {
+  return !step.long_running && !step.gang &&
+         now_ + step.estimate * kBackfillFactor <= room.kept_until;
+}
+
 bool ScheduleRound::IsSpread(const StepSpec& step, const WorkerId& worker,
                              const TaskCounts& per_worker) {
   const auto used = per_worker.find(worker.value());
@@ -299,7 +312,7 @@
   const Resources needed = ReservedFor(candidate.job->Step(candidate.job->runs[candidate.run]));
   std::vector<Room*> usable;
   for (Room& room : rooms_) {
-    if (needed.FitsInto(room.worker->description.capacity) &&
+    if (!room.kept && needed.FitsInto(room.worker->description.capacity) &&
         MayUse(candidate, room, /*with_ticket=*/false)) {
       usable.push_back(&room);
     }
@@ -330,6 +343,7 @@
   kept_workers_ += kept.size();
   for (Room* room : kept) {
     room->kept = true;
+    room->kept_until = room->worker->ExpectedFree(needed, now_);
   }
 }
 
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -57,8 +57,10 @@
   struct Room {
     const CellWorker* worker = nullptr;
     Resources free;
-    // A step waits for this worker to empty: later steps do not start here.
+    // A step waits for this worker to empty: later steps do not start here, but for tasks that
+    // should end before it would be empty anyway (backfilling).
     bool kept = false;
+    absl::Time kept_until = absl::InfinitePast();
     // Filling work slows serving tasks on the same worker, so the two keep apart.
     bool serving = false;
     bool filling = false;
@@ -86,6 +88,8 @@
                  const TaskCounts& per_worker);
   // Whether the step may not have more tasks on this worker.
   static bool IsSpread(const StepSpec& step, const WorkerId& worker, const TaskCounts& per_worker);
+  // Whether a task that is started now should be over when the worker's kept room is needed.
+  bool EndsInTime(const StepSpec& step, const Room& room) const;
   bool IsLarge(const StepSpec& step) const;
   bool MayUse(const Candidate& candidate, const Room& room, bool with_ticket) const;
   bool HasTicket(const StepRun& run, const WorkerId& worker, bool valid) const;
--- a/packages/cell/worker_book.cc
+++ b/packages/cell/worker_book.cc
@@ -1,9 +1,46 @@
 #include "cell/worker_book.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace pomelotray {
 
+absl::Time Attempt::ExpectedEnd(absl::Time now) const {
+  if (estimate == absl::InfiniteDuration()) {
+    return absl::InfiniteFuture();
+  }
+  const bool confirmed =
+      confirmed_at != absl::InfiniteFuture() && confirmed_at != absl::InfinitePast();
+  if (!confirmed) {
+    return now + estimate;
+  }
+  if (percent > 0) {
+    return std::max(now, confirmed_at + (progress_at - confirmed_at) * 100.0 / percent);
+  }
+  return std::max(now, confirmed_at + estimate);
+}
+
+absl::Time CellWorker::ExpectedFree(const Resources& needed, absl::Time now) const {
+  std::vector<std::pair<absl::Time, Resources>> ends;
+  ends.reserve(attempts.size());
+  for (const auto& [key, attempt] : attempts) {
+    ends.emplace_back(attempt.ExpectedEnd(now), attempt.reserved);
+  }
+  std::sort(ends.begin(), ends.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  Resources free = Free();
+  absl::Time at = now;
+  for (const auto& [end, reserved] : ends) {
+    if (needed.FitsInto(free)) {
+      break;
+    }
+    free += reserved;
+    at = end;
+  }
+  return needed.FitsInto(free) ? at : absl::InfiniteFuture();
+}
+
 bool CellWorker::HasLabel(const std::string& label) const {
   return label.empty() || std::find(description.labels.begin(), description.labels.end(), label) !=
                               description.labels.end();
--- a/packages/cell/worker_book.h
+++ b/packages/cell/worker_book.h
@@ -33,6 +33,8 @@
   bool fills = false;
   // What it needs is unknown, so that nothing may start beside it.
   bool unknown_load = false;
+  // How long the attempt should run; infinite: until it is stopped.
+  absl::Duration estimate;
   AttemptPhase phase = AttemptPhase::kOrdered;
   // When the worker's confirmation of the start arrived.
   absl::Time confirmed_at = absl::InfiniteFuture();
@@ -45,6 +47,10 @@
   int percent = -1;
   absl::Time progress_at = absl::InfiniteFuture();
   std::string checkpoint;
+
+  // When the attempt should end by its progress or, before it reported any, by its estimate. Not
+  // before `now`: an attempt that takes longer may end at any time.
+  absl::Time ExpectedEnd(absl::Time now) const;
 };
 
 // An end that the worker lists until it is acknowledged.
@@ -87,6 +93,8 @@
   bool HasServing() const;
   bool HasFilling() const;
   Resources Free() const { return description.capacity - used; }
+  // When `needed` should be free, as running attempts end; the infinite future: never.
+  absl::Time ExpectedFree(const Resources& needed, absl::Time now) const;
 };
 
 }  // namespace pomelotray
--- a/tests/cell/schedule_round_test.cc
+++ b/tests/cell/schedule_round_test.cc
@@ -132,6 +132,27 @@
   BOOST_TEST(started[0].order.key.task == "urgent.0.0.0");
 }
 
+// Guards against idle accelerators: while a task that needs a whole worker waits for a long one to
+// end, short tasks run in the room that is kept for it (backfilling), and longer ones do not.
+BOOST_AUTO_TEST_CASE(ShortTasksRunInKeptRoomUntilItIsNeeded) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w1", 64'000, 100'000, 8)});
+  StepSpec occupying = Fixture::Step(1, 1000, 100, 4);
+  occupying.estimate = absl::Seconds(10);
+  fixture.AddJob(Fixture::Job("occupying", {occupying}, 2, /*priority=*/0));
+  BOOST_REQUIRE_EQUAL(Starts(fixture.Round()).size(), 1U);
+  fixture.AddJob(Fixture::Job("whole", {Fixture::Step(1, 1000, 100, 8)}, 2, /*priority=*/1));
+  StepSpec longer = Fixture::Step(1, 1000, 100, 1);
+  longer.estimate = absl::Seconds(8);
+  fixture.AddJob(Fixture::Job("longer", {longer}, 2, /*priority=*/2));
+  fixture.AddJob(Fixture::Job("short", {Fixture::Step(2, 1000, 100, 1)}, 2, /*priority=*/2));
+  const std::vector<SentOrder> started = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(started.size(), 2U);
+  for (const SentOrder& sent : started) {
+    BOOST_TEST(sent.order.key.task.rfind("short", 0) == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
