cell: Ask the adviser only about workers with room; renew more at once

Change: later questions name workers with room only; a renewal takes along other allowed workers within a quarter of the base time. Tests: ScheduleRoundTest/FullWorkersAreNotAskedAbout, RenewalCoversOtherAllowedWorkers, both red before.

--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -12,8 +12,10 @@
 // Fewest and most workers named in one question; the most is the adviser's own limit.
 constexpr size_t kMinAsked = 8;
 constexpr size_t kMaxAsked = 100;
-// Extra workers named when tickets are renewed, since rooms change while the answer is on its way.
-constexpr size_t kSpareRenewals = 2;
+// Share of a question's base time that may go into renewing tickets that are not needed now. Rooms
+// change while the answer is on its way, and a step that waits for room would ask for each by
+// itself.
+constexpr double kSpareRenewalShare = 0.25;
 // Share of the pool's workers that may be kept empty for large tasks; more would idle the pool.
 constexpr double kMaxKeptShare = 0.34;
 // Work backfills a worker that is kept for a large task when this many times its estimate fits into
@@ -27,6 +29,15 @@
   return DominantShare(left, capacity);
 }
 
+// How many workers a question may name so that they take `share` of its base time.
+size_t Affordable(const AdvicePolicy& policy, double share) {
+  if (policy.per_worker <= absl::ZeroDuration()) {
+    return kMaxAsked;
+  }
+  const double workers = absl::FDivDuration(policy.base, policy.per_worker) * share;
+  return std::min(kMaxAsked, static_cast<size_t>(workers));
+}
+
 // True when the steps that the run waits for are all at work and should end while a ticket that is
 // asked for now is still valid.
 bool WillStartSoon(const CellJob& job, const StepRun& run) {
@@ -361,11 +372,12 @@
   const StepRun& run = candidate.job->runs[candidate.run];
   const StepSpec& step = candidate.job->Step(run);
   const Resources needed = ReservedFor(step);
-  size_t spare = kSpareRenewals;
+  size_t spare = Affordable(*candidate.job->intake.policy.advice, kSpareRenewalShare);
   for (const Room& room : rooms_) {
     const WorkerId& id = room.worker->description.id;
-    if (spare > 0 && needed.FitsInto(room.free) && HasTicket(run, id, false) &&
-        !HasTicket(run, id, true) && !IsSpread(step, id, per_worker) && wanted.insert(id).second) {
+    if (spare > 0 && needed.FitsInto(room.worker->description.capacity) &&
+        HasTicket(run, id, false) && !HasTicket(run, id, true) && !IsSpread(step, id, per_worker) &&
+        wanted.insert(id).second) {
       --spare;
     }
   }
@@ -382,10 +394,14 @@
   const StepRun& run = candidate.job->runs[candidate.run];
   const StepSpec& step = candidate.job->Step(run);
   const Resources needed = ReservedFor(step);
+  // The first question covers workers that are full now. Later ones are worth a call only for room
+  // that the step would take at once: a full pool would make every waiting step ask again.
+  const bool first = run.advice.asked.empty();
   std::vector<std::pair<double, WorkerId>> others;
   for (const Room& room : rooms_) {
     const WorkerDescription& worker = room.worker->description;
-    if (run.advice.asked.count(worker.id) == 0 && needed.FitsInto(worker.capacity) &&
+    if (run.advice.asked.count(worker.id) == 0 &&
+        needed.FitsInto(first ? worker.capacity : room.free) &&
         room.worker->HasLabel(step.required_label)) {
       others.emplace_back(-DominantShare(room.free, worker.capacity), worker.id);
     }
@@ -394,12 +410,9 @@
     return;
   }
   // A question costs its base time anyway; naming workers up to the same time again is worthwhile.
-  const size_t affordable =
-      policy.per_worker > absl::ZeroDuration()
-          ? static_cast<size_t>(absl::FDivDuration(policy.base, policy.per_worker))
-          : kMaxAsked;
+  const size_t affordable = std::max(Affordable(policy, 1), kMinAsked);
   std::sort(others.begin(), others.end());
-  others.resize(std::min(others.size(), std::clamp(affordable, kMinAsked, kMaxAsked)));
+  others.resize(std::min(others.size(), affordable));
   std::vector<WorkerId> workers;
   workers.reserve(others.size());
   for (const auto& [score, id] : others) {
--- a/tests/cell/schedule_round_test.cc
+++ b/tests/cell/schedule_round_test.cc
@@ -7,6 +7,31 @@
 
 using Fixture = SchedulerFixture;
 
+// Jobs whose workers the adviser chooses.
+class AdvisedFixture : public Fixture {
+ public:
+  void AddAdvisedJob(const std::string& id, const StepSpec& step) {
+    JobIntake job = Job(id, {step});
+    job.policy.advice =
+        AdvicePolicy{absl::Milliseconds(15), absl::Milliseconds(1), absl::Seconds(2)};
+    AddJob(std::move(job));
+  }
+  // Runs a round that is to put `count` questions, and returns the last.
+  AdviceRequest Ask(size_t count) {
+    const ScheduledOrders scheduled = scheduler().Schedule(Now());
+    BOOST_REQUIRE_EQUAL(scheduled.advice.size(), count);
+    return count > 0 ? scheduled.advice.back() : AdviceRequest();
+  }
+  void Answer(const AdviceRequest& request, const std::vector<std::string>& allowed) {
+    Advice advice;
+    advice.validity = absl::Seconds(2);
+    for (const std::string& worker : allowed) {
+      advice.tickets[WorkerId(worker)] = "ticket";
+    }
+    scheduler().AdviceFinished(request, advice, Now());
+  }
+};
+
 BOOST_AUTO_TEST_SUITE(ScheduleRoundTest)
 
 // Guards against starvation of large jobs: small tasks of less urgent work would take each
@@ -73,6 +98,50 @@
   BOOST_TEST(Starts(fixture.Round()).size() == 1U);
 }
 
+// Guards against a herd of questions: when the pool is full, a step that waits for room does not
+// ask about further workers that are full as well, only about one that it could use at once.
+BOOST_AUTO_TEST_CASE(FullWorkersAreNotAskedAbout) {
+  AdvisedFixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w1", 1000)});
+  fixture.AddAdvisedJob("a", Fixture::Step(2, 1000));
+  fixture.Answer(fixture.Ask(1), {"w1"});
+  BOOST_REQUIRE_EQUAL(Starts(fixture.Round()).size(), 1U);
+  fixture.scheduler().UpdateDirectory({Fixture::Worker("w1", 1000), Fixture::Worker("w2", 1000)},
+                                      fixture.Now());
+  fixture.scheduler().ConfirmRoster({WorkerId("w2")});
+  fixture.Report("w2", {}, {});
+  fixture.AddJob(Fixture::Job("b", {Fixture::Step(1, 1000)}, 2, /*priority=*/0));
+  const std::vector<SentOrder> occupying = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(occupying.size(), 1U);
+  fixture.Ask(0);
+  fixture.Report("w2", {}, {{occupying[0].order.key, AttemptEnd::kSucceeded}});
+  const AdviceRequest request = fixture.Ask(1);
+  BOOST_REQUIRE_EQUAL(request.question.workers.size(), 1U);
+  BOOST_TEST(request.question.workers[0].value() == "w2");
+}
+
+// Guards against a question for each room that appears: one renewal covers other allowed workers,
+// too, within a quarter of the question's base time.
+BOOST_AUTO_TEST_CASE(RenewalCoversOtherAllowedWorkers) {
+  AdvisedFixture fixture;
+  fixture.AddWorkers(
+      {Fixture::Worker("w1", 1000), Fixture::Worker("w2", 1000), Fixture::Worker("w3", 1000)});
+  fixture.AddAdvisedJob("a", Fixture::Step(4, 1000));
+  fixture.Answer(fixture.Ask(1), {"w1", "w2", "w3"});
+  const std::vector<SentOrder> started = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(started.size(), 3U);
+  fixture.Advance(absl::Milliseconds(1900));
+  for (const SentOrder& sent : started) {
+    const bool ended = sent.worker.value() == "w1";
+    using Ends = std::vector<std::pair<AttemptKey, AttemptEnd>>;
+    fixture.Report(sent.worker.value(),
+                   ended ? std::vector<RunningAttempt>{}
+                         : std::vector<RunningAttempt>{Fixture::Running(sent.order.key, 10)},
+                   ended ? Ends{{sent.order.key, AttemptEnd::kSucceeded}} : Ends{});
+  }
+  BOOST_TEST(fixture.Ask(1).question.workers.size() == 3U);
+}
+
 // Guards against noisy neighbours: work that fills unused capacity slows tasks that serve users, so
 // the two never share a worker, whichever comes first.
 BOOST_AUTO_TEST_CASE(FillingWorkKeepsAwayFromServingTasks) {
