cell: Keep the owner of a large pool out of congestion collapse

Lanes and sessions wait apart now. - A round cost each waiting step a search of all 252 workers, twice, with a look into two ordered maps each. It looks at the allowed workers only, once; finished jobs are not passed over any more; the sort does not copy ids. - Rounds had no share: the next one followed after 8 ms. They rest three times as long as they took. - In the order of the objectives alone, an overload makes every job late (domino effect): of one priority, steps that can still be in time go first now. - Lock-order checks, which Debian's Abseil has compiled in, are off in the shipped program. Tests: ScheduleRoundTest/WaitingStepsCostWhatTheyMayUse, LateJobsWaitBehindThoseThatCanBeInTime.

Ruled out: the advice desk (no lane leaked), failures of tasks (no job ended failed).

--- a/packages/cell/cell_job.cc
+++ b/packages/cell/cell_job.cc
@@ -12,6 +12,8 @@
 
 // A job that took three times its objective no longer earns anything (the contract's rule).
 constexpr int kWorthlessFactor = 3;
+// Share of its estimate that a step takes at least: estimates are up to 90% off, most up to 50%.
+constexpr double kLeastRunTime = 0.5;
 
 }  // namespace
 
@@ -19,6 +21,9 @@
   CellJob job;
   const WorkflowSpec& spec = intake.spec;
   const int occurrences = std::max(spec.occurrences, 1);
+  const absl::Duration objective =
+      CriticalPath(spec) * intake.policy.stretch + intake.policy.target_latency;
+  const std::vector<absl::Duration> paths = PathsToEnd(spec);
   for (int occurrence = 0; occurrence < occurrences; ++occurrence) {
     for (size_t step = 0; step < spec.steps.size(); ++step) {
       StepRun run;
@@ -27,13 +32,13 @@
       if (spec.occurrences > 0) {
         run.due = spec.first_due + spec.interval * occurrence;
       }
+      const absl::Time begins = spec.occurrences > 0 ? run.due : intake.accepted;
+      run.latest_start = begins + objective - paths[step] * kLeastRunTime;
       run.tasks.resize(spec.steps[step].task_count);
       run.waiting = spec.steps[step].task_count;
       job.runs.push_back(std::move(run));
     }
   }
-  const absl::Duration objective =
-      CriticalPath(spec) * intake.policy.stretch + intake.policy.target_latency;
   const absl::Time start = spec.occurrences > 0 ? spec.first_due : intake.accepted;
   job.objective = start + objective;
   job.worthless_after = start + objective * kWorthlessFactor;
--- a/packages/cell/cell_job.h
+++ b/packages/cell/cell_job.h
@@ -68,6 +68,8 @@
   int occurrence = 0;
   int step = 0;
   absl::Time due = absl::InfinitePast();
+  // A step that starts later will hardly end its job, or its occurrence, within the objective.
+  absl::Time latest_start = absl::InfiniteFuture();
   std::vector<CellTask> tasks;
   int succeeded = 0;
   int waiting = 0;
--- a/packages/cell/pool_owner.cc
+++ b/packages/cell/pool_owner.cc
@@ -12,6 +12,9 @@
 
 // Events within this time are answered by one scheduling round.
 constexpr absl::Duration kRoundInterval = absl::Milliseconds(8);
+// Rest after a round, in times of the round. Rounds get longer as more steps wait; without a rest
+// they would take the processor from the reports that end the waiting (congestion collapse).
+constexpr double kRestPerRound = 3;
 // Rounds without an event, for what becomes due, stalls or runs out.
 constexpr absl::Duration kIdleRound = absl::Milliseconds(200);
 // Ends within this time share a transaction.
@@ -68,6 +71,7 @@
   serving_ = false;
   changed_.SignalAll();
   work_.SignalAll();
+  to_store_.SignalAll();
   stored_.SignalAll();
   for (const auto& [id, session] : sessions_) {
     session->RequestStop();
@@ -231,7 +235,7 @@
   wake_ = true;
   ++change_count_;
   work_.Signal();
-  stored_.SignalAll();
+  to_store_.SignalAll();
 }
 
 void PoolOwner::ScheduleLoop() {
@@ -250,8 +254,10 @@
     if (!WaitForPermission()) {
       return;
     }
+    const absl::Time begun = context_.clock->Now();
     ScheduleOnce();
-    if (!Pause(kRoundInterval)) {
+    const absl::Duration took = context_.clock->Now() - begun;
+    if (!Pause(std::max(kRoundInterval, took * kRestPerRound))) {
       return;
     }
   }
@@ -298,7 +304,7 @@
     {
       absl::MutexLock lock(&mutex_);
       while (!halted_ && records.empty() && seen == change_count_) {
-        stored_.Wait(&mutex_);
+        to_store_.Wait(&mutex_);
       }
       if (halted_) {
         return;
@@ -326,6 +332,7 @@
     absl::MutexLock lock(&mutex_);
     scheduler_.Committed(*records);
     records->clear();
+    // A full batch may have left changes of this lane.
     ++change_count_;
     stored_.SignalAll();
     return true;
--- a/packages/cell/pool_owner.h
+++ b/packages/cell/pool_owner.h
@@ -111,8 +111,10 @@
 
   mutable absl::Mutex mutex_;
   absl::CondVar changed_;
-  // For the sessions' threads and the loops, which wait for different things.
+  // For the scheduling loop, the lanes, and the sessions that wait for an end to be stored. Apart,
+  // since each report would otherwise wake every waiting session (thundering herd).
   absl::CondVar work_;
+  absl::CondVar to_store_;
   absl::CondVar stored_;
   bool halted_ ABSL_GUARDED_BY(mutex_) = false;
   bool serving_ ABSL_GUARDED_BY(mutex_) = false;
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -58,7 +58,10 @@
     if (IsFinal(job.state)) {
       job.final_since = now;
     }
-    jobs_.emplace(id, std::move(job));
+    const auto added = jobs_.emplace(id, std::move(job)).first;
+    if (!IsFinal(added->second.state)) {
+      open_jobs_.emplace(id, &added->second);
+    }
   }
   for (const RosterEntry& entry : roster) {
     CellWorker& worker = WorkerFor(entry.worker);
@@ -134,7 +137,7 @@
       .Emit();
   CellJob job = MakeCellJob(std::move(intake));
   job.inherited = now < stale_owner_until_;
-  jobs_.emplace(id, std::move(job));
+  open_jobs_.emplace(id, &jobs_.emplace(id, std::move(job)).first->second);
 }
 
 void PoolScheduler::CancelJob(const JobId& id, absl::Time now) {
@@ -212,6 +215,7 @@
                            const std::string& reason) {
   job->state = state;
   job->final_since = now;
+  open_jobs_.erase(job->intake.id);
   Touch(job);
   WantStops(*job);
   events_->Record(EventCode::kJobFinished)
@@ -348,8 +352,9 @@
   ScheduledOrders result;
   RoundResult round;
   if (may_start) {
-    round = ScheduleRound(jobs_, workers_, now).Run(InheritedMayStart(now));
+    round = ScheduleRound(open_jobs_, workers_, now).Run(InheritedMayStart(now));
   }
+  result.rooms_considered = round.rooms_considered;
   // The members of a gang see each other's old numbers, so a gang's tasks begin together.
   for (const PlacedTask& placed : round.placed) {
     BeginAttempt(placed, now, &result);
@@ -465,9 +470,9 @@
 
 std::map<std::string, int64_t> PoolScheduler::PendingByQueue() const {
   std::map<std::string, int64_t> pending;
-  for (const auto& [id, job] : jobs_) {
-    if (job.state == CellJobState::kQueued && !job.cancel_requested) {
-      ++pending[job.intake.policy.name];
+  for (const auto& [id, job] : open_jobs_) {
+    if (job->state == CellJobState::kQueued && !job->cancel_requested) {
+      ++pending[job->intake.policy.name];
     }
   }
   return pending;
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -44,6 +44,8 @@
 struct ScheduledOrders {
   std::vector<std::pair<WorkerId, WorkerOrder>> orders;
   std::vector<AdviceRequest> advice;
+  // Cost of the round: how many times a worker was considered for a task.
+  int64_t rooms_considered = 0;
 };
 
 // Everything that the owner of a pool's part knows and decides: jobs, workers, attempts. Has no
@@ -163,6 +165,8 @@
   // Numbers of this owner's attempts are above those of all earlier owners.
   const RunNumber first_run_;
   std::map<JobId, CellJob> jobs_;
+  // Those that are not final: a day leaves ten finished jobs for each open one.
+  std::map<JobId, const CellJob*> open_jobs_;
   std::map<WorkerId, CellWorker> workers_;
   absl::flat_hash_set<JobId> changed_;
   // Workers of the inherited roster that have not reported yet.
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -81,7 +81,7 @@
                      [&](int step) { return job.runs[first + step].IsDone(); });
 }
 
-ScheduleRound::ScheduleRound(const std::map<JobId, CellJob>& jobs,
+ScheduleRound::ScheduleRound(const std::map<JobId, const CellJob*>& jobs,
                              const std::map<WorkerId, CellWorker>& workers, absl::Time now)
     : jobs_(jobs), now_(now) {
   for (const auto& [id, worker] : workers) {
@@ -91,6 +91,7 @@
       room.free = worker.Free();
       room.serving = worker.HasServing();
       room.filling = worker.HasFilling();
+      room_of_[worker.description.id.value()] = rooms_.size();
       rooms_.push_back(room);
     }
   }
@@ -98,20 +99,22 @@
 
 void ScheduleRound::Collect(bool inherited_allowed) {
   for (const auto& [id, job] : jobs_) {
-    if (IsFinal(job.state) || job.cancel_requested || (job.inherited && !inherited_allowed)) {
+    if (job->cancel_requested || (job->inherited && !inherited_allowed)) {
       continue;
     }
-    for (size_t i = 0; i < job.runs.size(); ++i) {
-      if (IsStartable(job, job.runs[i], now_)) {
-        candidates_.push_back(Candidate{&job, static_cast<int>(i)});
-      } else if (WillStartSoon(job, job.runs[i])) {
-        upcoming_.push_back(Candidate{&job, static_cast<int>(i)});
+    for (size_t i = 0; i < job->runs.size(); ++i) {
+      if (IsStartable(*job, job->runs[i], now_)) {
+        candidates_.push_back(Candidate{job, static_cast<int>(i)});
+      } else if (WillStartSoon(*job, job->runs[i])) {
+        upcoming_.push_back(Candidate{job, static_cast<int>(i)});
       }
     }
   }
+  // Refers to the ids: copies of them would be most of the time of the sort.
   const auto key = [this](const Candidate& c) {
-    return std::make_tuple(c.job->worthless_after < now_, c.job->intake.policy.priority,
-                           c.job->objective, c.job->intake.id.value(), c.run);
+    return std::tuple<bool, int, bool, absl::Time, const JobId&, int>(
+        c.job->worthless_after < now_, c.job->intake.policy.priority,
+        c.job->runs[c.run].latest_start < now_, c.job->objective, c.job->intake.id, c.run);
   };
   std::sort(candidates_.begin(), candidates_.end(),
             [&key](const Candidate& a, const Candidate& b) { return key(a) < key(b); });
@@ -144,18 +147,40 @@
   }
 }
 
+bool ScheduleRound::IsValid(const StepAdvice::Ticket& ticket) const {
+  return ticket.expires > now_ + kTicketMargin;
+}
+
 bool ScheduleRound::HasTicket(const StepRun& run, const WorkerId& worker, bool valid) const {
   const auto it = run.advice.allowed.find(worker);
-  return it != run.advice.allowed.end() && (!valid || it->second.expires > now_ + kTicketMargin);
+  return it != run.advice.allowed.end() && (!valid || IsValid(it->second));
+}
+
+bool ScheduleRound::MayUse(const StepSpec& step, const Room& room) const {
+  return (!room.kept || EndsInTime(step, room)) && !(room.serving && step.fills) &&
+         !(room.filling && IsServing(step)) && room.worker->HasLabel(step.required_label);
 }
 
-bool ScheduleRound::MayUse(const Candidate& candidate, const Room& room, bool with_ticket) const {
+std::vector<ScheduleRound::Option> ScheduleRound::OptionsFor(const Candidate& candidate) {
   const StepRun& run = candidate.job->runs[candidate.run];
   const StepSpec& step = candidate.job->Step(run);
-  return (!room.kept || EndsInTime(step, room)) && !(room.serving && step.fills) &&
-         !(room.filling && IsServing(step)) && room.worker->HasLabel(step.required_label) &&
-         (!candidate.job->intake.policy.advice.has_value() ||
-          HasTicket(run, room.worker->description.id, with_ticket));
+  std::vector<Option> options;
+  if (!candidate.job->intake.policy.advice.has_value()) {
+    for (Room& room : rooms_) {
+      if (MayUse(step, room)) {
+        options.push_back(Option{&room, /*has_ticket=*/true});
+      }
+    }
+    return options;
+  }
+  options.reserve(run.advice.allowed.size());
+  for (const auto& [id, ticket] : run.advice.allowed) {
+    const auto index = room_of_.find(id.value());
+    if (index != room_of_.end() && MayUse(step, rooms_[index->second])) {
+      options.push_back(Option{&rooms_[index->second], IsValid(ticket)});
+    }
+  }
+  return options;
 }
 
 bool ScheduleRound::EndsInTime(const StepSpec& step, const Room& room) const {
@@ -170,24 +195,25 @@
 }
 
 ScheduleRound::Room* ScheduleRound::FindRoom(const Candidate& candidate, const CellTask& task,
-                                             bool with_ticket, const TaskCounts& per_worker) {
+                                             const std::vector<Option>& options, bool with_ticket,
+                                             const TaskCounts& per_worker) {
   const StepSpec& step = candidate.job->Step(candidate.job->runs[candidate.run]);
   const Resources needed = ReservedFor(step);
   Room* best = nullptr;
   std::tuple<bool, bool, double> best_score;
-  for (Room& room : rooms_) {
-    const WorkerDescription& worker = room.worker->description;
-    if (!needed.FitsInto(room.free) || !MayUse(candidate, room, with_ticket)) {
-      continue;
-    }
-    if (IsSpread(step, worker.id, per_worker)) {
+  result_.rooms_considered += static_cast<int64_t>(options.size());
+  for (const Option& option : options) {
+    Room* const room = option.room;
+    const WorkerDescription& worker = room->worker->description;
+    if ((with_ticket && !option.has_ticket) || !needed.FitsInto(room->free) ||
+        IsSpread(step, worker.id, per_worker)) {
       continue;
     }
     const std::tuple<bool, bool, double> score(worker.id == task.avoid,
-                                               !room.worker->HasLabel(step.preferred_rack),
-                                               LeftoverScore(room.free - needed, worker.capacity));
+                                               !room->worker->HasLabel(step.preferred_rack),
+                                               LeftoverScore(room->free - needed, worker.capacity));
     if (best == nullptr || score < best_score) {
-      best = &room;
+      best = room;
       best_score = score;
     }
   }
@@ -205,19 +231,20 @@
       }
     }
   }
+  const std::vector<Option> options = OptionsFor(candidate);
   bool with_ticket = true;
   bool full = false;
   int first_missing = 0;
   std::set<WorkerId> to_renew;
   for (const int index : waiting) {
     const CellTask& task = run.tasks[index];
-    Room* room = with_ticket ? FindRoom(candidate, task, true, per_worker) : nullptr;
+    Room* room = with_ticket ? FindRoom(candidate, task, options, true, per_worker) : nullptr;
     if (room != nullptr) {
       result_.placed.push_back(Place(candidate, index, *room));
     } else {
       // Room that the step will take once its tickets are renewed is kept from later steps.
       with_ticket = false;
-      room = FindRoom(candidate, task, false, per_worker);
+      room = FindRoom(candidate, task, options, false, per_worker);
       if (room == nullptr) {
         full = true;
         first_missing = index;
@@ -287,13 +314,14 @@
 void ScheduleRound::PlaceGang(const Candidate& candidate, const std::vector<int>& waiting) {
   const StepRun& run = candidate.job->runs[candidate.run];
   const StepSpec& step = candidate.job->Step(run);
+  const std::vector<Option> options = OptionsFor(candidate);
   for (const bool with_ticket : {true, false}) {
     const std::vector<Room> before = rooms_;
     TaskCounts per_worker;
     std::vector<PlacedTask> placed;
     std::set<WorkerId> used;
     for (const int index : waiting) {
-      Room* room = FindRoom(candidate, run.tasks[index], with_ticket, per_worker);
+      Room* room = FindRoom(candidate, run.tasks[index], options, with_ticket, per_worker);
       if (room == nullptr) {
         break;
       }
@@ -322,10 +350,9 @@
   }
   const Resources needed = ReservedFor(candidate.job->Step(candidate.job->runs[candidate.run]));
   std::vector<Room*> usable;
-  for (Room& room : rooms_) {
-    if (!room.kept && needed.FitsInto(room.worker->description.capacity) &&
-        MayUse(candidate, room, /*with_ticket=*/false)) {
-      usable.push_back(&room);
+  for (const Option& option : OptionsFor(candidate)) {
+    if (!option.room->kept && needed.FitsInto(option.room->worker->description.capacity)) {
+      usable.push_back(option.room);
     }
   }
   // The emptiest workers become free for the gang first.
@@ -400,9 +427,8 @@
   std::vector<std::pair<double, WorkerId>> others;
   for (const Room& room : rooms_) {
     const WorkerDescription& worker = room.worker->description;
-    if (run.advice.asked.count(worker.id) == 0 &&
-        needed.FitsInto(first ? worker.capacity : room.free) &&
-        room.worker->HasLabel(step.required_label)) {
+    if (needed.FitsInto(first ? worker.capacity : room.free) &&
+        room.worker->HasLabel(step.required_label) && run.advice.asked.count(worker.id) == 0) {
       others.emplace_back(-DominantShare(room.free, worker.capacity), worker.id);
     }
   }
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -34,17 +35,22 @@
   std::vector<AdviceRequest> advice;
   // Workers whose filling work has to stop, because a serving task finds no room elsewhere.
   std::vector<WorkerId> to_clear;
+  // How many times a room was considered for a task; the cost of the round.
+  int64_t rooms_considered = 0;
 };
 
 // One pass over all waiting tasks of a pool: decides what starts where. Reads the jobs and workers
-// and changes neither. Steps are taken by lateness, priority and objective; a step that waits for
-// renewed tickets keeps room from later steps, and a gang or a large task that does not fit keeps
-// later work off workers that it could use, since small tasks would fill each gap for ever
+// and changes neither. Steps are taken by priority and objective. Of one priority, those that can
+// still meet their objective go first: in the order of the objectives alone, an overload makes
+// every job late (domino effect). Jobs that are worth nothing any more come last. A step that waits
+// for renewed tickets keeps room from later steps, and a gang or a large task that does not fit
+// keeps later work off workers that it could use, since small tasks would fill each gap for ever
 // (starvation of large jobs).
 class ScheduleRound {
  public:
-  ScheduleRound(const std::map<JobId, CellJob>& jobs, const std::map<WorkerId, CellWorker>& workers,
-                absl::Time now);
+  // `jobs`: those that are not final.
+  ScheduleRound(const std::map<JobId, const CellJob*>& jobs,
+                const std::map<WorkerId, CellWorker>& workers, absl::Time now);
 
   // `inherited_allowed`: tasks of inherited jobs without a known attempt may start.
   RoundResult Run(bool inherited_allowed);
@@ -66,6 +72,12 @@
     bool filling = false;
   };
 
+  // A room that a step may use.
+  struct Option {
+    Room* room = nullptr;
+    bool has_ticket = false;
+  };
+
   // Tasks of one step on each worker.
   using TaskCounts = absl::flat_hash_map<std::string, int>;
 
@@ -82,16 +94,21 @@
 
   void Take(const StepSpec& step, Room* room) const;
   PlacedTask Place(const Candidate& candidate, int task, const Room& room) const;
-  // The best room for one task, or null. With `with_ticket`, the step's ticket must still be valid;
+  // Rooms that the step may use, full or not. Looks at allowed workers only: their number does not
+  // grow with the pool.
+  std::vector<Option> OptionsFor(const Candidate& candidate);
+  // The best room for one task, or null. With `with_ticket`, its ticket must still be valid;
   // otherwise it is enough that the worker is known to be allowed.
-  Room* FindRoom(const Candidate& candidate, const CellTask& task, bool with_ticket,
+  Room* FindRoom(const Candidate& candidate, const CellTask& task,
+                 const std::vector<Option>& options, bool with_ticket,
                  const TaskCounts& per_worker);
   // Whether the step may not have more tasks on this worker.
   static bool IsSpread(const StepSpec& step, const WorkerId& worker, const TaskCounts& per_worker);
   // Whether a task that is started now should be over when the worker's kept room is needed.
   bool EndsInTime(const StepSpec& step, const Room& room) const;
   bool IsLarge(const StepSpec& step) const;
-  bool MayUse(const Candidate& candidate, const Room& room, bool with_ticket) const;
+  bool MayUse(const StepSpec& step, const Room& room) const;
+  bool IsValid(const StepAdvice::Ticket& ticket) const;
   bool HasTicket(const StepRun& run, const WorkerId& worker, bool valid) const;
   // Renews the tickets of the workers that the step would use now and, beyond them, a few others.
   void RenewTickets(const Candidate& candidate, std::set<WorkerId> wanted,
@@ -101,9 +118,11 @@
   bool MayAsk(const Candidate& candidate) const;
   void Ask(const Candidate& candidate, std::vector<WorkerId> workers);
 
-  const std::map<JobId, CellJob>& jobs_;
+  const std::map<JobId, const CellJob*>& jobs_;
   const absl::Time now_;
   std::vector<Room> rooms_;
+  // Indices into rooms_ by the worker's id.
+  absl::flat_hash_map<std::string_view, size_t> room_of_;
   std::vector<Candidate> candidates_;
   // Steps that will be ready soon.
   std::vector<Candidate> upcoming_;
--- a/packages/cell/workflow.cc
+++ b/packages/cell/workflow.cc
@@ -91,19 +91,27 @@
   return {};
 }
 
-absl::Duration CriticalPath(const WorkflowSpec& spec) {
-  std::vector<absl::Duration> finish(spec.steps.size(), absl::ZeroDuration());
-  absl::Duration longest;
-  // Each round settles at least the steps whose dependencies are settled.
+std::vector<absl::Duration> PathsToEnd(const WorkflowSpec& spec) {
+  std::vector<absl::Duration> paths(spec.steps.size(), absl::ZeroDuration());
+  // Each round settles at least the steps whose successors are settled.
   for (size_t round = 0; round < spec.steps.size(); ++round) {
+    std::vector<absl::Duration> after(spec.steps.size(), absl::ZeroDuration());
     for (size_t i = 0; i < spec.steps.size(); ++i) {
-      absl::Duration start;
       for (const int earlier : spec.steps[i].after) {
-        start = std::max(start, finish[earlier]);
+        after[earlier] = std::max(after[earlier], paths[i]);
       }
-      finish[i] = start + spec.steps[i].estimate;
-      longest = std::max(longest, finish[i]);
     }
+    for (size_t i = 0; i < spec.steps.size(); ++i) {
+      paths[i] = spec.steps[i].estimate + after[i];
+    }
+  }
+  return paths;
+}
+
+absl::Duration CriticalPath(const WorkflowSpec& spec) {
+  absl::Duration longest;
+  for (const absl::Duration path : PathsToEnd(spec)) {
+    longest = std::max(longest, path);
   }
   return longest;
 }
--- a/packages/cell/workflow.h
+++ b/packages/cell/workflow.h
@@ -68,6 +68,8 @@
 // depend on each other in a cycle.
 Result<void> CheckWorkflow(const WorkflowSpec& spec, const WorkflowLimits& limits);
 
+// Estimated time from the start of each step to the end of the workflow.
+std::vector<absl::Duration> PathsToEnd(const WorkflowSpec& spec);
 // Sum over the longest dependency path of the steps' estimates.
 absl::Duration CriticalPath(const WorkflowSpec& spec);
 
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/synchronization/mutex.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_settings.h"
 #include "platform/platform_node.h"
@@ -79,6 +80,9 @@
 
 int main(int argc, char** argv) {
   const std::vector<std::string> arguments(argv + 1, argv + argc);
+  // Debian builds Abseil with its lock-order checks, which cost time at each lock. The tests with
+  // ThreadSanitizer check the order.
+  absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
   // The platform's settings file replaces all flags.
   if (!arguments.empty() && arguments[0] == "platform") {
     const bool check_only = arguments.size() > 1 && arguments[1] == "--check-settings";
--- a/tests/cell/schedule_round_test.cc
+++ b/tests/cell/schedule_round_test.cc
@@ -98,6 +98,33 @@
   BOOST_TEST(Starts(fixture.Round()).size() == 1U);
 }
 
+// Guards against congestion collapse: the cost of a round for a step that waits grows with the
+// workers that the adviser allows (at most 15 here), not with the pool. Load: 252 workers, all
+// full, 50 waiting steps of ten tasks.
+BOOST_AUTO_TEST_CASE(WaitingStepsCostWhatTheyMayUse) {
+  AdvisedFixture fixture;
+  std::vector<WorkerDescription> workers;
+  for (int i = 0; i < 252; ++i) {
+    workers.push_back(Fixture::Worker("w" + std::to_string(i), 1000));
+  }
+  fixture.AddWorkers(workers);
+  fixture.AddJob(Fixture::Job("fill", {Fixture::Step(252, 1000)}, 2, /*priority=*/0));
+  BOOST_REQUIRE_EQUAL(Starts(fixture.Round()).size(), 252U);
+  for (int i = 0; i < 50; ++i) {
+    fixture.AddAdvisedJob("j" + std::to_string(i), Fixture::Step(10, 1000));
+  }
+  for (const AdviceRequest& request : fixture.scheduler().Schedule(fixture.Now()).advice) {
+    std::vector<std::string> allowed;
+    for (const WorkerId& worker : request.question.workers) {
+      allowed.push_back(worker.value());
+    }
+    BOOST_REQUIRE(allowed.size() <= 15U);
+    fixture.Answer(request, allowed);
+  }
+  // Once with and once without a valid ticket.
+  BOOST_TEST(fixture.scheduler().Schedule(fixture.Now()).rooms_considered <= 50 * 2 * 15);
+}
+
 // Guards against a herd of questions: when the pool is full, a step that waits for room does not
 // ask about further workers that are full as well, only about one that it could use at once.
 BOOST_AUTO_TEST_CASE(FullWorkersAreNotAskedAbout) {
@@ -222,6 +249,23 @@
   }
 }
 
+// Guards against the domino effect in an overload: a job that is late anyway does not make the next
+// one late as well.
+BOOST_AUTO_TEST_CASE(LateJobsWaitBehindThoseThatCanBeInTime) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w1", 1000)});
+  fixture.AddJob(Fixture::Job("late", {Fixture::Step(1, 1000)}));
+  // Its objective is 3 s.
+  fixture.Advance(absl::Seconds(4));
+  JobIntake fresh = Fixture::Job("fresh", {Fixture::Step(1, 1000)});
+  fresh.accepted = fixture.Now();
+  fixture.AddJob(std::move(fresh));
+  fixture.Report("w1", {});
+  const std::vector<SentOrder> started = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(started.size(), 1U);
+  BOOST_TEST(started[0].order.key.task == "fresh.0.0.0");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
