base: Format no log lines over the rate

The owner of a large pool drops hundreds of informational lines in a burst, just when its processor is full; each was formatted first.

--- a/packages/base/stream_log.cc
+++ b/packages/base/stream_log.cc
@@ -53,15 +53,31 @@
   return ++window_lines_ <= limits_.max_lines_per_second || level != EventLevel::kInfo;
 }
 
+bool StreamLog::Admit(EventLevel level) {
+  absl::MutexLock lock(&mutex_);
+  const bool admitted = WithinRate(level);
+  if (!admitted) {
+    CountDrop();
+  }
+  return admitted;
+}
+
+void StreamLog::CountDrop() {
+  ++dropped_;
+  ++unreported_drops_;
+}
+
 void StreamLog::Append(const Event& event) {
+  // Lines over the rate are not formatted: they come when the processor is busiest.
+  if (!Admit(DescribeEvent(event.code).level)) {
+    return;
+  }
   const nlohmann::json json = event;
   const std::string line =
       json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
   absl::MutexLock lock(&mutex_);
-  if (!WithinRate(DescribeEvent(event.code).level) ||
-      buffer_.size() + line.size() > limits_.max_buffered_bytes) {
-    ++dropped_;
-    ++unreported_drops_;
+  if (buffer_.size() + line.size() > limits_.max_buffered_bytes) {
+    CountDrop();
     return;
   }
   const bool was_empty = buffer_.empty();
--- a/packages/base/stream_log.h
+++ b/packages/base/stream_log.h
@@ -35,6 +35,9 @@
 
  private:
   void Append(const Event& event);
+  // False when the line is over the rate; it is then counted as dropped.
+  bool Admit(EventLevel level);
+  void CountDrop() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   bool WithinRate(EventLevel level) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void Run();
   // Returns false when the descriptor takes no more.
