cell: Settle starts without an answer by a report right after the stop

An attempt that it does not list can no longer begin. Test: PoolSchedulerTest/ReportAfterTheStopSettlesAStartWithoutAnswer.

--- a/packages/cell/pool_owner.h
+++ b/packages/cell/pool_owner.h
@@ -73,6 +73,8 @@
                     absl::Time received) override;
   std::optional<WorkerTime> PrepareStart(const WorkerId& id, const AttemptKey& key) override;
   FencingToken token() const override { return FencingToken(claim_.term); }
+  void StopChecked(const WorkerId& id, const AttemptKey& key, const WorkerReport& report,
+                   absl::Time sent) override;
   void OrderAnswered(const WorkerId& id, const WorkerOrder& order,
                      const OrderOutcome& outcome) override;
 
--- a/packages/cell/pool_owner_sessions.cc
+++ b/packages/cell/pool_owner_sessions.cc
@@ -72,6 +72,14 @@
   return scheduler_.PrepareStart(id, key, context_.clock->Now());
 }
 
+void PoolOwner::StopChecked(const WorkerId& id, const AttemptKey& key, const WorkerReport& report,
+                            absl::Time sent) {
+  absl::MutexLock lock(&mutex_);
+  if (!halted_ && scheduler_.StopChecked(id, key, report, sent)) {
+    Wake();
+  }
+}
+
 void PoolOwner::OrderAnswered(const WorkerId& id, const WorkerOrder& order,
                               const OrderOutcome& outcome) {
   {
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -343,6 +343,7 @@
     WorkerOrder order;
     order.kind = WorkerOrder::Kind::kStop;
     order.key = key;
+    order.check = attempt.phase == AttemptPhase::kUncertain;
     result->orders.emplace_back(worker->description.id, std::move(order));
   }
 }
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -39,6 +39,8 @@
   std::string payload;
   std::string checkpoint;
   std::string ticket;
+  // After a stop: ask at once whether the attempt ever began.
+  bool check = false;
 };
 
 struct ScheduledOrders {
@@ -82,6 +84,11 @@
   void WorkerReplaced(const WorkerId& id, absl::Time now);
   void StartFinished(const WorkerId& id, const AttemptKey& key, const OrderOutcome& outcome,
                      absl::Time now);
+  // A report that was asked for, at `sent`, after the stop of a start without an answer had been
+  // confirmed: an attempt that it does not list can no longer begin. Returns whether it was
+  // dropped.
+  bool StopChecked(const WorkerId& id, const AttemptKey& key, const WorkerReport& report,
+                   absl::Time sent);
   void StopFinished(const WorkerId& id, const AttemptKey& key, const OrderOutcome& outcome,
                     absl::Time now);
   // No value: the question failed and may be asked again.
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -416,6 +416,28 @@
   DropAttempt(worker, key, "the start was refused", true);
 }
 
+bool PoolScheduler::StopChecked(const WorkerId& id, const AttemptKey& key,
+                                const WorkerReport& report, absl::Time sent) {
+  CellWorker* worker = FindWorker(id);
+  const auto it =
+      worker == nullptr ? std::map<AttemptKey, Attempt>::iterator() : worker->attempts.find(key);
+  if (worker == nullptr || it == worker->attempts.end()) {
+    return false;
+  }
+  const Attempt& attempt = it->second;
+  const auto is_key = [&key](const auto& entry) { return entry.key == key; };
+  const bool listed = attempt.listed ||
+                      std::any_of(report.running.begin(), report.running.end(), is_key) ||
+                      std::any_of(report.ended.begin(), report.ended.end(), is_key);
+  // What is listed is settled by the reports of the holds, which also acknowledge ends.
+  if (listed || attempt.phase != AttemptPhase::kUncertain || attempt.stop_confirmed_at >= sent ||
+      report.born != worker->born) {
+    return false;
+  }
+  DropAttempt(worker, key, "the worker did not start it", false);
+  return true;
+}
+
 void PoolScheduler::StopFinished(const WorkerId& id, const AttemptKey& key,
                                  const OrderOutcome& outcome, absl::Time now) {
   CellWorker* worker = FindWorker(id);
--- a/packages/cell/worker_session.cc
+++ b/packages/cell/worker_session.cc
@@ -90,11 +90,25 @@
   }
 }
 
+void WorkerSession::CheckStop(WorkerOrders* channel, const AttemptKey& key) {
+  HoldOrder order;
+  order.token = listener_->token();
+  const absl::Time sent = clock_->Now();
+  const Outcome<HoldAnswer> answer = Capture([&] { return channel->Hold(order); });
+  // Without an answer, the next hold settles the attempt.
+  if (answer.ok() && answer.value().answer == OrderAnswer::kAccepted) {
+    listener_->StopChecked(worker_.id, key, answer.value().report, sent);
+  }
+}
+
 void WorkerSession::Execute(WorkerOrders* channel, const WorkerOrder& order) {
   if (order.kind == WorkerOrder::Kind::kStop) {
     const Outcome<OrderAnswer> answer =
         Capture([&] { return channel->Stop(order.key, listener_->token()); });
     listener_->OrderAnswered(worker_.id, order, ToOutcome(answer));
+    if (order.check && answer.ok() && answer.value() == OrderAnswer::kAccepted) {
+      CheckStop(channel, order.key);
+    }
     return;
   }
   const std::optional<WorkerTime> lease_end = listener_->PrepareStart(worker_.id, order.key);
--- a/packages/cell/worker_session.h
+++ b/packages/cell/worker_session.h
@@ -26,6 +26,9 @@
                             absl::Time received) = 0;
   virtual std::optional<WorkerTime> PrepareStart(const WorkerId& id, const AttemptKey& key) = 0;
   virtual FencingToken token() const = 0;
+  // The worker's report after the stop of a start without an answer.
+  virtual void StopChecked(const WorkerId& id, const AttemptKey& key, const WorkerReport& report,
+                           absl::Time sent) = 0;
   virtual void OrderAnswered(const WorkerId& id, const WorkerOrder& order,
                              const OrderOutcome& outcome) = 0;
 };
@@ -46,6 +49,8 @@
  private:
   void HoldLoop();
   void OrderLoop();
+  // Asks at once what became of a stopped attempt: the hold on its way may take a second.
+  void CheckStop(WorkerOrders* channel, const AttemptKey& key);
   void Execute(WorkerOrders* channel, const WorkerOrder& order);
   bool PauseUnlessStopped(absl::Duration pause);
 
--- a/tests/cell/pool_scheduler_test.cc
+++ b/tests/cell/pool_scheduler_test.cc
@@ -62,6 +62,36 @@
   BOOST_TEST(again[0].order.key.run.value() > started[0].order.key.run.value());
 }
 
+// Guards against a task that waits a second for the hold on its way, although its worker has said
+// that the start was never carried out; and against a second run when it was.
+BOOST_AUTO_TEST_CASE(ReportAfterTheStopSettlesAStartWithoutAnswer) {
+  for (const bool carried_out : {false, true}) {
+    Fixture fixture;
+    fixture.AddWorkers({Fixture::Worker("w1", 1000)});
+    fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}));
+    const SentOrder started = Starts(fixture.Round(/*confirm=*/false)).at(0);
+    fixture.scheduler().StartFinished(WorkerId("w1"), started.order.key, OrderOutcome{},
+                                      fixture.Now());
+    fixture.AddWorkers({Fixture::Worker("w1", 1000), Fixture::Worker("w2", 1000)});
+    const SentOrder stop = Stops(fixture.Round()).at(0);
+    BOOST_TEST(stop.order.check);
+    fixture.scheduler().StopFinished(WorkerId("w1"), stop.order.key,
+                                     OrderOutcome{OrderAnswer::kAccepted, false}, fixture.Now());
+    WorkerReport report;
+    if (carried_out) {
+      report.running.push_back(Fixture::Running(started.order.key));
+    }
+    // A report that was asked for before the stop was confirmed says nothing.
+    const absl::Time confirmed = fixture.Now();
+    BOOST_TEST(!fixture.scheduler().StopChecked(WorkerId("w1"), started.order.key, report,
+                                                confirmed - absl::Milliseconds(1)));
+    fixture.Advance(absl::Milliseconds(5));
+    BOOST_TEST(fixture.scheduler().StopChecked(WorkerId("w1"), started.order.key, report,
+                                               fixture.Now()) == !carried_out);
+    BOOST_TEST(Starts(fixture.Round()).size() == (carried_out ? 0U : 1U));
+  }
+}
+
 // Guards against two runs of one task: a task of an unreachable worker starts elsewhere only when
 // the worker's lease is over.
 BOOST_AUTO_TEST_CASE(TaskOfLostWorkerWaitsForTheEndOfTheLease) {
