--- a/packages/cell/pool_owner.cc
+++ b/packages/cell/pool_owner.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "absl/strings/match.h"
 #include "cell/cell_keys.h"
 #include "cell/store_failure.h"
 
@@ -15,6 +14,8 @@
 // Rest after a round, in times of the round. Rounds get longer as more steps wait; without a rest
 // they would take the processor from the reports that end the waiting (congestion collapse).
 constexpr double kRestPerRound = 3;
+// Bounds the rest: this process may have stood still for seconds during the round.
+constexpr absl::Duration kMaxRest = absl::Milliseconds(100);
 // Rounds without an event, for what becomes due, stalls or runs out.
 constexpr absl::Duration kIdleRound = absl::Milliseconds(200);
 // Ends within this time share a transaction.
@@ -23,16 +24,9 @@
 // The directory is read five times within the time in which a draining worker must be noticed.
 constexpr absl::Duration kDirectoryInterval = absl::Milliseconds(500);
 constexpr absl::Duration kLoadRetry = absl::Milliseconds(200);
-// Transactions on their way at the same time. When the store takes 0.2 s, one would make each end
-// wait for the transaction in front.
-constexpr size_t kCommitLanes = 3;
 // A purged job has three keys.
 constexpr size_t kPurgeBatch = (kMaxTransactionEntries - 1) / 3;
 
-std::string IdBelow(const std::string& key, const std::string& prefix) {
-  return key.substr(prefix.size());
-}
-
 }  // namespace
 
 PoolOwner::PoolOwner(PartClaim claim, PoolLimits limits, PoolOwnerContext context)
@@ -113,124 +107,6 @@
   directory_thread_ = std::thread([this] { DirectoryLoop(); });
 }
 
-PoolOwner::StoredState PoolOwner::ReadStored() const {
-  StoredState state;
-  TransactionalStore* const store = context_.store;
-  const PartName& part = claim_.part;
-  // Read at the same time: a slow store would make a takeover wait for each in turn.
-  std::thread progress([&] {
-    state.progress = Capture([&] { return store->ListAll(cell_keys::ProgressPrefix(part)); });
-  });
-  std::thread intake([&] {
-    state.intake = Capture([&] { return store->ListAll(cell_keys::IntakePrefix(part)); });
-  });
-  std::thread lanes(
-      [&] { state.lanes = Capture([&] { return store->ListAll(CommitLane::Prefix(part)); }); });
-  state.roster = Capture([&] { return store->Get(cell_keys::Roster(part)); });
-  progress.join();
-  intake.join();
-  lanes.join();
-  return state;
-}
-
-void PoolOwner::MakeLanes(const StoreListing& listing) {
-  lanes_.clear();
-  for (size_t lane = 0; lane < kCommitLanes; ++lane) {
-    const std::string key = CommitLane::Key(claim_.part, static_cast<int>(lane));
-    std::optional<StoreEntry> present;
-    for (const StoreEntry& entry : listing.entries) {
-      if (entry.key == key) {
-        present = entry;
-      }
-    }
-    lanes_.emplace_back(context_.store, claim_, static_cast<int>(lane), present);
-  }
-}
-
-Result<void> PoolOwner::Load() {
-  const StoredState state = ReadStored();
-  BOOST_LEAF_AUTO(roster_entry, state.roster.ToResult());
-  BOOST_LEAF_AUTO(progress_listing, state.progress.ToResult());
-  BOOST_LEAF_AUTO(intake, state.intake.ToResult());
-  BOOST_LEAF_AUTO(lane_listing, state.lanes.ToResult());
-  MakeLanes(lane_listing);
-  const std::string progress_prefix = cell_keys::ProgressPrefix(claim_.part);
-  std::vector<RosterEntry> roster;
-  if (roster_entry.has_value()) {
-    roster_revision_ = roster_entry->revision;
-    BOOST_LEAF_ASSIGN(roster, DecodeRoster(roster_entry->value));
-  }
-  std::map<JobId, std::string> progress;
-  for (StoreEntry& entry : progress_listing.entries) {
-    progress.emplace(JobId(IdBelow(entry.key, progress_prefix)), std::move(entry.value));
-  }
-  const std::string job_prefix = cell_keys::JobPrefix(claim_.part);
-  const std::string cancel_prefix = cell_keys::CancelPrefix(claim_.part);
-  std::vector<JobIntake> jobs;
-  std::vector<JobId> cancelled;
-  for (const StoreEntry& entry : intake.entries) {
-    if (absl::StartsWith(entry.key, cancel_prefix)) {
-      cancelled.emplace_back(IdBelow(entry.key, cancel_prefix));
-    } else if (absl::StartsWith(entry.key, job_prefix)) {
-      const JobId id(IdBelow(entry.key, job_prefix));
-      const auto record = progress.find(id);
-      BOOST_LEAF_AUTO(
-          job, DecodeInherited(id, entry.value, record == progress.end() ? "" : record->second));
-      jobs.push_back(std::move(job));
-    }
-  }
-  const absl::Time now = context_.clock->Now();
-  context_.events->Record(EventCode::kJournalRecovered)
-      .With("part", claim_.part.value())
-      .With("term", claim_.term)
-      .With("jobs", static_cast<int64_t>(jobs.size()))
-      .With("roster", static_cast<int64_t>(roster.size()))
-      .Emit();
-  absl::MutexLock lock(&mutex_);
-  scheduler_.Inherit(std::move(jobs), progress, roster, now);
-  for (const JobId& id : cancelled) {
-    scheduler_.CancelJob(id, now);
-  }
-  ++change_count_;
-  intake_ = std::make_unique<PrefixMirror>(
-      context_.store, cell_keys::IntakePrefix(claim_.part), context_.clock, context_.events,
-      [this](const WatchBatch& batch, bool) { ApplyIntake(batch); });
-  intake_->Start(intake.as_of);
-  return {};
-}
-
-void PoolOwner::ApplyIntake(const WatchBatch& batch) {
-  const std::string job_prefix = cell_keys::JobPrefix(claim_.part);
-  const std::string cancel_prefix = cell_keys::CancelPrefix(claim_.part);
-  std::vector<JobIntake> jobs;
-  for (const StoreEntry& entry : batch.changed) {
-    if (!absl::StartsWith(entry.key, job_prefix)) {
-      continue;
-    }
-    Outcome<JobIntake> job =
-        Capture([&] { return DecodeIntake(JobId(IdBelow(entry.key, job_prefix)), entry.value); });
-    if (job.ok()) {
-      jobs.push_back(std::move(job.value()));
-    } else {
-      context_.events->Record(EventCode::kUnreadableEntry)
-          .With("key", entry.key)
-          .With(event_field::kReason, job.error().message)
-          .Emit();
-    }
-  }
-  absl::MutexLock lock(&mutex_);
-  const absl::Time now = context_.clock->Now();
-  for (JobIntake& job : jobs) {
-    scheduler_.AddJob(std::move(job), now);
-  }
-  for (const StoreEntry& entry : batch.changed) {
-    if (absl::StartsWith(entry.key, cancel_prefix)) {
-      scheduler_.CancelJob(JobId(IdBelow(entry.key, cancel_prefix)), now);
-    }
-  }
-  Wake();
-}
-
 void PoolOwner::Wake() {
   wake_ = true;
   ++change_count_;
@@ -257,7 +133,7 @@
     const absl::Time begun = context_.clock->Now();
     ScheduleOnce();
     const absl::Duration took = context_.clock->Now() - begun;
-    if (!Pause(std::max(kRoundInterval, took * kRestPerRound))) {
+    if (!Pause(std::clamp(took * kRestPerRound, kRoundInterval, kMaxRest))) {
       return;
     }
   }
--- a/packages/cell/pool_owner.h
+++ b/packages/cell/pool_owner.h
@@ -78,6 +78,10 @@
   void OrderAnswered(const WorkerId& id, const WorkerOrder& order,
                      const OrderOutcome& outcome) override;
 
+  // Transactions on their way at the same time. When the store takes 0.2 s, one would make each end
+  // wait for the transaction in front.
+  static constexpr size_t kCommitLanes = 3;
+
   // What earlier owners left in the store.
   struct StoredState {
     Outcome<std::optional<StoreEntry>> roster = std::optional<StoreEntry>();
--- /dev/null
+++ b/packages/cell/pool_owner_load.cc
@@ -0,0 +1,139 @@
+// What an owner reads from the store: at its start all that earlier owners left, then new jobs and
+// cancellations.
+
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "cell/cell_keys.h"
+#include "cell/pool_owner.h"
+
+namespace pomelotray {
+namespace {
+
+std::string IdBelow(const std::string& key, const std::string& prefix) {
+  return key.substr(prefix.size());
+}
+
+}  // namespace
+
+PoolOwner::StoredState PoolOwner::ReadStored() const {
+  StoredState state;
+  TransactionalStore* const store = context_.store;
+  const PartName& part = claim_.part;
+  // Read at the same time: a slow store would make a takeover wait for each in turn.
+  std::thread progress([&] {
+    state.progress = Capture([&] { return store->ListAll(cell_keys::ProgressPrefix(part)); });
+  });
+  std::thread intake([&] {
+    state.intake = Capture([&] { return store->ListAll(cell_keys::IntakePrefix(part)); });
+  });
+  std::thread lanes(
+      [&] { state.lanes = Capture([&] { return store->ListAll(CommitLane::Prefix(part)); }); });
+  state.roster = Capture([&] { return store->Get(cell_keys::Roster(part)); });
+  progress.join();
+  intake.join();
+  lanes.join();
+  return state;
+}
+
+void PoolOwner::MakeLanes(const StoreListing& listing) {
+  lanes_.clear();
+  for (size_t lane = 0; lane < kCommitLanes; ++lane) {
+    const std::string key = CommitLane::Key(claim_.part, static_cast<int>(lane));
+    std::optional<StoreEntry> present;
+    for (const StoreEntry& entry : listing.entries) {
+      if (entry.key == key) {
+        present = entry;
+      }
+    }
+    lanes_.emplace_back(context_.store, claim_, static_cast<int>(lane), present);
+  }
+}
+
+Result<void> PoolOwner::Load() {
+  const StoredState state = ReadStored();
+  BOOST_LEAF_AUTO(roster_entry, state.roster.ToResult());
+  BOOST_LEAF_AUTO(progress_listing, state.progress.ToResult());
+  BOOST_LEAF_AUTO(intake, state.intake.ToResult());
+  BOOST_LEAF_AUTO(lane_listing, state.lanes.ToResult());
+  MakeLanes(lane_listing);
+  const std::string progress_prefix = cell_keys::ProgressPrefix(claim_.part);
+  std::vector<RosterEntry> roster;
+  if (roster_entry.has_value()) {
+    roster_revision_ = roster_entry->revision;
+    BOOST_LEAF_ASSIGN(roster, DecodeRoster(roster_entry->value));
+  }
+  std::map<JobId, std::string> progress;
+  for (StoreEntry& entry : progress_listing.entries) {
+    progress.emplace(JobId(IdBelow(entry.key, progress_prefix)), std::move(entry.value));
+  }
+  const std::string job_prefix = cell_keys::JobPrefix(claim_.part);
+  const std::string cancel_prefix = cell_keys::CancelPrefix(claim_.part);
+  std::vector<JobIntake> jobs;
+  std::vector<JobId> cancelled;
+  for (const StoreEntry& entry : intake.entries) {
+    if (absl::StartsWith(entry.key, cancel_prefix)) {
+      cancelled.emplace_back(IdBelow(entry.key, cancel_prefix));
+    } else if (absl::StartsWith(entry.key, job_prefix)) {
+      const JobId id(IdBelow(entry.key, job_prefix));
+      const auto record = progress.find(id);
+      BOOST_LEAF_AUTO(
+          job, DecodeInherited(id, entry.value, record == progress.end() ? "" : record->second));
+      jobs.push_back(std::move(job));
+    }
+  }
+  const absl::Time now = context_.clock->Now();
+  context_.events->Record(EventCode::kJournalRecovered)
+      .With("part", claim_.part.value())
+      .With("term", claim_.term)
+      .With("jobs", static_cast<int64_t>(jobs.size()))
+      .With("roster", static_cast<int64_t>(roster.size()))
+      .Emit();
+  absl::MutexLock lock(&mutex_);
+  scheduler_.Inherit(std::move(jobs), progress, roster, now);
+  for (const JobId& id : cancelled) {
+    scheduler_.CancelJob(id, now);
+  }
+  ++change_count_;
+  intake_ = std::make_unique<PrefixMirror>(
+      context_.store, cell_keys::IntakePrefix(claim_.part), context_.clock, context_.events,
+      [this](const WatchBatch& batch, bool) { ApplyIntake(batch); });
+  intake_->Start(intake.as_of);
+  return {};
+}
+
+void PoolOwner::ApplyIntake(const WatchBatch& batch) {
+  const std::string job_prefix = cell_keys::JobPrefix(claim_.part);
+  const std::string cancel_prefix = cell_keys::CancelPrefix(claim_.part);
+  std::vector<JobIntake> jobs;
+  for (const StoreEntry& entry : batch.changed) {
+    if (!absl::StartsWith(entry.key, job_prefix)) {
+      continue;
+    }
+    Outcome<JobIntake> job =
+        Capture([&] { return DecodeIntake(JobId(IdBelow(entry.key, job_prefix)), entry.value); });
+    if (job.ok()) {
+      jobs.push_back(std::move(job.value()));
+    } else {
+      context_.events->Record(EventCode::kUnreadableEntry)
+          .With("key", entry.key)
+          .With(event_field::kReason, job.error().message)
+          .Emit();
+    }
+  }
+  absl::MutexLock lock(&mutex_);
+  const absl::Time now = context_.clock->Now();
+  for (JobIntake& job : jobs) {
+    scheduler_.AddJob(std::move(job), now);
+  }
+  for (const StoreEntry& entry : batch.changed) {
+    if (absl::StartsWith(entry.key, cancel_prefix)) {
+      scheduler_.CancelJob(JobId(IdBelow(entry.key, cancel_prefix)), now);
+    }
+  }
+  Wake();
+}
+
+}  // namespace pomelotray
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -423,13 +423,15 @@
   const StepRun& run = candidate.job->runs[candidate.run];
   const StepSpec& step = candidate.job->Step(run);
   const Resources needed = ReservedFor(step);
-  // The first question covers workers that are full now. Later ones are worth a call only for room
-  // that the step would take at once: a full pool would make every waiting step ask again.
+  // The first question covers workers that are full now, as do those for large tasks, for which
+  // room has to be kept. Others are worth a call only for room that the step would take at once: a
+  // full pool would make every waiting step ask again.
   const bool first = run.advice.asked.empty();
+  const bool full_too = first || step.gang || IsLarge(step);
   std::vector<std::pair<double, WorkerId>> others;
   for (const Room& room : rooms_) {
     const WorkerDescription& worker = room.worker->description;
-    if (needed.FitsInto(first ? worker.capacity : room.free) &&
+    if (needed.FitsInto(full_too ? worker.capacity : room.free) &&
         room.worker->HasLabel(step.required_label) && run.advice.asked.count(worker.id) == 0) {
       others.emplace_back(-DominantShare(room.free, worker.capacity), worker.id);
     }
