--- a/tests/cell/advice_lanes_test.cc
+++ b/tests/cell/advice_lanes_test.cc
@@ -8,6 +8,7 @@
 
 std::vector<InstanceId> Members(int count) {
   std::vector<InstanceId> members;
+  members.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     members.emplace_back("i" + std::to_string(i));
   }
--- a/tests/cell/schedule_round_test.cc
+++ b/tests/cell/schedule_round_test.cc
@@ -104,6 +104,7 @@
 BOOST_AUTO_TEST_CASE(WaitingStepsCostWhatTheyMayUse) {
   AdvisedFixture fixture;
   std::vector<WorkerDescription> workers;
+  workers.reserve(252);
   for (int i = 0; i < 252; ++i) {
     workers.push_back(Fixture::Worker("w" + std::to_string(i), 1000));
   }
@@ -154,6 +155,7 @@
 BOOST_AUTO_TEST_CASE(GangAsksAboutFullWorkers) {
   AdvisedFixture fixture;
   std::vector<WorkerDescription> workers;
+  workers.reserve(20);
   for (int i = 0; i < 20; ++i) {
     workers.push_back(Fixture::Worker("w" + std::to_string(i), 1000));
   }
