tests: Kill the owner only between starts, not within the starts of a gang

Traced with kept events: the owner was killed after the first of two tasks of a gang that may not be repeated had started and before the start of the second one reached the worker. The next owner cannot run such a gang again, since a part of it ran, and ends the job as failed or unknown: the honest outcome. The test meant jobs that run when the owner dies, and hit this case by chance.

Change: the test waits until each start that was intended has been confirmed by its worker, then kills the owner. All checks stay as they are.

--- a/tests/processes/owner_death_test.cc
+++ b/tests/processes/owner_death_test.cc
@@ -1,8 +1,12 @@
 #include <signal.h>
 
+#include <algorithm>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
 #include "boost/test/unit_test.hpp"
 #include "tests/processes/deployment.h"
 
@@ -19,6 +23,33 @@
   }
 }
 
+// Waits until each start that was sent has been confirmed by its worker. A gang that may not be
+// repeated cannot go on when its owner dies between the starts of its tasks: it honestly ends as
+// failed or unknown, which this test is not about.
+bool AwaitConfirmedStarts(const Deployment& deployment) {
+  const absl::Time end = absl::Now() + kJobLimit;
+  while (absl::Now() < end) {
+    std::set<std::string> intended;
+    std::set<std::string> confirmed;
+    for (const Event& event : deployment.Events()) {
+      const auto attempt = event.fields.find(event_field::kAttempt);
+      if (attempt == event.fields.end()) {
+        continue;
+      }
+      if (event.code == EventCode::kTaskIntent || event.code == EventCode::kTaskStartSent) {
+        intended.insert(attempt->second);
+      } else if (event.code == EventCode::kTaskStarted) {
+        confirmed.insert(attempt->second);
+      }
+    }
+    if (std::includes(confirmed.begin(), confirmed.end(), intended.begin(), intended.end())) {
+      return true;
+    }
+    absl::SleepFor(absl::Milliseconds(20));
+  }
+  return false;
+}
+
 BOOST_AUTO_TEST_SUITE(OwnerDeathTest)
 
 // Guards against jobs that are lost, run twice or never end when the owner of their shard is
@@ -42,6 +73,7 @@
   }
   const std::string service =
       deployment.SubmitUntilAccepted("azogues-1", JobOf("service", "service", 0, true), kJobLimit);
+  BOOST_REQUIRE(AwaitConfirmedStarts(deployment));
   deployment.Instance(first->instance)->Signal(SIGKILL);
   for (int i = 4; i < 8; ++i) {
     submit(absl::StrCat("once-", i), "batch", 500, false);
