tests: Copy the history of a fault run under its lock

The defect is in the test's harness; the product's event log is not concerned. The accessor copies under the lock now.

--- a/tests/shard/fault_run.h
+++ b/tests/shard/fault_run.h
@@ -10,6 +10,8 @@
 #include <thread>
 #include <vector>
 
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
 #include "base/manual_clock.h"
 #include "history/history_checker.h"
 #include "shard/shard_owner.h"
@@ -52,7 +54,11 @@
   void Run();
 
   // After Run(): everything that happened.
-  const std::vector<Event>& history() const { return history_; }
+  // A copy, since owners that are still running go on recording.
+  std::vector<Event> history() const {
+    absl::MutexLock lock(&history_mutex_);
+    return history_;
+  }
   // Jobs whose submission was accepted but which did not become final, with their states.
   const std::vector<std::string>& unfinished() const { return unfinished_; }
   int64_t accepted_jobs() const { return accepted_jobs_; }
@@ -101,8 +107,8 @@
   FakeStore store_;
   UnlimitedShard limits_;
   WorkerFleet fleet_;
-  absl::Mutex history_mutex_;
-  std::vector<Event> history_;
+  mutable absl::Mutex history_mutex_;
+  std::vector<Event> history_ ABSL_GUARDED_BY(history_mutex_);
   std::vector<std::unique_ptr<EventLog>> logs_;
   std::vector<Worker> workers_;
   absl::Mutex owners_mutex_;
