--- a/packages/cell/submission_writer.cc
+++ b/packages/cell/submission_writer.cc
@@ -112,17 +112,19 @@
     }
     return;
   }
-  bool retried = false;
+  const bool stored = written.ok() || written.error().kind == ErrorKind::kConflict;
+  if (!stored) {
+    // Before the callers learn of it: their next requests must not wait for the store again.
+    failed_();
+  }
   for (const std::shared_ptr<Entry>& entry : batch) {
-    if (written.ok() || written.error().kind == ErrorKind::kConflict) {
+    if (stored) {
       Settle(entry, Outcome<void>());
     } else {
       Retry(entry, written.error());
-      retried = true;
     }
   }
-  if (retried) {
-    failed_();
+  if (!stored) {
     clock_->SleepFor(kRetryPause);
   }
 }
