cell: Keep headroom for urgent work from patient backlogs

Cause: on grown sites a burst of previews (a fifth of the pool, doubled for 4 s) met a pool that long price quotes fill to the last core; it frees room only as fast as they end (priority inversion). Tried and dropped: stopping patient tasks with checkpoints for urgent ones.

Patient steps now leave 15% of the pool free while there is more urgent work, unless they have to start within 5 s.

--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -1,6 +1,7 @@
 #include "cell/schedule_round.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -23,6 +24,11 @@
 // Work backfills a worker that is kept for a large task when this many times its estimate fits into
 // the time until the worker should be free: estimates are up to 90% off.
 constexpr double kBackfillFactor = 2;
+// Share of the pool that patient work leaves free while there is more urgent work. The most urgent
+// queues take a fifth of their pools, and bursts double them for seconds.
+constexpr double kHeadroomShare = 0.15;
+// A step is patient if it can wait for this long: a burst takes 4 s.
+constexpr absl::Duration kPatience = absl::Seconds(5);
 // A task that needs this share of a worker is large: gaps of that size do not appear by themselves.
 constexpr double kLargeShare = 0.4;
 
@@ -31,6 +37,22 @@
   return DominantShare(left, capacity);
 }
 
+Resources ShareOf(const Resources& whole, double share) {
+  Resources part;
+  part.cpu = MilliCores(static_cast<int64_t>(share * static_cast<double>(whole.cpu.value())));
+  part.memory = MebiBytes(static_cast<int64_t>(share * static_cast<double>(whole.memory.value())));
+  part.accelerators = AcceleratorCount(
+      static_cast<int64_t>(share * static_cast<double>(whole.accelerators.value())));
+  return part;
+}
+
+// Whether `demand` fits into `room` in each dimension that it needs anything of.
+bool FitsWhereNeeded(const Resources& demand, const Resources& room) {
+  return (demand.cpu.value() == 0 || demand.cpu <= room.cpu) &&
+         (demand.memory.value() == 0 || demand.memory <= room.memory) &&
+         (demand.accelerators.value() == 0 || demand.accelerators <= room.accelerators);
+}
+
 // How many workers a question may name so that they take `share` of its base time.
 size_t Affordable(const AdvicePolicy& policy, double share) {
   if (policy.per_worker <= absl::ZeroDuration()) {
@@ -86,6 +108,7 @@
 ScheduleRound::ScheduleRound(const std::map<JobId, const CellJob*>& jobs,
                              const std::map<WorkerId, CellWorker>& workers, absl::Time now)
     : jobs_(jobs), now_(now) {
+  Resources capacity;
   for (const auto& [id, worker] : workers) {
     if (worker.AcceptsStarts(now)) {
       Room room;
@@ -95,12 +118,17 @@
       room.filling = worker.HasFilling();
       room_of_[worker.description.id.value()] = rooms_.size();
       rooms_.push_back(room);
+      capacity += worker.description.capacity;
+      free_ += room.free;
     }
   }
+  headroom_ = ShareOf(capacity, kHeadroomShare);
 }
 
 void ScheduleRound::Collect(bool inherited_allowed) {
+  most_urgent_ = std::numeric_limits<int>::max();
   for (const auto& [id, job] : jobs_) {
+    most_urgent_ = std::min(most_urgent_, job->intake.policy.priority);
     if (job->cancel_requested || (job->inherited && !inherited_allowed)) {
       continue;
     }
@@ -239,6 +267,9 @@
   int first_missing = 0;
   std::set<WorkerId> to_renew;
   for (const int index : waiting) {
+    if (!LeavesHeadroom(candidate)) {
+      break;
+    }
     const CellTask& task = run.tasks[index];
     Room* room = with_ticket ? FindRoom(candidate, task, options, true, per_worker) : nullptr;
     if (room != nullptr) {
@@ -287,6 +318,16 @@
   }
 }
 
+bool ScheduleRound::LeavesHeadroom(const Candidate& candidate) const {
+  const StepRun& run = candidate.job->runs[candidate.run];
+  const bool patient =
+      candidate.job->intake.policy.priority > most_urgent_ && run.latest_start > now_ + kPatience;
+  // A step that has not asked the adviser yet goes on to do so.
+  const bool asked = !candidate.job->intake.policy.advice.has_value() || !run.advice.asked.empty();
+  return !patient || !asked ||
+         FitsWhereNeeded(ReservedFor(candidate.job->Step(run)), free_ - headroom_);
+}
+
 bool ScheduleRound::IsLarge(const StepSpec& step) const {
   return std::any_of(rooms_.begin(), rooms_.end(), [&step](const Room& room) {
     return DominantShare(ReservedFor(step), room.worker->description.capacity) >= kLargeShare;
@@ -299,8 +340,9 @@
   }
 }
 
-void ScheduleRound::Take(const StepSpec& step, Room* room) const {
+void ScheduleRound::Take(const StepSpec& step, Room* room) {
   room->free -= ReservedFor(step);
+  free_ -= ReservedFor(step);
   room->serving = room->serving || IsServing(step);
   room->filling = room->filling || step.fills;
 }
@@ -319,6 +361,7 @@
   const std::vector<Option> options = OptionsFor(candidate);
   for (const bool with_ticket : {true, false}) {
     const std::vector<Room> before = rooms_;
+    const Resources free_before = free_;
     TaskCounts per_worker;
     std::vector<PlacedTask> placed;
     std::set<WorkerId> used;
@@ -341,6 +384,7 @@
       return;
     }
     rooms_ = before;
+    free_ = free_before;
   }
   AskAboutOthers(candidate);
   KeepRoom(candidate, waiting.size());
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -45,7 +45,9 @@
 // every job late (domino effect). Jobs that are worth nothing any more come last. A step that waits
 // for renewed tickets keeps room from later steps, and a gang or a large task that does not fit
 // keeps later work off workers that it could use, since small tasks would fill each gap for ever
-// (starvation of large jobs).
+// (starvation of large jobs). Patient work leaves headroom while there is more urgent work: a full
+// pool frees room only as fast as its long tasks end, so a burst of short urgent tasks would wait
+// for them (priority inversion).
 class ScheduleRound {
  public:
   // `jobs`: those that are not final.
@@ -85,6 +87,9 @@
   void ConsiderStep(const Candidate& candidate);
   void PlaceTasks(const Candidate& candidate, const std::vector<int>& waiting);
   void PlaceGang(const Candidate& candidate, const std::vector<int>& waiting);
+  // Whether one more task of the step leaves the pool's headroom free for more urgent work. Holds
+  // for steps without time to spare.
+  bool LeavesHeadroom(const Candidate& candidate) const;
   // Chooses a worker whose filling work makes room for one serving task.
   void ClearForServing(const Candidate& candidate);
   // Keeps the emptiest usable workers free for `tasks` tasks that do not fit anywhere now.
@@ -92,7 +97,7 @@
   // Asks early about a step whose dependencies are all running and short.
   void AskAhead(const Candidate& candidate);
 
-  void Take(const StepSpec& step, Room* room) const;
+  void Take(const StepSpec& step, Room* room);
   PlacedTask Place(const Candidate& candidate, int task, const Room& room) const;
   // Rooms that the step may use, full or not. Looks at allowed workers only: their number does not
   // grow with the pool.
@@ -127,6 +132,11 @@
   // Steps that will be ready soon.
   std::vector<Candidate> upcoming_;
   size_t kept_workers_ = 0;
+  // Of all rooms together, and the part of it that patient work leaves free.
+  Resources free_;
+  Resources headroom_;
+  // Of the open jobs; 0 is the most urgent.
+  int most_urgent_ = 0;
   RoundResult result_;
 };
 
--- a/tests/cell/schedule_round_test.cc
+++ b/tests/cell/schedule_round_test.cc
@@ -289,6 +289,49 @@
   BOOST_TEST(started[0].order.key.task == "fresh.0.0.0");
 }
 
+// Guards against priority inversion in a burst: a backlog of long patient tasks would fill the pool
+// to the last core, and short urgent ones would wait until some of them end.
+BOOST_AUTO_TEST_CASE(BacklogOfPatientWorkLeavesHeadroomForAnUrgentBurst) {
+  Fixture fixture;
+  std::vector<WorkerDescription> workers;
+  for (int i = 0; i < 10; ++i) {
+    workers.push_back(Fixture::Worker("w" + std::to_string(i), 10'000));
+  }
+  fixture.AddWorkers(workers);
+  StepSpec backlog = Fixture::Step(200, 1000);
+  backlog.estimate = absl::Seconds(20);
+  const StepSpec urgent = Fixture::Step(12, 1000);
+  fixture.AddJob(Fixture::Job("backlog", {backlog}, 2, /*priority=*/2));
+  fixture.AddJob(Fixture::Job("first", {Fixture::Step(3, 1000)}, 2, /*priority=*/0));
+  // The urgent job takes three of a hundred cores; of the rest, the backlog leaves fifteen.
+  BOOST_TEST(Starts(fixture.Round()).size() == 85U);
+  fixture.AddJob(Fixture::Job("burst", {urgent}, 2, /*priority=*/0));
+  const std::vector<SentOrder> starts = Starts(fixture.Round());
+  BOOST_TEST(starts.size() == 12U);
+  for (const SentOrder& start : starts) {
+    BOOST_TEST(start.order.key.task.rfind("burst", 0) == 0U);
+  }
+}
+
+// Guards against idle room: without more urgent work, or once the backlog itself has to hurry, the
+// whole pool is used.
+BOOST_AUTO_TEST_CASE(HeadroomIsUsedWhenNobodyUrgentNeedsIt) {
+  for (const bool late : {false, true}) {
+    Fixture fixture;
+    fixture.AddWorkers({Fixture::Worker("w1", 10'000)});
+    StepSpec backlog = Fixture::Step(20, 1000);
+    backlog.estimate = absl::Seconds(20);
+    JobIntake job = Fixture::Job("backlog", {backlog}, 2, /*priority=*/2);
+    if (late) {
+      job.accepted = fixture.Now() - absl::Seconds(30);
+      StepSpec blocked = Fixture::Step(1, 50'000);
+      fixture.AddJob(Fixture::Job("urgent", {blocked}, 2, /*priority=*/0));
+    }
+    fixture.AddJob(std::move(job));
+    BOOST_TEST(Starts(fixture.Round()).size() == 10U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
