--- a/packages/cell/relayed_write.cc
+++ b/packages/cell/relayed_write.cc
@@ -49,7 +49,9 @@
 Result<void> RelayedWrite::Create(const NewEntry& entry, const std::vector<CellMember>& members,
                                   absl::Time deadline) {
   if (IsRefusedByAll()) {
-    return Refusal();
+    return Refusal(
+        "The store refused four other instances a moment ago; send the request again "
+        "later.");
   }
   bool maybe_written = false;
   size_t refusals = 0;
@@ -73,7 +75,7 @@
     return Fail(ErrorKind::kOutcomeUnknown,
                 "No instance confirmed the write in time; send the same request again.");
   }
-  return Refusal();
+  return Refusal("The store takes no writes at present; send the request again later.");
 }
 
 bool RelayedWrite::IsRefusedByAll() const {
@@ -81,10 +83,8 @@
   return clock_->Now() < refused_until_;
 }
 
-Result<void> RelayedWrite::Refusal() {
-  return Fail(ErrorKind::kStoreUnavailable,
-              "The store takes no writes at present; send the request again later.",
-              kStoreRetryAfter);
+Result<void> RelayedWrite::Refusal(const char* reason) {
+  return Fail(ErrorKind::kStoreUnavailable, reason, kStoreRetryAfter);
 }
 
 Outcome<void> RelayedWrite::CreateAt(const CellMember& member, const NewEntry& entry,
--- a/packages/cell/relayed_write.h
+++ b/packages/cell/relayed_write.h
@@ -38,7 +38,7 @@
  private:
   // The store refused all relays of another entry a moment ago.
   bool IsRefusedByAll() const;
-  static Result<void> Refusal();
+  static Result<void> Refusal(const char* reason);
   Outcome<void> CreateAt(const CellMember& member, const NewEntry& entry,
                          absl::Time deadline) const;
   void LogFailure(const CellMember& member, const NewEntry& entry, const Error& error) const;
--- a/tests/cell/relayed_write_test.cc
+++ b/tests/cell/relayed_write_test.cc
@@ -121,6 +121,8 @@
   const Outcome<void> second = Create("second");
   BOOST_REQUIRE(!second.ok());
   BOOST_TEST(second.error().retry_after.has_value());
+  // No relay is logged for this entry, so the reason has to name the earlier refusal.
+  BOOST_TEST(second.error().message.find("a moment ago") != std::string::npos);
   BOOST_TEST(peers.called().size() == 4U);
   clock.Advance(absl::Milliseconds(300));
   BOOST_TEST(!Create("third").ok());
