--- a/tests/cell/schedule_round_test.cc
+++ b/tests/cell/schedule_round_test.cc
@@ -294,6 +294,7 @@
 BOOST_AUTO_TEST_CASE(BacklogOfPatientWorkLeavesHeadroomForAnUrgentBurst) {
   Fixture fixture;
   std::vector<WorkerDescription> workers;
+  workers.reserve(10);
   for (int i = 0; i < 10; ++i) {
     workers.push_back(Fixture::Worker("w" + std::to_string(i), 10'000));
   }
