base, api, peer: Shed load when no thread can be started; keep exceptions within a call

Listeners, the peer transport and other places that start threads on demand now get a typed error: the connection waits for a thread that exists, or is refused (503, event 205). Peer connections are entered only once their thread runs.

--- a/packages/api/api_error.cc
+++ b/packages/api/api_error.cc
@@ -1,6 +1,9 @@
 #include "api/api_error.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <array>
 
 #include "absl/strings/str_cat.h"
 
@@ -71,4 +74,15 @@
   return text;
 }
 
+void RefuseConnection(int fd, const ApiReply& reply) {
+  const std::string text = RawAnswer("503 Service Unavailable", reply);
+  // What has arrived is read, so that closing the connection does not reset it before the caller
+  // has the answer.
+  std::array<char, 4096> request;
+  while (recv(fd, request.data(), request.size(), MSG_DONTWAIT) > 0) {
+  }
+  send(fd, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  shutdown(fd, SHUT_WR);
+}
+
 }  // namespace pomelotray
--- a/packages/api/api_error.h
+++ b/packages/api/api_error.h
@@ -18,6 +18,10 @@
 // A whole HTTP answer that closes the connection; `status_line` is such as "414 URI Too Long".
 std::string RawAnswer(const std::string& status_line, const ApiReply& reply);
 
+// Answers a connection for which there is no room, before its request is read, and sends the end of
+// the stream. Does not block; leaves `fd` open.
+void RefuseConnection(int fd, const ApiReply& reply);
+
 }  // namespace pomelotray
 
 #endif  // POMELOTRAY_API_API_ERROR_H_
--- a/packages/api/connection_server.cc
+++ b/packages/api/connection_server.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "base/start_thread.h"
 
 namespace pomelotray {
 namespace {
@@ -101,18 +102,29 @@
     absl::MutexLock lock(&mutex_);
     if (open_ < max_connections_) {
       ++open_;
-      waiting_.push_back(fd);
-      if (threads_.size() < open_) {
-        threads_.emplace_back([this] { ConnectionLoop(); });
+      if (HasThreadForAll()) {
+        waiting_.push_back(fd);
+        changed_.Signal();
+        return;
       }
-      changed_.Signal();
-      return;
+      --open_;
     }
   }
   refuse_(fd);
   close(fd);
 }
 
+bool ConnectionServer::HasThreadForAll() {
+  if (threads_.size() < open_) {
+    Outcome<std::thread> thread =
+        Capture([this] { return StartThread([this] { ConnectionLoop(); }); });
+    if (thread.ok()) {
+      threads_.push_back(std::move(thread.value()));
+    }
+  }
+  return !threads_.empty();
+}
+
 void ConnectionServer::ConnectionLoop() {
   for (;;) {
     int fd = -1;
--- a/packages/api/connection_server.h
+++ b/packages/api/connection_server.h
@@ -15,7 +15,8 @@
 namespace pomelotray {
 
 // Accepts TCP connections and serves each on a thread of its own, up to a limit. Threads are
-// started when they are needed and kept until Stop().
+// started when they are needed and kept until Stop(). When no thread can be started, connections
+// wait for those that exist, or are refused if there are none.
 class ConnectionServer {
  public:
   using Handler = std::function<void(int fd)>;
@@ -41,6 +42,8 @@
   void AcceptLoop();
   void Dispatch(int fd);
   void ConnectionLoop();
+  // A thread will take up the newest waiting connection.
+  bool HasThreadForAll() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   const size_t max_connections_;
   const Handler serve_;
--- a/packages/api/http_api_server.cc
+++ b/packages/api/http_api_server.cc
@@ -195,9 +195,7 @@
                                           "All connections of this instance are in use; try "
                                           "another instance or retry later.",
                                           kRetryNotReady});
-  const std::string text = RawAnswer("503 Service Unavailable", reply);
-  send(fd, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-  shutdown(fd, SHUT_WR);
+  pomelotray::RefuseConnection(fd, reply);
   metrics_.Record(kUnmatchedRoute, reply.status, absl::ZeroDuration());
 }
 
--- a/packages/base/error.h
+++ b/packages/base/error.h
@@ -2,6 +2,7 @@
 #define POMELOTRAY_BASE_ERROR_H_
 
 #include <boost/leaf.hpp>
+#include <exception>
 #include <optional>
 #include <ostream>
 #include <string>
@@ -117,19 +118,26 @@
 
 // Runs `operation`, which returns a Result, and keeps its value or Error. An Error is lost if a
 // failing Result is read outside of any handler scope, so every thread's outermost code calls
-// operations through Capture().
+// operations through Capture(). An exception, for example of a library that met malformed input or
+// of an allocation that failed, becomes an Error too: it would otherwise end the process.
 template <typename F>
 Outcome<typename error_internal::ResultValue<decltype(std::declval<F>()())>::Type> Capture(
     F&& operation) {
   using T = typename error_internal::ResultValue<decltype(operation())>::Type;
   return boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<Outcome<T>> {
-        if constexpr (std::is_void_v<T>) {
-          BOOST_LEAF_CHECK(operation());
-          return Outcome<T>();
-        } else {
-          BOOST_LEAF_AUTO(value, operation());
-          return Outcome<T>(std::move(value));
+        try {
+          if constexpr (std::is_void_v<T>) {
+            BOOST_LEAF_CHECK(operation());
+            return Outcome<T>();
+          } else {
+            BOOST_LEAF_AUTO(value, operation());
+            return Outcome<T>(std::move(value));
+          }
+        } catch (const std::exception& exception) {
+          return Fail(ErrorKind::kInternal,
+                      std::string("An operation ended with an exception (") + exception.what() +
+                          "); check the input that it worked on, or report this as a defect.");
         }
       },
       [](const Error& error) { return Outcome<T>(error); },
--- a/packages/base/event_catalog.cc
+++ b/packages/base/event_catalog.cc
@@ -26,6 +26,8 @@
       {Code::kPeerLeaving, kInfo, "peer_leaving", "Another instance announced its stop."},
       {Code::kPeerAuthenticationFailed, kWarning, "peer_authentication_failed",
        "A message did not prove the shared key; check --peer-key on both instances."},
+      {Code::kPeerConnectionRefused, kWarning, "peer_connection_refused",
+       "A connection of another instance was closed at once, since no thread could be started."},
       {Code::kInstanceLeaseGranted, kInfo, "instance_lease_granted",
        "The store granted the instance lease."},
       {Code::kInstanceLeaseLost, kWarning, "instance_lease_lost",
--- a/packages/base/event_catalog.h
+++ b/packages/base/event_catalog.h
@@ -28,6 +28,7 @@
   kPeerDead = 202,
   kPeerLeaving = 203,
   kPeerAuthenticationFailed = 204,
+  kPeerConnectionRefused = 205,
 
   kInstanceLeaseGranted = 300,
   kInstanceLeaseLost = 301,
--- a/packages/peer/peer_client.cc
+++ b/packages/peer/peer_client.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "base/start_thread.h"
 
 namespace pomelotray {
 namespace {
@@ -98,7 +99,8 @@
   }
   const std::shared_ptr<ClientConnection> connection =
       std::make_shared<ClientConnection>(&context_, address);
-  connections_[address] = Entry{connection, std::thread([connection] { connection->Run(); })};
+  BOOST_LEAF_AUTO(thread, StartThread([connection] { connection->Run(); }));
+  connections_[address] = Entry{connection, std::move(thread)};
   return Acquired{connection, false};
 }
 
--- a/packages/peer/peer_server.cc
+++ b/packages/peer/peer_server.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/start_thread.h"
+
 namespace pomelotray {
 namespace {
 
@@ -83,7 +85,16 @@
   }
   const std::shared_ptr<ServerConnection> connection =
       std::make_shared<ServerConnection>(&context_, std::move(socket), std::move(remote));
-  connections_.push_back(Entry{connection, std::thread([connection] { connection->Run(); })});
+  Outcome<std::thread> thread =
+      Capture([&] { return StartThread([connection] { connection->Run(); }); });
+  if (thread.ok()) {
+    connections_.push_back(Entry{connection, std::move(thread.value())});
+  } else {
+    // The caller's connection is closed before a call, so it knows that nothing was done.
+    context_.peer.events->Record(EventCode::kPeerConnectionRefused)
+        .With(event_field::kReason, thread.error().message)
+        .Emit();
+  }
 }
 
 void PeerServer::Reap() {
--- a/tests/base/error_test.cc
+++ b/tests/base/error_test.cc
@@ -1,5 +1,6 @@
 #include "base/error.h"
 
+#include <stdexcept>
 #include <string>
 
 #include "boost/test/unit_test.hpp"
@@ -24,6 +25,15 @@
   BOOST_TEST(outcome.error().message == "Job x does not exist.");
 }
 
+// Guards against one unexpected exception that ends the whole process.
+BOOST_AUTO_TEST_CASE(CaptureTurnsAnExceptionIntoAnError) {
+  const Outcome<int> outcome =
+      Capture([]() -> Result<int> { throw std::out_of_range("index 7 of 3"); });
+  BOOST_REQUIRE(!outcome.ok());
+  BOOST_TEST((outcome.error().kind == ErrorKind::kInternal));
+  BOOST_TEST(outcome.error().message.find("index 7 of 3") != std::string::npos);
+}
+
 // Guards against a kind that cannot be read back from the API.
 BOOST_AUTO_TEST_CASE(EveryKindHasAName) {
   for (int kind = 0; kind <= static_cast<int>(ErrorKind::kInternal); ++kind) {
