cell: Count a new pool's workers once their number has settled

Cause: the first instance that listed any worker decided the number of parts. The number is now taken when two readings agree, or after 2 s.

--- a/packages/cell/part_count_chooser.cc
+++ b/packages/cell/part_count_chooser.cc
@@ -9,7 +9,10 @@
 // other workers, so a step that spreads over more workers than its part has could never finish.
 constexpr size_t kWorkersPerPart = 400;
 // Longer than the interval of the workers' announcements (1.5 s).
-constexpr absl::Duration kFirstWorkerAwaited = absl::Seconds(2);
+constexpr absl::Duration kLongestWait = absl::Seconds(2);
+// The number of a pool's workers is taken when it has not changed for this long. Thousands of
+// workers that start together announce themselves over 1.5 s.
+constexpr absl::Duration kUnchanged = absl::Milliseconds(400);
 
 int PartsFor(size_t workers) {
   return static_cast<int>(std::max<size_t>(1, (workers + kWorkersPerPart - 1) / kWorkersPerPart));
@@ -18,9 +21,14 @@
 }  // namespace
 
 std::optional<int> PartCountChooser::Choose(const PoolName& pool, size_t workers, absl::Time now) {
-  // Callers are refused until the number is known, so that it is not worth waiting for the last
-  // worker of a pool that has some.
-  if (workers == 0 && now - empty_since_.emplace(pool, now).first->second < kFirstWorkerAwaited) {
+  Count& count = counts_.try_emplace(pool, Count{workers, now, now}).first->second;
+  if (count.workers != workers) {
+    count.workers = workers;
+    count.since = now;
+  }
+  const bool settled = workers > 0 && now - count.since >= kUnchanged;
+  // Callers are refused until the number is known.
+  if (!settled && now - count.first_seen < kLongestWait) {
     return std::nullopt;
   }
   return PartsFor(workers);
--- a/packages/cell/part_count_chooser.h
+++ b/packages/cell/part_count_chooser.h
@@ -13,11 +13,17 @@
 // Decides into how many parts a new pool is cut, from the number of its workers.
 class PartCountChooser {
  public:
-  // No value: no worker is known yet, and some may be about to announce themselves.
+  // No value: more workers may be about to announce themselves.
   std::optional<int> Choose(const PoolName& pool, size_t workers, absl::Time now);
 
  private:
-  std::map<PoolName, absl::Time> empty_since_;
+  struct Count {
+    size_t workers = 0;
+    absl::Time since;
+    absl::Time first_seen;
+  };
+
+  std::map<PoolName, Count> counts_;
 };
 
 }  // namespace pomelotray
