cell: Do not take a worker's silence for a stall of its tasks; split the scheduler's records off

Cause: progress counted as missing over the time in which no report came, so that a worker that was paused or cut off for 2.5 s had its tasks stopped as stalled by its first report afterwards.

--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -154,6 +154,8 @@
                    bool avoid_worker);
   void DropAllAttempts(CellWorker* worker, const char* reason);
   void DropGoneWorkers(absl::Time now);
+  // Begins to measure anew how long the worker's attempts make no progress.
+  static void RestartProgress(CellWorker* worker, absl::Time now);
   void ApplyRunning(CellWorker* worker, const RunningAttempt& running, absl::Time now);
   // The attempts that the earlier owner listed; only these can run on the worker.
   void InheritAttempts(CellWorker* worker, const RosterEntry& entry);
--- /dev/null
+++ b/packages/cell/pool_scheduler_records.cc
@@ -0,0 +1,121 @@
+// What is stored of the jobs, which ends are acknowledged, and what callers are told.
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/hash/hash.h"
+#include "cell/pool_scheduler.h"
+
+namespace pomelotray {
+
+EndNumber PoolScheduler::Acknowledged(const WorkerId& id) const {
+  // After a failed hold the worker may be in a new life, whose ends have other numbers.
+  return IsTrusted(id) ? workers_.at(id).acknowledged : EndNumber(0);
+}
+
+bool PoolScheduler::HasUnacknowledged(const WorkerId& id) const {
+  const auto it = workers_.find(id);
+  return it != workers_.end() && !it->second.unacknowledged.empty();
+}
+
+void PoolScheduler::AdvanceAcknowledged(CellWorker* worker) {
+  while (!worker->unacknowledged.empty()) {
+    const UnacknowledgedEnd& end = worker->unacknowledged.front();
+    const CellJob* job = end.job.empty() ? nullptr : FindJob(end.job);
+    if (job != nullptr && job->committed < end.version) {
+      return;
+    }
+    worker->acknowledged = end.number;
+    worker->unacknowledged.pop_front();
+  }
+}
+
+std::vector<ProgressRecord> PoolScheduler::TakeChanged(size_t max_entries, size_t lane,
+                                                       size_t lanes) {
+  std::vector<ProgressRecord> records;
+  size_t entries = 0;
+  for (auto it = changed_.begin(); it != changed_.end() && entries < max_entries;) {
+    const JobId id = *it;
+    if (absl::Hash<JobId>()(id) % lanes != lane) {
+      ++it;
+      continue;
+    }
+    const CellJob* job = FindJob(id);
+    if (job == nullptr) {
+      changed_.erase(it++);
+      continue;
+    }
+    ProgressRecord record{
+        id, job->version, "", job->state, job->has_stored_progress, job->cancel_requested};
+    entries += record.EntryCount();
+    if (entries > max_entries) {
+      break;
+    }
+    changed_.erase(it++);
+    record.text = EncodeProgress(*job);
+    records.push_back(std::move(record));
+  }
+  return records;
+}
+
+std::vector<WorkerId> PoolScheduler::Committed(const std::vector<ProgressRecord>& records) {
+  for (const ProgressRecord& record : records) {
+    CellJob* job = FindJob(record.job);
+    if (job != nullptr) {
+      job->committed = std::max(job->committed, record.version);
+      job->has_stored_progress = !IsFinal(record.state);
+      job->visible = record.state;
+    }
+  }
+  std::vector<WorkerId> stored;
+  for (auto& [id, worker] : workers_) {
+    if (worker.unacknowledged.empty()) {
+      continue;
+    }
+    AdvanceAcknowledged(&worker);
+    if (worker.unacknowledged.empty()) {
+      stored.push_back(id);
+    }
+  }
+  return stored;
+}
+
+bool PoolScheduler::HasUnstored() const {
+  return std::any_of(jobs_.begin(), jobs_.end(), [](const auto& entry) {
+    return entry.second.committed < entry.second.version;
+  });
+}
+
+std::optional<CellJobState> PoolScheduler::VisibleState(const JobId& id) const {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) {
+    return std::nullopt;
+  }
+  return it->second.visible;
+}
+
+std::map<std::string, int64_t> PoolScheduler::PendingByQueue() const {
+  std::map<std::string, int64_t> pending;
+  for (const auto& [id, job] : open_jobs_) {
+    if (job->state == CellJobState::kQueued && !job->cancel_requested) {
+      ++pending[job->intake.policy.name];
+    }
+  }
+  return pending;
+}
+
+std::vector<JobId> PoolScheduler::TakeExpired(absl::Time now, size_t limit) {
+  std::vector<JobId> expired;
+  for (const auto& [id, job] : jobs_) {
+    if (expired.size() < limit && job.committed == job.version &&
+        now - job.final_since > limits_.retention) {
+      expired.push_back(id);
+    }
+  }
+  for (const JobId& id : expired) {
+    jobs_.erase(id);
+  }
+  return expired;
+}
+
+}  // namespace pomelotray
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -15,6 +15,8 @@
 constexpr absl::Duration kQuarantine = absl::Seconds(4);
 // A task whose progress stands still this long is started elsewhere. Reports arrive once a second.
 constexpr absl::Duration kStallLimit = absl::Milliseconds(2500);
+// Two holds: a longer time between reports is a silence of the worker.
+constexpr absl::Duration kReportGap = absl::Seconds(2);
 // A stop takes at most 0.9 s; a task that is being stopped occupies its room meanwhile, whether the
 // worker still lists it or not.
 constexpr absl::Duration kStopTime = absl::Milliseconds(1500);
@@ -114,6 +116,10 @@
   }
   worker->clock = report.clock;
   worker->clock_read_at = received;
+  if (sent - worker->last_report > kReportGap) {
+    // The silence says nothing about progress: the worker may have stood still itself.
+    RestartProgress(worker, received);
+  }
   worker->last_report = std::max(worker->last_report, sent);
   for (const EndedAttempt& ended : report.ended) {
     if (ended.number > worker->seen_end) {
@@ -130,6 +136,14 @@
   unreported_.erase(id);
 }
 
+void PoolScheduler::RestartProgress(CellWorker* worker, absl::Time now) {
+  for (auto& [key, attempt] : worker->attempts) {
+    if (attempt.phase == AttemptPhase::kRunning) {
+      attempt.progress_at = now;
+    }
+  }
+}
+
 void PoolScheduler::ApplyRunning(CellWorker* worker, const RunningAttempt& running,
                                  absl::Time now) {
   const auto it = worker->attempts.find(running.key);
--- a/tests/cell/pool_scheduler_test.cc
+++ b/tests/cell/pool_scheduler_test.cc
@@ -297,6 +297,28 @@
   BOOST_TEST((fixture.State("a") == CellJobState::kCompleted));
 }
 
+// Guards against giving up the work of a worker that was only silent: after a pause of the worker
+// its tasks stand where they stood, and go on.
+BOOST_AUTO_TEST_CASE(SilenceOfAWorkerIsNoStall) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w1", 1000)});
+  fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}));
+  const AttemptKey key = Starts(fixture.Round()).at(0).order.key;
+  fixture.Report("w1", {Fixture::Running(key, 40)});
+  for (int second = 0; second < 5; ++second) {
+    fixture.Advance(absl::Seconds(1));
+    fixture.scheduler().HoldFailed(WorkerId("w1"), fixture.Now());
+  }
+  fixture.Report("w1", {Fixture::Running(key, 40)});
+  BOOST_TEST(Stops(fixture.Round()).empty());
+  // Reports without progress are a stall.
+  for (int second = 0; second < 3; ++second) {
+    fixture.Advance(absl::Seconds(1));
+    fixture.Report("w1", {Fixture::Running(key, 40)});
+  }
+  BOOST_TEST(Stops(fixture.Round()).size() == 1U);
+}
+
 // Guards against waiting for a worker that is certainly gone: its address belongs to another one.
 BOOST_AUTO_TEST_CASE(ReplacedWorkerHoldsUpNothing) {
   Fixture fixture;
