cell: Log final states that cannot be read

Cause: read while the diff was reviewed. An owner that reads the final states of earlier owners took an unreadable one for "completed" without a log line, against the rule that no error is swallowed. The job's key alone says that it must not run again, so it stays known. Ruled out: leaving it out, which would let a late notice run it a second time.

--- a/packages/cell/pool_owner.cc
+++ b/packages/cell/pool_owner.cc
@@ -405,6 +405,9 @@
   for (const StoreEntry& entry : listing.value().entries) {
     const Outcome<CellJobState> state =
         Capture([&entry] { return DecodeProgressState(entry.value); });
+    if (!state.ok()) {
+      RecordUnreadable(entry.key, state.error());
+    }
     // The key alone says that the job must not run again.
     scheduler_.AddFinished(JobId(entry.key.substr(prefix.size())),
                            state.ok() ? state.value() : CellJobState::kCompleted,
