--- a/tests/cell/cell_membership_test.cc
+++ b/tests/cell/cell_membership_test.cc
@@ -215,6 +215,7 @@
   const absl::Time begin = absl::FromUnixSeconds(1'000'000);
   for (int last = 0; last < 6; ++last) {
     std::vector<CellMember> members;
+    members.reserve(7);
     for (int i = 0; i < 6; ++i) {
       members.push_back(CellMember{InstanceId("i" + std::to_string(i)), "", 500,
                                    begin + absl::Seconds(i == last ? 40 : i)});
