cell: Renew the lease by overlapping calls, so that the store's return is noticed at once

The log of the baseline shows the instances available again between 22.7 and 23.8 s: a renewal that was sent before the return blocked for the store client's whole 0.8 s, and the next one followed 0.2 s after it. A caller has 3 s from its first try (its tries come after about 1.1, 1.9, 2.5 and 2.9 s), so the lost second also took the last tries of those who came from 19.3 to 20.3 s.

Ruled out: longer Retry-After. Callers do not return later than 3 s after their first try whatever they are told.

Change: another renewal is sent every 0.2 s while none is answered, at most four at a time; the first answer of any counts.

--- a/packages/cell/cell_membership.cc
+++ b/packages/cell/cell_membership.cc
@@ -69,7 +69,8 @@
       store_(store),
       clock_(clock),
       events_(events),
-      callbacks_(std::move(callbacks)) {}
+      callbacks_(std::move(callbacks)),
+      renewer_(store, clock) {}
 
 CellMembership::~CellMembership() { Stop(); }
 
@@ -91,6 +92,7 @@
     changed_.SignalAll();
   }
   Resign();
+  renewer_.Stop();
   if (lease_thread_.joinable()) {
     lease_thread_.join();
   }
@@ -241,7 +243,7 @@
     RenewLeaseIfDue();
     ClaimEligibleParts();
     absl::MutexLock lock(&mutex_);
-    const absl::Time next = clock_->Now() + StoreContactInterval();
+    const absl::Time next = resigned_ ? absl::InfiniteFuture() : NextRenewal();
     // A change of the members or claims wakes the loop early so that free parts are claimed at
     // once. Renewals keep their interval.
     if (!stopping_) {
@@ -253,8 +255,8 @@
   }
 }
 
-absl::Duration CellMembership::StoreContactInterval() const {
-  return store_available_ ? kRenewInterval : kOutageRetryInterval;
+absl::Time CellMembership::NextRenewal() const {
+  return renewal_began_ + (store_available_ ? kRenewInterval : kOutageRetryInterval);
 }
 
 bool CellMembership::OwnsAnyPart() const {
@@ -266,11 +268,12 @@
   std::optional<StoreLeaseId> lease;
   {
     absl::MutexLock lock(&mutex_);
-    const bool due = renew_now_ || clock_->Now() - last_store_contact_ >= StoreContactInterval();
+    const bool due = renew_now_ || clock_->Now() >= NextRenewal();
     if (resigned_ || (lease_.has_value() && !due)) {
       return;
     }
     renew_now_ = false;
+    renewal_began_ = clock_->Now();
     // The store may delete this instance's entries although its lease is still valid.
     if (view_complete_ && members_.count(self_.id) == 0 &&
         clock_->Now() - registered_at_ > kMembershipSettleTime) {
@@ -278,12 +281,14 @@
     }
     lease = lease_;
   }
-  const absl::Time sent = clock_->Now();
+  absl::Time sent = clock_->Now();
   bool answered = false;
   if (!lease.has_value()) {
     answered = Register();
   } else {
-    const Outcome<void> renewed = Capture([&] { return store_->KeepAlive(*lease); });
+    const InstanceLeaseRenewer::Renewal renewal = renewer_.Renew(*lease);
+    const Outcome<void>& renewed = renewal.outcome;
+    sent = renewal.sent;
     answered = renewed.ok() || renewed.error().kind == ErrorKind::kNotFound;
     if (!answered) {
       RecordStoreFailure(events_, "renewal of the instance lease", renewed.error());
--- a/packages/cell/cell_membership.h
+++ b/packages/cell/cell_membership.h
@@ -14,10 +14,12 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "base/strong_id.h"
+#include "cell/instance_lease_renewer.h"
 #include "cell/part_assignment.h"
 #include "cell/part_claim.h"
 #include "cell/pool_part.h"
 #include "cell/prefix_watcher.h"
+#include "cell/store_availability.h"
 #include "ports/transactional_store.h"
 
 namespace pomelotray {
@@ -25,7 +27,7 @@
 // Registers this instance in the store under a lease, renews the lease, and claims parts of
 // pools that have no owner. A claim ends with the lease of its instance. Each claim of a part has a
 // term that no other claim of that part has.
-class CellMembership {
+class CellMembership : public StoreAvailability {
  public:
   struct Callbacks {
     // `claimed` and `lost` are called on threads of the membership. Calls about one part are made
@@ -39,7 +41,7 @@
 
   CellMembership(CellMember self, std::string incarnation, TransactionalStore* store,
                  const Clock* clock, EventLog* events, Callbacks callbacks);
-  ~CellMembership();
+  ~CellMembership() override;
 
   void Start();
   // Calls Resign() and stops the threads.
@@ -66,11 +68,8 @@
   // this one: either the lease is valid by the local clock, or the store is down for all members
   // and no claim can be made.
   bool MayStartTasks() const;
-  // Returns whether the store answered the last lease call and no failed write was reported since.
-  bool IsStoreAvailable() const;
-  // Reports that a write was refused or got no answer. The store counts as unavailable until the
-  // next successful renewal, which is attempted at once.
-  void ReportStoreFailure();
+  bool IsStoreAvailable() const override;
+  void ReportStoreFailure() override;
   // Reports that a worker has seen a newer owner of the part. Drops this instance's claim.
   void ReportFenced(const PartName& part);
 
@@ -81,8 +80,8 @@
   };
 
   void RunLeaseLoop();
-  // Returns the time between two lease calls to the store.
-  absl::Duration StoreContactInterval() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Returns when the next renewal of the lease is due.
+  absl::Time NextRenewal() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   bool OwnsAnyPart() const;
   void RenewLeaseIfDue();
   bool Register();
@@ -108,6 +107,7 @@
   const Clock* const clock_;
   EventLog* const events_;
   const Callbacks callbacks_;
+  InstanceLeaseRenewer renewer_;
   std::unique_ptr<PrefixWatcher> control_watcher_;
   std::thread lease_thread_;
 
@@ -120,6 +120,7 @@
   bool view_complete_ ABSL_GUARDED_BY(mutex_) = false;
   std::optional<StoreLeaseId> lease_ ABSL_GUARDED_BY(mutex_);
   absl::Time registered_at_ ABSL_GUARDED_BY(mutex_) = absl::InfiniteFuture();
+  absl::Time renewal_began_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
   absl::Time last_store_contact_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
   // Send time of the last successful renewal. The lease is valid for at least its TTL from then on.
   absl::Time renewed_at_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
