cell: Size the first question to the adviser by what the step needs

Cause: a first question named at most 30 workers whatever the step's width.

Change: the share of workers that the adviser allows is learned for each queue. A first question names the workers, freest first, on which the step's tasks should fit with a quarter to spare, at least 30 and at most as many as double its price.

Ruled out: fewer than 30 for narrow steps; the gain is a few milliseconds and their choice of workers gets smaller.

--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -302,9 +302,16 @@
     run->advice.retry_at = now + kAdviceRetryDelay;
     return;
   }
+  size_t newly_asked = 0;
+  size_t newly_allowed = 0;
   for (const WorkerId& id : request.question.workers) {
-    run->advice.asked.insert(id);
+    // A renewal names workers that are known to be allowed.
+    if (run->advice.asked.insert(id).second) {
+      ++newly_asked;
+      newly_allowed += advice->tickets.count(id);
+    }
   }
+  advice_shares_.Record(FindJob(request.step.job)->intake.policy.name, newly_asked, newly_allowed);
   for (const auto& [id, ticket] : advice->tickets) {
     run->advice.allowed[id] = StepAdvice::Ticket{ticket, now + advice->validity};
   }
@@ -396,7 +403,8 @@
   ScheduledOrders result;
   RoundResult round;
   if (may_start) {
-    round = ScheduleRound(open_jobs_, workers_, now).Run(CanStartInheritedTasks(now));
+    round =
+        ScheduleRound(open_jobs_, workers_, advice_shares_, now).Run(CanStartInheritedTasks(now));
   }
   result.workers_examined = round.workers_examined;
   // The attempt number of a gang is derived from the numbers of all its tasks, so attempts of a
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -11,6 +11,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/time/time.h"
 #include "base/event_log.h"
+#include "cell/advice_shares.h"
 #include "cell/attempt_names.h"
 #include "cell/cell_job.h"
 #include "cell/cell_ports.h"
@@ -203,6 +204,7 @@
   // jobs for each open one.
   std::map<JobId, const CellJob*> open_jobs_;
   std::map<WorkerId, CellWorker> workers_;
+  AdviceShares advice_shares_;
   absl::flat_hash_set<JobId> changed_;
   // Workers of the inherited roster that have not reported yet.
   std::set<WorkerId> unreported_workers_;
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -15,9 +15,12 @@
 // workers to ask about. The upper bound is the limit of the adviser.
 constexpr size_t kMinQuestionWorkers = 8;
 constexpr size_t kMaxQuestionWorkers = 100;
-// Maximum number of workers named in the first question about a step. The latency objectives allow
-// for one call about 30 workers.
-constexpr size_t kMaxFirstQuestionWorkers = 30;
+// Number of workers named in the first question about a step, unless a wide step needs more. The
+// latency objectives allow for one call about 30 workers.
+constexpr size_t kFirstQuestionWorkers = 30;
+// A first question names enough workers for this multiple of the step's tasks, since the share of
+// them that the adviser allows varies.
+constexpr double kWideQuestionMargin = 1.25;
 // Share of the base time of a question that may be spent on renewing tickets that are not needed
 // yet. Free capacity changes while the adviser answers, and a step that waits for capacity would
 // otherwise send one question for each worker.
@@ -113,8 +116,9 @@
 }
 
 ScheduleRound::ScheduleRound(const std::map<JobId, const CellJob*>& jobs,
-                             const std::map<WorkerId, CellWorker>& workers, absl::Time now)
-    : jobs_(jobs), now_(now) {
+                             const std::map<WorkerId, CellWorker>& workers,
+                             const AdviceShares& advice_shares, absl::Time now)
+    : jobs_(jobs), advice_shares_(advice_shares), now_(now) {
   Resources capacity;
   for (const auto& [id, worker] : workers) {
     if (worker.AcceptsStarts(now)) {
@@ -513,10 +517,15 @@
   if (not_asked.empty()) {
     return;
   }
-  // Names as many workers as double the cost of the call, since the base time is spent in any case.
-  const size_t max_workers = std::clamp(MaxWorkersWithinCost(policy, 1), kMinQuestionWorkers,
-                                        first ? kMaxFirstQuestionWorkers : kMaxQuestionWorkers);
+  // Names at most as many workers as double the cost of the call, since the base time is spent in
+  // any case.
+  size_t max_workers =
+      std::clamp(MaxWorkersWithinCost(policy, 1), kMinQuestionWorkers, kMaxQuestionWorkers);
   std::sort(not_asked.begin(), not_asked.end());
+  if (first) {
+    max_workers =
+        std::min(max_workers, std::max(kFirstQuestionWorkers, WorkersToName(candidate, not_asked)));
+  }
   not_asked.resize(std::min(not_asked.size(), max_workers));
   std::vector<WorkerId> workers;
   workers.reserve(not_asked.size());
@@ -526,6 +535,26 @@
   RequestAdvice(candidate, std::move(workers));
 }
 
+size_t ScheduleRound::WorkersToName(const Candidate& candidate,
+                                    const std::vector<std::pair<double, WorkerId>>& ranked) const {
+  const StepRun& run = candidate.job->runs[candidate.run];
+  const StepSpec& step = candidate.job->Step(run);
+  const Resources needed = ReservedFor(step);
+  const double share = advice_shares_.Share(candidate.job->intake.policy.name);
+  const double wanted = kWideQuestionMargin * run.waiting;
+  double expected = 0;
+  size_t count = 0;
+  for (; count < ranked.size() && expected < wanted; ++count) {
+    Resources free = available_workers_[available_index_.at(ranked[count].second.value())].free;
+    const int limit = step.max_per_worker > 0 ? step.max_per_worker : run.waiting;
+    for (int tasks = 0; tasks < limit && needed.FitsInto(free); ++tasks) {
+      free -= needed;
+      expected += share;
+    }
+  }
+  return count;
+}
+
 void ScheduleRound::RequestAdvice(const Candidate& candidate, std::vector<WorkerId> workers) {
   const StepRun& run = candidate.job->runs[candidate.run];
   const AdvicePolicy& policy = *candidate.job->intake.policy.advice;
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -5,10 +5,12 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "cell/advice_shares.h"
 #include "cell/cell_job.h"
 #include "cell/cell_worker.h"
 
@@ -57,9 +59,10 @@
 // tasks end, and a burst of short urgent tasks would have to wait for them (priority inversion).
 class ScheduleRound {
  public:
-  // `jobs` are the jobs that are not in a final state. Both maps must outlive the round.
+  // `jobs` are the jobs that are not in a final state. The arguments must outlive the round.
   ScheduleRound(const std::map<JobId, const CellJob*>& jobs,
-                const std::map<WorkerId, CellWorker>& workers, absl::Time now);
+                const std::map<WorkerId, CellWorker>& workers, const AdviceShares& advice_shares,
+                absl::Time now);
 
   // Runs the round once. `inherited_allowed` permits starting tasks of inherited jobs that have no
   // known attempt.
@@ -141,9 +144,15 @@
   void RequestAdviceAboutNewWorkers(const Candidate& candidate);
   // Whether the job uses the adviser and a question about the step may be sent now.
   bool CanRequestAdvice(const Candidate& candidate) const;
+  // Returns how many of the workers a question has to name so that the step's waiting tasks should
+  // fit on those that the adviser allows. `ranked` holds the workers in the order in which they are
+  // named.
+  size_t WorkersToName(const Candidate& candidate,
+                       const std::vector<std::pair<double, WorkerId>>& ranked) const;
   void RequestAdvice(const Candidate& candidate, std::vector<WorkerId> workers);
 
   const std::map<JobId, const CellJob*>& jobs_;
+  const AdviceShares& advice_shares_;
   const absl::Time now_;
   std::vector<AvailableWorker> available_workers_;
   // Maps worker ids to indices in available_workers_.
--- a/tests/cell/schedule_round_test.cc
+++ b/tests/cell/schedule_round_test.cc
@@ -10,10 +10,10 @@
 // Adds jobs that need tickets from the adviser, and answers its questions.
 class AdvisedFixture : public Fixture {
  public:
-  void AddAdvisedJob(const std::string& id, const StepSpec& step) {
+  void AddAdvisedJob(const std::string& id, const StepSpec& step,
+                     absl::Duration base_cost = absl::Milliseconds(15)) {
     JobIntake job = Job(id, {step});
-    job.policy.advice =
-        AdvicePolicy{absl::Milliseconds(15), absl::Milliseconds(1), absl::Seconds(2)};
+    job.policy.advice = AdvicePolicy{base_cost, absl::Milliseconds(1), absl::Seconds(2)};
     AddJob(std::move(job));
   }
   // Runs a round, checks that it sends `count` questions to the adviser, and returns the last one.
@@ -171,6 +171,38 @@
              20U - first.question.workers.size());
 }
 
+// Load: wide steps on a queue for which the adviser allows few workers. Guards against a question
+// that names too few workers for the step, whose base time is spent again by the next one.
+BOOST_AUTO_TEST_CASE(FirstQuestionNamesEnoughWorkersForAWideStep) {
+  constexpr absl::Duration kBaseCost = absl::Milliseconds(100);
+  AdvisedFixture fixture;
+  std::vector<WorkerDescription> workers;
+  workers.reserve(100);
+  for (int i = 0; i < 100; ++i) {
+    workers.push_back(Fixture::Worker("w" + std::to_string(i), 1000));
+  }
+  fixture.AddWorkers(workers);
+  const auto ask = [&](const std::string& id, int tasks) {
+    fixture.AddAdvisedJob(id, Fixture::Step(tasks, 1000), kBaseCost);
+    return fixture.RunAdviceRound(1);
+  };
+  const AdviceRequest narrow = ask("narrow", 1);
+  BOOST_TEST(narrow.question.workers.size() == 30U);
+  fixture.AnswerQuestion(narrow, {});
+  fixture.scheduler().CancelJob(JobId("narrow"), fixture.Now());
+  // Few workers are allowed, so that 20 tasks need many more than 20 workers.
+  const AdviceRequest wide = ask("wide", 20);
+  BOOST_TEST(wide.question.workers.size() > 50U);
+  std::vector<std::string> allowed;
+  for (const WorkerId& worker : wide.question.workers) {
+    allowed.push_back(worker.value());
+  }
+  fixture.AnswerQuestion(wide, allowed);
+  fixture.scheduler().CancelJob(JobId("wide"), fixture.Now());
+  // After an answer that allowed all workers, fewer are named.
+  BOOST_TEST(ask("next", 20).question.workers.size() < wide.question.workers.size());
+}
+
 // Guards against one question for each worker that gets free capacity: a ticket renewal includes
 // other allowed workers, as many as cost a quarter of the base time of a question.
 BOOST_AUTO_TEST_CASE(RenewalCoversOtherAllowedWorkers) {
