cell: Keep the newest renewal time and end the lease loop at a stop

An answer to an older overlapping call could set the time of the last renewal back, and a stop in the middle of a renewal was logged as a store failure and asked all members about the store. Comments of the waiting limits reworded.

--- a/packages/cell/cell_membership.cc
+++ b/packages/cell/cell_membership.cc
@@ -30,7 +30,7 @@
 // Interval between renewal attempts while the store is unavailable. Callers are refused until an
 // attempt succeeds.
 constexpr absl::Duration kOutageRetryInterval = absl::Milliseconds(200);
-// A store that is slow, but not down, answers within this time.
+// A lease call that is unanswered for longer suggests that the store has stopped responding.
 constexpr absl::Duration kMaxAnswerDelay = absl::Milliseconds(300);
 // A renewal waits at most 0.8 s (the store client's limit), so store contacts are at most 1.3 s
 // apart.
@@ -266,6 +266,11 @@
   return renewal_began_ + (store_available_ ? kRenewInterval : kOutageRetryInterval);
 }
 
+bool CellMembership::IsStopping() const {
+  absl::MutexLock lock(&mutex_);
+  return stopping_;
+}
+
 bool CellMembership::OwnsAnyPart() const {
   absl::MutexLock lock(&mutex_);
   return !owned_terms_.empty();
@@ -297,6 +302,9 @@
     const InstanceLeaseRenewer::Renewal renewal = renewer_.Renew(*lease);
     const Outcome<void>& renewed = renewal.outcome;
     sent = renewal.sent;
+    if (IsStopping()) {
+      return;
+    }
     answered = renewed.ok() || renewed.error().kind == ErrorKind::kNotFound;
     if (!answered) {
       RecordStoreFailure(events_, "renewal of the instance lease", renewed.error());
@@ -322,7 +330,8 @@
   last_store_contact_ = clock_->Now();
   store_available_ = answered;
   if (answered) {
-    renewed_at_ = sent;
+    // The answered call may have been sent before one that was answered earlier.
+    renewed_at_ = std::max(renewed_at_, sent);
   } else if (store_down_for_all) {
     outage_confirmed_at_ = last_store_contact_;
   }
--- a/packages/cell/cell_membership.h
+++ b/packages/cell/cell_membership.h
@@ -85,6 +85,7 @@
   void RunLeaseLoop();
   // Returns when the next renewal of the lease is due.
   absl::Time NextRenewal() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  bool IsStopping() const;
   bool OwnsAnyPart() const;
   void RenewLeaseIfDue();
   bool Register();
@@ -123,6 +124,7 @@
   bool view_complete_ ABSL_GUARDED_BY(mutex_) = false;
   std::optional<StoreLeaseId> lease_ ABSL_GUARDED_BY(mutex_);
   absl::Time registered_at_ ABSL_GUARDED_BY(mutex_) = absl::InfiniteFuture();
+  // A lease call is in progress. `renewal_began_` is when it, or the last one, began.
   bool renewing_ ABSL_GUARDED_BY(mutex_) = false;
   absl::Time renewal_began_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
   absl::Time last_store_contact_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
--- a/packages/cell/cell_service.cc
+++ b/packages/cell/cell_service.cc
@@ -21,7 +21,8 @@
 // A notification is useful only if it reaches the owner before the store's watch does.
 constexpr absl::Duration kNotificationTimeout = absl::Milliseconds(200);
 constexpr size_t kMaxQueuedNotifications = 64;
-// Share of a job's latency objective that its submission may wait for the store in an outage.
+// Share of a job's latency objective that its submission may wait for the store in an outage. The
+// rest is left for the job itself; a job with a short objective is refused soon.
 constexpr double kMaxOutageWaitShare = 0.25;
 
 std::optional<CellJobState> ParseState(const json& value) {
--- a/packages/cell/entry_creation.h
+++ b/packages/cell/entry_creation.h
@@ -20,7 +20,7 @@
 
 // How long the creation of an entry may take.
 struct CreationLimits {
-  // Longest wait before the entry is sent to the store.
+  // Longest wait for an unavailable store. The entry is then refused unsent.
   absl::Duration max_wait;
   // The caller stops waiting for the outcome at this time.
   absl::Time deadline;
