cell: Let only patient submissions wait for the store in an outage

Cause: a job with a short objective waited about half a second in an outage, was refused then and came back a second later. Its tries came every 1.4 s instead of every 1.1 s.

Change: a submission waits only if it may wait for at least the delay after which a refused caller returns.

--- a/packages/cell/cell_service.cc
+++ b/packages/cell/cell_service.cc
@@ -7,6 +7,7 @@
 
 #include "cell/cell_job.h"
 #include "cell/cell_keys.h"
+#include "cell/outage_wait.h"
 
 namespace pomelotray {
 namespace {
@@ -21,9 +22,6 @@
 // A notification is useful only if it reaches the owner before the store's watch does.
 constexpr absl::Duration kNotificationTimeout = absl::Milliseconds(200);
 constexpr size_t kMaxQueuedNotifications = 64;
-// Share of a job's latency objective that its submission may wait for the store in an outage. The
-// rest is left for the job itself; a job with a short objective is refused soon.
-constexpr double kMaxOutageWaitShare = 0.25;
 
 std::optional<CellJobState> ParseState(const json& value) {
   for (const CellJobState state :
@@ -118,10 +116,8 @@
 Result<void> CellService::Submit(const QueueRoute& route, const JobId& id, WorkflowSpec spec,
                                  absl::Time deadline) {
   BOOST_LEAF_CHECK(ValidateWorkflow(spec, WorkflowLimits()));
-  const absl::Time now = clock_->Now();
-  const CreationLimits limits = {LatencyObjective(route.policy, spec) * kMaxOutageWaitShare,
-                                 deadline};
-  const JobIntake intake{id, route.policy, std::move(spec), now};
+  const CreationLimits limits = {MaxOutageWait(LatencyObjective(route.policy, spec)), deadline};
+  const JobIntake intake{id, route.policy, std::move(spec), clock_->Now()};
   BOOST_LEAF_AUTO(part, PartOf(route, id));
   return CreateEntry(EntryCreation{part, cell_keys::Job(part, id), EncodeIntake(intake),
                                    cell_keys::Finished(part, id)},
--- a/packages/cell/store_failure.h
+++ b/packages/cell/store_failure.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "absl/time/time.h"
+#include "base/error.h"
 #include "base/event_log.h"
 
 namespace pomelotray {
