--- a/tests/cell/submission_writer_test.cc
+++ b/tests/cell/submission_writer_test.cc
@@ -144,6 +144,7 @@
   BackgroundCreation first(&test, "first", absl::Hours(1));
   BOOST_REQUIRE(Eventually([&] { return test.store.Calls("commit") == 1; }));
   std::vector<std::unique_ptr<BackgroundCreation>> later;
+  later.reserve(kLaterCallers);
   for (int i = 0; i < kLaterCallers; ++i) {
     later.push_back(
         std::make_unique<BackgroundCreation>(&test, "later" + std::to_string(i), absl::Hours(1)));
