cell: Log the causes of worker losses, changed capacities and the age of advice

The logs could not tell a crashed worker from one that is cut off or leaves, nor which tasks were on it and for how long, nor why tasks waited while workers were idle. worker_lost, task_worker_lost, worker_capacity_changed and pool_state say so; advice_received gives the time that the answer took and how many of the allowed workers can still take a task.

No decision is changed.

--- a/packages/base/event_catalog.cc
+++ b/packages/base/event_catalog.cc
@@ -72,6 +72,8 @@
        "The adviser named the workers that may run a step."},
       {Code::kAdviceFailed, kWarning, "advice_failed", "A question to the adviser failed."},
       {Code::kJobStateTold, kInfo, "job_state_told", "A caller was told the state of a job."},
+      {Code::kTaskWorkerLost, kWarning, "task_worker_lost",
+       "A task was on a worker that was lost."},
       {Code::kRequestReceived, kInfo, "request_received", "A caller's request arrived."},
       {Code::kRequestSent, kInfo, "request_sent", "A request was sent to an executor."},
       {Code::kRequestAnswered, kInfo, "request_answered", "A request was answered."},
@@ -100,6 +102,12 @@
       {Code::kWorkerRestored, kInfo, "worker_restored", "A quarantined worker works again."},
       {Code::kWorkerReservation, kInfo, "worker_reservation",
        "The resources reserved on a worker changed."},
+      {Code::kWorkerLost, kWarning, "worker_lost",
+       "A worker was lost with all tasks on it; the cause says how it is known."},
+      {Code::kWorkerCapacityChanged, kInfo, "worker_capacity_changed",
+       "A worker announced another capacity."},
+      {Code::kPoolState, kInfo, "pool_state",
+       "A summary of a pool part's workers and waiting tasks, every 5 s."},
   };
   return *kCatalog;
 }
--- a/packages/base/event_catalog.h
+++ b/packages/base/event_catalog.h
@@ -63,6 +63,7 @@
   kAdviceReceived = 414,
   kAdviceFailed = 415,
   kJobStateTold = 416,
+  kTaskWorkerLost = 417,
 
   kRequestReceived = 500,
   kRequestSent = 501,
@@ -86,6 +87,9 @@
   kWorkerProbed = 705,
   kWorkerRestored = 706,
   kWorkerReservation = 707,
+  kWorkerLost = 708,
+  kWorkerCapacityChanged = 709,
+  kPoolState = 710,
 };
 
 // One row of the event catalogue.
--- a/packages/cell/cell_worker.h
+++ b/packages/cell/cell_worker.h
@@ -38,6 +38,8 @@
   // Estimated run time; infinite if the attempt runs until it is stopped.
   absl::Duration estimate;
   AttemptPhase phase = AttemptPhase::kOrdered;
+  // Time at which the start order was sent; infinite past if it was not sent by this owner.
+  absl::Time sent_at = absl::InfinitePast();
   // Time at which the worker's confirmation of the start was received.
   absl::Time confirmed_at = absl::InfiniteFuture();
   // The worker has reported the attempt as running.
@@ -98,6 +100,8 @@
   // another worker answered at the address. No attempt starts on the worker until it answers a
   // report request sent after that.
   absl::Time unanswered_at = absl::InfinitePast();
+  // Time of the first call without an answer since the last report.
+  absl::Time unreachable_since = absl::InfiniteFuture();
   // Jobs whose attempts have failed on the worker since the last attempt that succeeded on it.
   std::set<JobId> failed_jobs;
   absl::Time quarantined_until = absl::InfinitePast();
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -22,6 +22,7 @@
 constexpr absl::Duration kMaxStaleOwnerDelay = absl::Milliseconds(300);
 // Delay before a failed question to the adviser is retried.
 constexpr absl::Duration kAdviceRetryDelay = absl::Milliseconds(200);
+constexpr absl::Duration kPoolStateInterval = absl::Seconds(5);
 // Added to a lease for delays in reading clocks and scheduling threads, in addition to clock drift.
 constexpr absl::Duration kLeaseSlack = absl::Milliseconds(300);
 
@@ -180,6 +181,14 @@
     if (known != nullptr && !known->description.draining && description.draining) {
       events_->Record(EventCode::kWorkerLeaving).Worker(description.id).Emit();
     }
+    if (known != nullptr && known->description.capacity != description.capacity) {
+      events_->Record(EventCode::kWorkerCapacityChanged)
+          .Worker(description.id)
+          .With("before", absl::StrCat(known->description.capacity.cpu.value()))
+          .With(event_field::kCapacity, absl::StrCat(description.capacity.cpu.value()))
+          .With(event_field::kReserved, absl::StrCat(known->used.cpu.value()))
+          .Emit();
+    }
     UpsertCellWorker(description).listed = true;
   }
   for (auto& [id, worker] : workers_) {
@@ -312,14 +321,20 @@
     }
   }
   advice_shares_.Record(FindJob(request.step.job)->intake.policy.name, newly_asked, newly_allowed);
+  const Resources needed = ReservedFor(FindJob(request.step.job)->Step(*run));
+  int64_t usable = 0;
   for (const auto& [id, ticket] : advice->tickets) {
     run->advice.allowed[id] = StepAdvice::Ticket{ticket, now + advice->validity};
+    const CellWorker* worker = FindWorker(id);
+    usable += worker != nullptr && worker->AcceptsStarts(now) && needed.FitsInto(worker->Free());
   }
   events_->Record(EventCode::kAdviceReceived)
       .Job(request.step.job)
       .With("step", request.question.step)
       .With("asked", static_cast<int64_t>(request.question.workers.size()))
       .With("allowed", static_cast<int64_t>(advice->tickets.size()))
+      .With("usable", usable)
+      .With("took_ms", absl::ToInt64Milliseconds(now - run->advice.asked_at))
       .Emit();
 }
 
@@ -327,7 +342,8 @@
   for (auto it = workers_.begin(); it != workers_.end();) {
     CellWorker& worker = it->second;
     if (IsLeaseExpired(worker, now) && !worker.attempts.empty()) {
-      DropAllAttempts(&worker, "the worker's lease has expired");
+      LoseAttempts(&worker, worker.listed ? WorkerLossCause::kCutOff : WorkerLossCause::kVanished,
+                   now);
     }
     if (!worker.listed && IsLeaseExpired(worker, now)) {
       it = workers_.erase(it);
@@ -407,13 +423,16 @@
         ScheduleRound(open_jobs_, workers_, advice_shares_, now).Run(CanStartInheritedTasks(now));
   }
   result.workers_examined = round.workers_examined;
+  RecordPoolState(round, now);
   // The attempt number of a gang is derived from the numbers of all its tasks, so attempts of a
   // gang are created in the same round.
   for (const PlacedTask& placed : round.placed) {
     BeginAttempt(placed, now, &result);
   }
   for (AdviceRequest& request : round.advice) {
-    FindStepRun(request.step)->advice.question_pending = true;
+    StepAdvice& advice = FindStepRun(request.step)->advice;
+    advice.question_pending = true;
+    advice.asked_at = now;
     result.advice.push_back(std::move(request));
   }
   for (const WorkerId& id : round.workers_to_clear) {
@@ -427,6 +446,41 @@
   return result;
 }
 
+void PoolScheduler::RecordPoolState(const RoundResult& round, absl::Time now) {
+  if (now - pool_state_recorded_at_ < kPoolStateInterval) {
+    return;
+  }
+  pool_state_recorded_at_ = now;
+  const auto count = [this](const auto& matches) {
+    return static_cast<int64_t>(
+        std::count_if(workers_.begin(), workers_.end(),
+                      [&matches](const auto& entry) { return matches(entry.second); }));
+  };
+  Resources capacity;
+  Resources used;
+  for (const auto& [id, worker] : workers_) {
+    if (worker.AcceptsStarts(now)) {
+      capacity += worker.description.capacity;
+      used += worker.used;
+    }
+  }
+  events_->Record(EventCode::kPoolState)
+      .With("part", part_.Name().value())
+      .With("open_jobs", static_cast<int64_t>(open_jobs_.size()))
+      .With("waiting_tasks", round.waiting_tasks)
+      .With("listed", count([](const CellWorker& worker) { return worker.listed; }))
+      .With("accepting", count([now](const CellWorker& w) { return w.AcceptsStarts(now); }))
+      .With("unreachable", count([](const CellWorker& worker) {
+              return worker.unreachable_since < absl::InfiniteFuture();
+            }))
+      .With("quarantined",
+            count([now](const CellWorker& worker) { return worker.quarantined_until > now; }))
+      .With("reserved_workers", round.reserved_workers)
+      .With("accepting_cpu", capacity.cpu.value())
+      .With("used_cpu", used.cpu.value())
+      .Emit();
+}
+
 std::optional<WorkerTime> PoolScheduler::ExtendLease(const WorkerId& id, absl::Time now) {
   CellWorker* worker = FindWorker(id);
   if (worker == nullptr || !IsTrusted(id)) {
@@ -439,7 +493,7 @@
 
 std::optional<WorkerTime> PoolScheduler::PrepareStart(const WorkerId& id, const AttemptKey& key,
                                                       absl::Time now) {
-  const CellWorker* worker = FindWorker(id);
+  CellWorker* worker = FindWorker(id);
   if (worker == nullptr) {
     return std::nullopt;
   }
@@ -447,7 +501,11 @@
   if (it == worker->attempts.end() || it->second.stop_wanted) {
     return std::nullopt;
   }
-  return ExtendLease(id, now);
+  const std::optional<WorkerTime> lease_end = ExtendLease(id, now);
+  if (lease_end.has_value()) {
+    it->second.sent_at = now;
+  }
+  return lease_end;
 }
 
 bool PoolScheduler::IsTrusted(const WorkerId& id) const {
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -19,6 +19,7 @@
 #include "cell/job_record.h"
 #include "cell/pool_part.h"
 #include "cell/schedule_round.h"
+#include "cell/worker_loss.h"
 
 namespace pomelotray {
 
@@ -164,11 +165,17 @@
   void BeginAttempt(const PlacedTask& placed, absl::Time now, ScheduledOrders* result);
   void StopAttempts(CellWorker* worker, absl::Time now, ScheduledOrders* result);
   // Removes the attempt. If it was the current attempt of its task, the task waits to be started
-  // again and `reason` is logged. A null `reason` means that the task succeeded: nothing is logged.
+  // again and `reason` is logged, unless it is null.
   void DropAttempt(CellWorker* worker, const AttemptKey& key, const char* reason,
                    bool avoid_worker);
-  void DropAllAttempts(CellWorker* worker, const char* reason);
+  // Requeues the tasks of all attempts on a worker that is gone.
+  void LoseAttempts(CellWorker* worker, WorkerLossCause cause, absl::Time now);
+  void RecordTaskWorkerLost(const CellWorker& worker, const Attempt& attempt, WorkerLossCause cause,
+                            absl::Duration ran_for);
+  static void MarkUnreachable(CellWorker* worker, absl::Time now);
   void DropExpiredWorkers(absl::Time now);
+  // Logs a summary of the part, at most once every few seconds.
+  void RecordPoolState(const RoundResult& round, absl::Time now);
   // Restarts the measurement of how long each running attempt of the worker has made no progress.
   static void ResetProgressTimers(CellWorker* worker, absl::Time now);
   void ApplyRunning(CellWorker* worker, const RunningAttempt& running, absl::Time now);
@@ -204,6 +211,7 @@
   // jobs for each open one.
   std::map<JobId, const CellJob*> open_jobs_;
   std::map<WorkerId, CellWorker> workers_;
+  absl::Time pool_state_recorded_at_ = absl::InfinitePast();
   AdviceShares advice_shares_;
   absl::flat_hash_set<JobId> changed_;
   // Workers of the inherited roster that have not reported yet.
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -85,12 +85,51 @@
       .Emit();
 }
 
-void PoolScheduler::DropAllAttempts(CellWorker* worker, const char* reason) {
+void PoolScheduler::LoseAttempts(CellWorker* worker, WorkerLossCause cause, absl::Time now) {
+  if (worker->description.draining) {
+    cause = WorkerLossCause::kLeft;
+  }
+  const absl::Time lost_at = std::min(worker->unreachable_since, now);
+  events_->Record(EventCode::kWorkerLost)
+      .Worker(worker->description.id)
+      .With("cause", WorkerLossCauseName(cause))
+      .With("attempts", static_cast<int64_t>(worker->attempts.size()))
+      .With("unreachable_ms", absl::ToInt64Milliseconds(now - lost_at))
+      .Emit();
+  for (const auto& [key, attempt] : worker->attempts) {
+    if (IsCurrent(*worker, attempt)) {
+      RecordTaskWorkerLost(*worker, attempt, cause, lost_at - attempt.sent_at);
+    }
+  }
   while (!worker->attempts.empty()) {
-    DropAttempt(worker, AttemptKey(worker->attempts.begin()->first), reason, true);
+    DropAttempt(worker, AttemptKey(worker->attempts.begin()->first), nullptr, true);
   }
 }
 
+void PoolScheduler::RecordTaskWorkerLost(const CellWorker& worker, const Attempt& attempt,
+                                         WorkerLossCause cause, absl::Duration ran_for) {
+  const auto of_other_job = [&attempt](const auto& entry) {
+    return !entry.second.task.has_value() || entry.second.task->job != attempt.task->job;
+  };
+  events_->Record(EventCode::kTaskWorkerLost)
+      .Job(attempt.task->job)
+      .Task(TaskId(attempt.key.task))
+      .With("run", attempt.key.run.value())
+      .Worker(worker.description.id)
+      .With("cause", WorkerLossCauseName(cause))
+      // -1: the start order was not sent by this owner.
+      .With("ran_ms",
+            ran_for < absl::InfiniteDuration() ? absl::ToInt64Milliseconds(ran_for) : int64_t{-1})
+      .With("beside", static_cast<int64_t>(std::count_if(worker.attempts.begin(),
+                                                         worker.attempts.end(), of_other_job)))
+      .Emit();
+}
+
+void PoolScheduler::MarkUnreachable(CellWorker* worker, absl::Time now) {
+  worker->unreachable_since = std::min(worker->unreachable_since, now);
+  worker->unanswered_at = now;
+}
+
 void PoolScheduler::ApplyReport(const WorkerId& id, const WorkerReport& report, absl::Time sent,
                                 absl::Time received) {
   CellWorker* worker = FindWorker(id);
@@ -103,7 +142,7 @@
           .Worker(id)
           .With(event_field::kReason, "the worker process was restarted")
           .Emit();
-      DropAllAttempts(worker, "the worker process was restarted");
+      LoseAttempts(worker, WorkerLossCause::kCrashed, received);
     }
     worker->started_at = report.started_at;
     worker->last_reported_end = EndNumber(0);
@@ -126,6 +165,7 @@
     ResetProgressTimers(worker, received);
   }
   worker->last_report = std::max(worker->last_report, sent);
+  worker->unreachable_since = absl::InfiniteFuture();
   for (const EndedAttempt& ended : report.ended) {
     if (ended.number > worker->last_reported_end) {
       worker->last_reported_end = ended.number;
@@ -387,7 +427,7 @@
         .With("report_age_ms", absl::ToInt64Milliseconds(now - worker->last_report))
         .Emit();
   }
-  worker->unanswered_at = now;
+  MarkUnreachable(worker, now);
 }
 
 void PoolScheduler::WorkerReplaced(const WorkerId& id, absl::Time now) {
@@ -395,10 +435,10 @@
   if (worker == nullptr) {
     return;
   }
-  worker->unanswered_at = now;
+  MarkUnreachable(worker, now);
   worker->lease_over_at = now;
   unreported_workers_.erase(id);
-  DropAllAttempts(worker, "another worker responds at the worker's address");
+  LoseAttempts(worker, WorkerLossCause::kCrashed, now);
 }
 
 void PoolScheduler::StartFinished(const WorkerId& id, const AttemptKey& key,
@@ -427,7 +467,7 @@
       attempt.phase = AttemptPhase::kUncertain;
       attempt.stop_wanted = true;
     }
-    worker->unanswered_at = now;
+    MarkUnreachable(worker, now);
     return;
   }
   if (outcome.answer == OrderAnswer::kTicketRefused && attempt.task.has_value()) {
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -146,6 +146,7 @@
     for (size_t i = 0; i < job->runs.size(); ++i) {
       if (IsStartable(*job, job->runs[i], now_)) {
         candidates_.push_back(Candidate{job, static_cast<int>(i)});
+        result_.waiting_tasks += job->runs[i].waiting;
       } else if (WillStartSoon(*job, job->runs[i])) {
         upcoming_.push_back(Candidate{job, static_cast<int>(i)});
       }
@@ -457,6 +458,7 @@
     return;
   }
   reserved_workers_ += reserved.size();
+  result_.reserved_workers = static_cast<int64_t>(reserved_workers_);
   for (AvailableWorker* available : reserved) {
     available->reserved = true;
     available->reserved_until = available->worker->ExpectedFree(needed, now_);
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -41,6 +41,9 @@
   std::vector<WorkerId> workers_to_clear;
   // Number of pairs of a task and a worker that were examined; measures the cost of the round.
   int64_t workers_examined = 0;
+  // Number of tasks that could start when the round began, and of workers that the round reserved.
+  int64_t waiting_tasks = 0;
+  int64_t reserved_workers = 0;
 };
 
 // One scheduling round over all waiting tasks of a pool part: decides which tasks start on which
--- a/tests/cell/scheduler_fixture.cc
+++ b/tests/cell/scheduler_fixture.cc
@@ -61,12 +61,14 @@
 }
 
 void SchedulerFixture::AddWorkers(const std::vector<WorkerDescription>& workers) {
-  scheduler().UpdateDirectory(workers, Now());
+  listed_.clear();
   std::vector<WorkerId> ids;
   ids.reserve(workers.size());
   for (const WorkerDescription& worker : workers) {
     ids.push_back(worker.id);
+    listed_[worker.id.value()] = worker;
   }
+  scheduler().UpdateDirectory(workers, Now());
   scheduler().ConfirmRoster(ids);
   for (const WorkerDescription& worker : workers) {
     Report(worker.id.value(), {});
@@ -77,6 +79,9 @@
   std::vector<SentOrder> sent;
   for (auto& [worker, order] : scheduler().Schedule(Now()).orders) {
     sent.push_back(SentOrder{worker, order});
+    if (order.kind == WorkerOrder::Kind::kStart) {
+      scheduler().PrepareStart(worker, order.key, Now());
+    }
     if (confirm && order.kind == WorkerOrder::Kind::kStart) {
       scheduler().StartFinished(worker, order.key, OrderOutcome{OrderAnswer::kAccepted, false},
                                 Now());
@@ -103,6 +108,31 @@
   Advance(absl::Milliseconds(1));
 }
 
+void SchedulerFixture::Crash(const std::string& worker, const std::string& successor) {
+  scheduler().HoldFailed(WorkerId(worker), Now());
+  Advance(kRestartTime);
+  WorkerDescription next = listed_.at(worker);
+  next.id = WorkerId(successor);
+  listed_.erase(worker);
+  listed_[successor] = next;
+  std::vector<WorkerDescription> workers;
+  for (const auto& [id, description] : listed_) {
+    workers.push_back(description);
+  }
+  scheduler().UpdateDirectory(workers, Now());
+  scheduler().WorkerReplaced(WorkerId(worker), Now());
+  scheduler().ConfirmRoster({next.id});
+  Report(successor, {});
+}
+
+std::vector<Event> SchedulerFixture::Events(EventCode code) const {
+  std::vector<Event> events = events_.Select({});
+  events.erase(std::remove_if(events.begin(), events.end(),
+                              [code](const Event& event) { return event.code != code; }),
+               events.end());
+  return events;
+}
+
 void SchedulerFixture::CommitAll() {
   const std::vector<ProgressRecord> records = scheduler().TakeChangedRecords(1000);
   for (const ProgressRecord& record : records) {
--- a/tests/cell/scheduler_fixture.h
+++ b/tests/cell/scheduler_fixture.h
@@ -21,6 +21,8 @@
 // A pool scheduler on a manual clock. The test simulates the workers by reporting on their behalf.
 class SchedulerFixture {
  public:
+  static constexpr absl::Duration kRestartTime = absl::Seconds(3);
+
   explicit SchedulerFixture(int64_t term = 1);
 
   static StepSpec Step(int tasks, int64_t cpu, int64_t memory = 100, int64_t accelerators = 0);
@@ -43,6 +45,11 @@
   // report, and extends its lease.
   void Report(const std::string& worker, std::vector<RunningAttempt> running,
               const std::vector<std::pair<AttemptKey, AttemptEnd>>& ended = {});
+  // Simulates a crash of the worker's process: its hold fails at once. After kRestartTime, its
+  // next process answers at the same address as the idle worker `successor`.
+  void Crash(const std::string& worker, const std::string& successor);
+  // Returns the events of one kind that were logged, oldest first.
+  std::vector<Event> Events(EventCode code) const;
   // Stores the progress of all changed jobs.
   void CommitAll();
 
@@ -59,6 +66,8 @@
   ManualClock clock_;
   HybridClock hybrid_clock_{&clock_};
   EventLog events_{"test", &hybrid_clock_};
+  // The workers in the directory, by id.
+  std::map<std::string, WorkerDescription> listed_;
   int64_t term_;
   std::unique_ptr<PoolScheduler> scheduler_;
   std::map<std::string, int64_t> last_end_number_;
