--- /dev/null
+++ b/tests/cell/crashing_tasks_test.cc
@@ -0,0 +1,188 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "tests/cell/scheduler_fixture.h"
+
+namespace pomelotray {
+namespace {
+
+using Fixture = SchedulerFixture;
+
+// Most starts of a task that crashes its workers: three until three workers have crashed under it,
+// and two more.
+constexpr int kMaxStartsOfCrashingTask = 5;
+
+std::string WorkerName(int number) { return "w" + std::to_string(number); }
+
+// A pool in which the process of a worker crashes whenever it starts a certain task, and is
+// replaced by another one at the same address. All other tasks run until the test ends them.
+class CrashingPool {
+ public:
+  CrashingPool(int workers, int64_t cpu, std::string crashing_task)
+      : crashing_task_(std::move(crashing_task)), next_worker_(workers) {
+    std::vector<WorkerDescription> descriptions;
+    for (int i = 0; i < workers; ++i) {
+      descriptions.push_back(Fixture::Worker(WorkerName(i), cpu));
+      running_[WorkerName(i)];
+    }
+    fixture_.AddWorkers(descriptions);
+  }
+
+  Fixture& fixture() { return fixture_; }
+  int starts_of_crashing_task() const { return starts_of_crashing_task_; }
+  // Attempts of other tasks that were on a worker when it crashed.
+  int bystanders() const { return bystanders_; }
+  const std::map<std::string, std::vector<AttemptKey>>& running() const { return running_; }
+
+  // Runs one round. Lets each worker that was told to start the crashing task crash after `delay`.
+  void Step(absl::Duration delay = absl::Milliseconds(10)) {
+    ReportAll();
+    std::vector<std::string> crashed;
+    for (const SentOrder& sent : Starts(fixture_.Round())) {
+      running_[sent.worker.value()].push_back(sent.order.key);
+      if (sent.order.key.task == crashing_task_) {
+        ++starts_of_crashing_task_;
+        crashed.push_back(sent.worker.value());
+      }
+    }
+    fixture_.Advance(delay);
+    for (const std::string& worker : crashed) {
+      bystanders_ += static_cast<int>(running_[worker].size()) - 1;
+      running_.erase(worker);
+      const std::string next = WorkerName(next_worker_++);
+      fixture_.Crash(worker, next);
+      running_[next];
+    }
+    fixture_.CommitAll();
+  }
+
+  // Ends all running attempts.
+  void EndAll(AttemptEnd end) {
+    for (auto& [worker, keys] : running_) {
+      std::vector<std::pair<AttemptKey, AttemptEnd>> ended;
+      for (const AttemptKey& key : keys) {
+        ended.emplace_back(key, end);
+      }
+      keys.clear();
+      fixture_.Report(worker, {}, ended);
+    }
+    fixture_.CommitAll();
+  }
+
+ private:
+  void ReportAll() {
+    for (const auto& [worker, keys] : running_) {
+      std::vector<RunningAttempt> running;
+      for (const AttemptKey& key : keys) {
+        running.push_back(Fixture::Running(key, ++percent_ % 100));
+      }
+      fixture_.Report(worker, running);
+    }
+  }
+
+  Fixture fixture_;
+  const std::string crashing_task_;
+  int next_worker_;
+  int starts_of_crashing_task_ = 0;
+  int bystanders_ = 0;
+  int percent_ = 0;
+  std::map<std::string, std::vector<AttemptKey>> running_;
+};
+
+BOOST_AUTO_TEST_SUITE(CrashingTasksTest)
+
+// Guards against a task that crashes one worker after the other because nothing counts the crashes.
+BOOST_AUTO_TEST_CASE(TaskThatCrashesEachWorkerIsGivenUp) {
+  CrashingPool pool(4, 4000, "a.0.0.0");
+  pool.fixture().AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}));
+  for (int i = 0; i < 10; ++i) {
+    pool.Step();
+  }
+  BOOST_TEST(pool.starts_of_crashing_task() >= 2);
+  BOOST_TEST(pool.starts_of_crashing_task() <= kMaxStartsOfCrashingTask);
+  BOOST_TEST((pool.fixture().State("a") == CellJobState::kFailed));
+}
+
+// Guards against a pool that loses the same bystanders again and again, and against giving up tasks
+// that were merely on a worker when another task crashed it.
+BOOST_AUTO_TEST_CASE(TasksBesideACrashingTaskSurvive) {
+  CrashingPool pool(4, 8000, "crashing.0.0.0");
+  std::vector<std::string> others;
+  for (int i = 0; i < 6; ++i) {
+    others.push_back("other" + std::to_string(i));
+    pool.fixture().AddJob(Fixture::Job(others.back(), {Fixture::Step(1, 1000)}));
+  }
+  pool.fixture().AddJob(Fixture::Job("crashing", {Fixture::Step(1, 1000)}));
+  pool.Step();
+  const int bystanders = pool.bystanders();
+  for (int i = 0; i < 8; ++i) {
+    pool.Step();
+  }
+  BOOST_TEST(pool.bystanders() == bystanders);
+  BOOST_TEST((pool.fixture().State("crashing") == CellJobState::kFailed));
+  pool.Step();
+  pool.EndAll(AttemptEnd::kSucceeded);
+  pool.Step();
+  pool.EndAll(AttemptEnd::kSucceeded);
+  for (const std::string& job : others) {
+    BOOST_TEST((pool.fixture().State(job) == CellJobState::kCompleted));
+  }
+}
+
+// Guards against a new owner that starts to count the crashes of a task from zero.
+BOOST_AUTO_TEST_CASE(CrashesCountAfterATakeover) {
+  const JobIntake job = Fixture::Job("a", {Fixture::Step(1, 1000)});
+  Fixture fixture;
+  std::vector<WorkerDescription> workers = {Fixture::Worker("w0", 1000)};
+  fixture.AddWorkers(workers);
+  fixture.AddJob(job);
+  int starts = 0;
+  for (int i = 0; i < 8; ++i) {
+    const std::vector<SentOrder> started = Starts(fixture.Round());
+    starts += static_cast<int>(started.size());
+    fixture.Advance(absl::Milliseconds(10));
+    fixture.Crash(WorkerName(i), WorkerName(i + 1));
+    fixture.CommitAll();
+    if (fixture.State("a") == CellJobState::kFailed) {
+      break;
+    }
+    workers = {Fixture::Worker(WorkerName(i + 1), 1000)};
+    fixture.TakeOver({job}, workers);
+    fixture.AddWorkers(workers);
+  }
+  BOOST_TEST((fixture.State("a") == CellJobState::kFailed));
+  BOOST_TEST(starts <= kMaxStartsOfCrashingTask);
+}
+
+// Guards against a crash that is forgotten because the owner is lost before the next process of the
+// worker shows that it was one.
+BOOST_AUTO_TEST_CASE(CrashJustBeforeATakeoverCounts) {
+  const JobIntake job = Fixture::Job("a", {Fixture::Step(1, 1000)});
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w0", 1000)});
+  fixture.AddJob(job);
+  int starts = 0;
+  for (int i = 0; i < 8; ++i) {
+    starts += static_cast<int>(Starts(fixture.Round()).size());
+    fixture.Advance(absl::Milliseconds(10));
+    fixture.scheduler().HoldFailed(WorkerId(WorkerName(i)), fixture.Now());
+    fixture.CommitAll();
+    if (fixture.State("a") == CellJobState::kFailed) {
+      break;
+    }
+    // The next owner learns only that the worker of the roster has been replaced.
+    fixture.TakeOver({job}, {Fixture::Worker(WorkerName(i), 1000)});
+    fixture.Advance(Fixture::kRestartTime);
+    fixture.scheduler().WorkerReplaced(WorkerId(WorkerName(i)), fixture.Now());
+    fixture.AddWorkers({Fixture::Worker(WorkerName(i + 1), 1000)});
+    fixture.CommitAll();
+  }
+  BOOST_TEST((fixture.State("a") == CellJobState::kFailed));
+  BOOST_TEST(starts <= kMaxStartsOfCrashingTask);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace pomelotray
