cell: Store an expected crash before it is certain

Cause: an owner is certain of a crash only when the next process of the worker answers at the address, 3 s later. If the owner is lost in between, nobody knows what ran on the worker, and the crash counts for no task. The class: knowledge that exists in one process only while another step is awaited.

The change: the first call that a worker does not answer adds the loss to the histories of the tasks that are suspected or would be, and stores it. It is taken back if the worker answers again with the same process, if it lists or ends the attempt, if the worker leaves as announced or is only cut off. A new owner gives up a task with enough of such losses before it starts it again.

Further cases for both sides: cut-off and leaving workers, a worker that answers again, a long-running task that outlives six workers, a gang, a crash in the middle of the run, the end of the isolation.

--- a/packages/cell/cell_worker.h
+++ b/packages/cell/cell_worker.h
@@ -107,6 +107,8 @@
   absl::Time unanswered_at = absl::InfinitePast();
   // Time of the first call without an answer since the last report.
   absl::Time unreachable_since = absl::InfiniteFuture();
+  // The histories of tasks contain attempts on the worker, although its loss is not certain.
+  bool losses_expected = false;
   // Jobs whose attempts have failed on the worker since the last attempt that succeeded on it.
   std::set<JobId> failed_jobs;
   absl::Time quarantined_until = absl::InfinitePast();
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -428,12 +428,18 @@
   // The attempt number of a gang is derived from the numbers of all its tasks, so attempts of a
   // gang are created in the same round.
   for (const PlacedTask& placed : round.placed) {
-    BeginAttempt(placed, now, &result);
+    // An earlier owner may have been lost before it could give the task up.
+    if (!GiveUpIfItCrashesWorkers(placed.task, now)) {
+      BeginAttempt(placed, now, &result);
+    }
   }
   for (AdviceRequest& request : round.advice) {
-    StepAdvice& advice = FindStepRun(request.step)->advice;
-    advice.question_pending = true;
-    advice.asked_at = now;
+    StepRun* run = FindStepRun(request.step);
+    if (run == nullptr) {
+      continue;
+    }
+    run->advice.question_pending = true;
+    run->advice.asked_at = now;
     result.advice.push_back(std::move(request));
   }
   for (const WorkerId& id : round.workers_to_clear) {
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -173,14 +173,16 @@
   // Describes what the loss of the worker says about the task of one of its attempts.
   static LostAttempt DescribeLoss(const CellWorker& worker, const Attempt& attempt,
                                   absl::Time lost_at);
-  // Adds the loss of the worker to the histories of the tasks that may have caused it.
-  void RecordLosses(CellWorker* worker, absl::Time now);
+  // Adds the loss of the worker to the histories of the tasks that may have caused it. If the loss
+  // is not certain, only to those of tasks that are or will be suspected.
+  void RecordLosses(CellWorker* worker, absl::Time now, bool certain);
   // Removes the attempts on a worker from these histories: the worker has not crashed.
   void RetractLosses(CellWorker* worker);
-  void RetractLoss(const Attempt& attempt);
+  void RetractLoss(const TaskRef& task, RunNumber attempt);
   void RecordTaskWorkerLost(const CellWorker& worker, const Attempt& attempt, WorkerLossCause cause,
                             absl::Time lost_at);
-  void GiveUpIfItCrashesWorkers(const TaskRef& task, absl::Time now);
+  // Ends the job as failed if the task crashes its workers. Returns whether the job has ended.
+  bool GiveUpIfItCrashesWorkers(const TaskRef& task, absl::Time now);
   // Ends the isolation of suspected tasks that have run long enough without crashing the worker.
   void ClearSurvivors(CellWorker* worker);
   static void MarkUnreachable(CellWorker* worker, absl::Time now);
--- a/packages/cell/pool_scheduler_losses.cc
+++ b/packages/cell/pool_scheduler_losses.cc
@@ -51,7 +51,7 @@
   return lost;
 }
 
-void PoolScheduler::RecordLosses(CellWorker* worker, absl::Time now) {
+void PoolScheduler::RecordLosses(CellWorker* worker, absl::Time now, bool certain) {
   const absl::Time lost_at = std::min(worker->unreachable_since, now);
   for (auto& [key, attempt] : worker->attempts) {
     const bool sent = attempt.known_since < absl::InfiniteFuture();
@@ -64,21 +64,28 @@
     if (job->Step(*run).long_running && lost.ran_for > kMaxCrashDelayOfLongRunning) {
       continue;
     }
-    run->tasks[attempt.task->task].losses.Add(lost);
-    MarkChanged(job);
+    WorkerLossHistory& losses = run->tasks[attempt.task->task].losses;
+    const bool suspect = lost.started_last || !losses.empty();
+    if ((certain || suspect) && losses.Add(lost)) {
+      worker->losses_expected = !certain;
+      MarkChanged(job);
+    }
   }
 }
 
 void PoolScheduler::RetractLosses(CellWorker* worker) {
   for (const auto& [key, attempt] : worker->attempts) {
-    RetractLoss(attempt);
+    if (attempt.task.has_value()) {
+      RetractLoss(*attempt.task, key.run);
+    }
   }
+  worker->losses_expected = false;
 }
 
-void PoolScheduler::RetractLoss(const Attempt& attempt) {
-  StepRun* run = attempt.task.has_value() ? FindStepRun(*attempt.task) : nullptr;
-  if (run != nullptr && run->tasks[attempt.task->task].losses.Remove(attempt.key.run)) {
-    MarkChanged(FindJob(attempt.task->job));
+void PoolScheduler::RetractLoss(const TaskRef& task, RunNumber attempt) {
+  StepRun* run = FindStepRun(task);
+  if (run != nullptr && run->tasks[task.task].losses.Remove(attempt)) {
+    MarkChanged(FindJob(task.job));
   }
 }
 
@@ -94,7 +101,7 @@
       .With("unreachable_ms", absl::ToInt64Milliseconds(now - lost_at))
       .Emit();
   if (MayBeCausedByTask(cause)) {
-    RecordLosses(worker, now);
+    RecordLosses(worker, now, /*certain=*/true);
   } else {
     RetractLosses(worker);
   }
@@ -138,19 +145,21 @@
       .Emit();
 }
 
-void PoolScheduler::GiveUpIfItCrashesWorkers(const TaskRef& task, absl::Time now) {
+bool PoolScheduler::GiveUpIfItCrashesWorkers(const TaskRef& task, absl::Time now) {
   CellJob* job = FindJob(task.job);
-  StepRun* run = FindStepRun(task);
-  if (run == nullptr || IsFinal(job->state)) {
-    return;
+  const StepRun* run = FindStepRun(task);
+  if (run == nullptr) {
+    return true;
   }
   const WorkerLossHistory& losses = run->tasks[task.task].losses;
-  if (losses.CrashesWorkers()) {
-    Finish(job, CellJobState::kFailed, now,
-           absl::StrCat(TaskName(*job, *run, task.task),
-                        " crashes its workers: ", losses.attempts().size(),
-                        " were lost, the last one with no other job on it"));
+  if (!losses.CrashesWorkers()) {
+    return false;
   }
+  Finish(job, CellJobState::kFailed, now,
+         absl::StrCat(TaskName(*job, *run, task.task),
+                      " crashes its workers: ", losses.attempts().size(),
+                      " were lost, the last one while it ran no other job"));
+  return true;
 }
 
 void PoolScheduler::ClearSurvivors(CellWorker* worker) {
@@ -185,6 +194,9 @@
         .Emit();
   }
   MarkUnreachable(worker, now);
+  // If the worker has crashed and this owner is lost before it is certain of that, the next owner
+  // learns of the crash from these records only.
+  RecordLosses(worker, now, /*certain=*/false);
 }
 
 void PoolScheduler::WorkerReplaced(const WorkerId& id, absl::Time now) {
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -91,7 +91,11 @@
   if (worker == nullptr) {
     return;
   }
-  if (worker->started_at != report.started_at) {
+  if (worker->started_at == report.started_at) {
+    if (worker->losses_expected) {
+      RetractLosses(worker);
+    }
+  } else {
     if (worker->started_at != absl::InfinitePast()) {
       events_->Record(EventCode::kWorkerRestored)
           .Worker(id)
@@ -153,6 +157,9 @@
     return;
   }
   Attempt& attempt = it->second;
+  if (!attempt.listed && attempt.task.has_value()) {
+    RetractLoss(*attempt.task, attempt.key.run);
+  }
   attempt.phase = AttemptPhase::kRunning;
   attempt.listed = true;
   attempt.confirmed_at = std::min(attempt.confirmed_at, now);
@@ -220,6 +227,9 @@
   attempt.progress_at = now;
   attempt.checkpoint = running.checkpoint;
   const bool wanted = BindAttempt(worker, &attempt);
+  if (attempt.task.has_value()) {
+    RetractLoss(*attempt.task, attempt.key.run);
+  }
   events_->Record(EventCode::kTaskAdopted)
       .Task(TaskId(running.key.task))
       .With("run", running.key.run.value())
@@ -258,6 +268,9 @@
   const bool succeeded = ended.end == AttemptEnd::kSucceeded;
   DropAttempt(worker, ended.key, succeeded ? nullptr : "the attempt ended without success",
               ended.end == AttemptEnd::kFailed);
+  if (ref.has_value()) {
+    RetractLoss(*ref, ended.key.run);
+  }
   UnacknowledgedEnd pending{ended.number, JobId(), 0};
   CellJob* job = ref.has_value() ? FindJob(ref->job) : nullptr;
   if (job != nullptr && !IsFinal(job->state)) {
--- a/packages/cell/worker_loss.cc
+++ b/packages/cell/worker_loss.cc
@@ -44,10 +44,12 @@
   return cause == WorkerLossCause::kCrashed || cause == WorkerLossCause::kVanished;
 }
 
-void WorkerLossHistory::Add(const LostAttempt& attempt) {
-  if (!Contains(attempt.run)) {
-    attempts_.push_back(attempt);
+bool WorkerLossHistory::Add(const LostAttempt& attempt) {
+  if (Contains(attempt.run)) {
+    return false;
   }
+  attempts_.push_back(attempt);
+  return true;
 }
 
 bool WorkerLossHistory::Remove(RunNumber run) {
--- a/packages/cell/worker_loss.h
+++ b/packages/cell/worker_loss.h
@@ -45,8 +45,8 @@
 // run no other job; it is given up only if a worker is lost then, too, after a similar run time.
 class WorkerLossHistory {
  public:
-  // Adds the attempt unless one with the same number is known.
-  void Add(const LostAttempt& attempt);
+  // Adds the attempt unless one with the same number is known. Returns whether it was added.
+  bool Add(const LostAttempt& attempt);
   // Removes an attempt that turned out not to be lost. Returns whether it was known.
   bool Remove(RunNumber run);
   void Clear() { attempts_.clear(); }
--- a/tests/cell/crashing_tasks_test.cc
+++ b/tests/cell/crashing_tasks_test.cc
@@ -184,6 +184,115 @@
   BOOST_TEST(starts <= kMaxStartsOfCrashingTask);
 }
 
+// Guards against giving up a task whose workers were lost for other causes.
+BOOST_AUTO_TEST_CASE(CutOffAndLeavingWorkersDoNotCountAsCrashes) {
+  for (const bool leaving : {false, true}) {
+    Fixture fixture;
+    fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}));
+    for (int i = 0; i < 6; ++i) {
+      WorkerDescription worker = Fixture::Worker(WorkerName(i), 1000);
+      fixture.AddWorkers({worker});
+      BOOST_REQUIRE_EQUAL(Starts(fixture.Round()).size(), 1U);
+      worker.draining = leaving;
+      fixture.scheduler().UpdateDirectory({worker}, fixture.Now());
+      fixture.Advance(absl::Milliseconds(10));
+      fixture.scheduler().HoldFailed(worker.id, fixture.Now());
+      fixture.Advance(absl::Seconds(7));
+      BOOST_TEST(Starts(fixture.Round()).empty());
+      fixture.CommitAll();
+    }
+    BOOST_TEST((fixture.State("a") == CellJobState::kRunning));
+    BOOST_TEST(fixture.scheduler().jobs().at(JobId("a")).runs[0].tasks[0].losses.empty());
+  }
+}
+
+// Guards against suspecting a task because one call to its worker failed.
+BOOST_AUTO_TEST_CASE(WorkerThatAnswersAgainHasNotCrashed) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w0", 1000)});
+  fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}));
+  const SentOrder started = Starts(fixture.Round()).at(0);
+  const WorkerLossHistory& losses =
+      fixture.scheduler().jobs().at(JobId("a")).runs[0].tasks[0].losses;
+  fixture.scheduler().HoldFailed(started.worker, fixture.Now());
+  BOOST_TEST(!losses.empty());
+  fixture.Report("w0", {Fixture::Running(started.order.key)});
+  BOOST_TEST(losses.empty());
+}
+
+// Guards against a task that crashes its workers in the middle of its run and is taken for one of
+// the many that run beside it.
+BOOST_AUTO_TEST_CASE(TaskThatCrashesWorkersLateIsGivenUp) {
+  CrashingPool pool(6, 4000, "late.0.0.0");
+  pool.fixture().AddJob(Fixture::Job("late", {Fixture::Step(1, 1000)}));
+  for (int i = 0; i < 4; ++i) {
+    pool.fixture().AddJob(Fixture::Job("other" + std::to_string(i), {Fixture::Step(1, 1000)}));
+  }
+  for (int i = 0; i < 10; ++i) {
+    pool.Step(absl::Milliseconds(1400));
+  }
+  BOOST_TEST(pool.starts_of_crashing_task() >= 3);
+  BOOST_TEST(pool.starts_of_crashing_task() <= kMaxStartsOfCrashingTask);
+  BOOST_TEST((pool.fixture().State("late") == CellJobState::kFailed));
+}
+
+// Guards against a long-running task that occupies a whole worker, or is given up, because it
+// outlived several workers.
+BOOST_AUTO_TEST_CASE(LongRunningTaskOutlivesItsWorkers) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w0", 2000)});
+  StepSpec lasting = Fixture::Step(1, 1000);
+  lasting.long_running = true;
+  fixture.AddJob(Fixture::Job("a", {lasting}));
+  for (int i = 0; i < 6; ++i) {
+    const SentOrder started = Starts(fixture.Round()).at(0);
+    for (int second = 0; second < 12; ++second) {
+      fixture.Report(WorkerName(i), {Fixture::Running(started.order.key, second)});
+      fixture.Advance(absl::Seconds(1));
+    }
+    fixture.Crash(WorkerName(i), WorkerName(i + 1));
+  }
+  fixture.CommitAll();
+  BOOST_TEST((fixture.State("a") == CellJobState::kRunning));
+  fixture.AddJob(Fixture::Job("b", {Fixture::Step(1, 1000)}));
+  BOOST_TEST(Starts(fixture.Round()).size() == 2U);
+}
+
+// Guards against a gang that is started for ever because one of its members crashes its workers,
+// and against a gang that never starts whole again after one of its members became suspected.
+BOOST_AUTO_TEST_CASE(GangOfACrashingMemberIsGivenUp) {
+  CrashingPool pool(6, 1000, "gang.0.0.1");
+  StepSpec gang = Fixture::Step(3, 1000);
+  gang.gang = true;
+  pool.fixture().AddJob(Fixture::Job("gang", {gang}));
+  for (int i = 0; i < 10; ++i) {
+    pool.Step();
+    pool.EndAll(AttemptEnd::kGangBroken);
+  }
+  BOOST_TEST(pool.starts_of_crashing_task() >= 2);
+  BOOST_TEST(pool.starts_of_crashing_task() <= kMaxStartsOfCrashingTask);
+  BOOST_TEST((pool.fixture().State("gang") == CellJobState::kFailed));
+}
+
+// Guards against a suspected task that holds a whole worker for ever although it does no harm.
+BOOST_AUTO_TEST_CASE(SuspectThatSurvivesSharesItsWorkerAgain) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w0", 2000)});
+  StepSpec lasting = Fixture::Step(1, 1000);
+  lasting.long_running = true;
+  fixture.AddJob(Fixture::Job("a", {lasting}));
+  fixture.Round();
+  fixture.Advance(absl::Milliseconds(10));
+  fixture.Crash("w0", "w1");
+  const SentOrder again = Starts(fixture.Round()).at(0);
+  fixture.AddJob(Fixture::Job("b", {Fixture::Step(1, 1000)}));
+  fixture.Report("w1", {Fixture::Running(again.order.key)});
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  fixture.Advance(absl::Seconds(1));
+  fixture.Report("w1", {Fixture::Running(again.order.key, 100)});
+  BOOST_TEST(Starts(fixture.Round()).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- /dev/null
+++ b/tests/cell/worker_loss_test.cc
@@ -0,0 +1,69 @@
+#include "cell/worker_loss.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace pomelotray {
+namespace {
+
+LostAttempt Lost(int64_t run, absl::Duration ran_for, bool alone, bool started_last) {
+  return LostAttempt{RunNumber(run), ran_for, alone, started_last};
+}
+
+BOOST_AUTO_TEST_SUITE(WorkerLossTest)
+
+// Guards against giving up tasks by the number of lost workers alone.
+BOOST_AUTO_TEST_CASE(LossesBesideOtherJobsNeverSuffice) {
+  WorkerLossHistory losses;
+  for (int run = 1; run <= 20; ++run) {
+    losses.Add(Lost(run, absl::Milliseconds(20), /*alone=*/false, /*started_last=*/true));
+  }
+  BOOST_TEST(losses.IsSuspected());
+  BOOST_TEST(!losses.CrashesWorkers());
+}
+
+// Guards against giving up a task whose workers were lost at unrelated moments of its run.
+BOOST_AUTO_TEST_CASE(LossesAfterDifferentRunTimesDoNotAddUp) {
+  WorkerLossHistory losses;
+  losses.Add(Lost(1, absl::Milliseconds(20), false, true));
+  losses.Add(Lost(2, absl::Milliseconds(900), true, true));
+  losses.Add(Lost(3, absl::Seconds(4), true, false));
+  losses.Add(Lost(4, absl::Seconds(12), true, false));
+  BOOST_TEST(!losses.CrashesWorkers());
+}
+
+// Guards against more crashes than needed to be sure of the cause.
+BOOST_AUTO_TEST_CASE(SecondLossRightAfterTheStartOnAnOtherwiseIdleWorkerSuffices) {
+  WorkerLossHistory losses;
+  losses.Add(Lost(1, absl::Milliseconds(70), false, true));
+  BOOST_TEST(!losses.CrashesWorkers());
+  losses.Add(Lost(2, absl::Milliseconds(10), true, true));
+  BOOST_TEST(losses.CrashesWorkers());
+}
+
+// Guards against a late crash that is never attributed to its task.
+BOOST_AUTO_TEST_CASE(ThirdLossAfterASimilarRunTimeSuffices) {
+  WorkerLossHistory losses;
+  losses.Add(Lost(1, absl::Milliseconds(3000), false, false));
+  BOOST_TEST(!losses.IsSuspected());
+  losses.Add(Lost(2, absl::Milliseconds(3400), false, false));
+  BOOST_TEST(losses.IsSuspected());
+  BOOST_TEST(!losses.CrashesWorkers());
+  losses.Add(Lost(3, absl::Milliseconds(3100), true, false));
+  BOOST_TEST(losses.CrashesWorkers());
+}
+
+// Guards against counting one attempt twice after a takeover.
+BOOST_AUTO_TEST_CASE(AttemptCountsOnce) {
+  WorkerLossHistory losses;
+  BOOST_TEST(losses.Add(Lost(1, absl::Milliseconds(10), true, true)));
+  BOOST_TEST(!losses.Add(Lost(1, absl::Milliseconds(10), true, true)));
+  BOOST_TEST(!losses.CrashesWorkers());
+  BOOST_TEST(losses.Remove(RunNumber(1)));
+  BOOST_TEST(!losses.Remove(RunNumber(1)));
+  BOOST_TEST(!losses.IsSuspected());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace pomelotray
