cell: Count a lost worker only against attempts that it has confirmed

Cause: a start order that gets no answer was taken for a start. The class: a missing answer read as evidence.

The change: only attempts that the worker has confirmed or listed count. A task that crashes its workers is confirmed first: the answer leaves the worker before the crash ends its connections.

Evidence: UnconfirmedStartsDoNotCountAsCrashes fails without the change (the job is given up) and passes with it.

--- a/packages/cell/pool_scheduler_losses.cc
+++ b/packages/cell/pool_scheduler_losses.cc
@@ -54,8 +54,8 @@
 void PoolScheduler::RecordLosses(CellWorker* worker, absl::Time now, bool certain) {
   const absl::Time lost_at = std::min(worker->unreachable_since, now);
   for (auto& [key, attempt] : worker->attempts) {
-    const bool sent = attempt.known_since < absl::InfiniteFuture();
-    if (!sent || !IsCurrent(*worker, attempt)) {
+    // A worker that did not confirm the start may have been lost before the order arrived.
+    if (attempt.phase != AttemptPhase::kRunning || !IsCurrent(*worker, attempt)) {
       continue;
     }
     CellJob* job = FindJob(attempt.task->job);
--- a/tests/cell/crashing_tasks_test.cc
+++ b/tests/cell/crashing_tasks_test.cc
@@ -206,6 +206,24 @@
   }
 }
 
+// Guards against giving up a task that was sent to workers that were already gone: they never
+// started it.
+BOOST_AUTO_TEST_CASE(UnconfirmedStartsDoNotCountAsCrashes) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w0", 1000)});
+  fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}));
+  for (int i = 0; i < 6; ++i) {
+    const SentOrder started = Starts(fixture.Round(/*confirm=*/false)).at(0);
+    fixture.Advance(absl::Milliseconds(10));
+    fixture.scheduler().StartFinished(started.worker, started.order.key, OrderOutcome{},
+                                      fixture.Now());
+    fixture.Crash(WorkerName(i), WorkerName(i + 1));
+    fixture.CommitAll();
+  }
+  BOOST_TEST((fixture.State("a") == CellJobState::kRunning));
+  BOOST_TEST(fixture.scheduler().jobs().at(JobId("a")).runs[0].tasks[0].losses.empty());
+}
+
 // Guards against suspecting a task because one call to its worker failed.
 BOOST_AUTO_TEST_CASE(WorkerThatAnswersAgainHasNotCrashed) {
   Fixture fixture;
