cell: Require more evidence against a task whose workers are lost later in its run

The change: two losses suffice only within 250 ms after the start, which covers the delay with which a loss is noticed; otherwise it takes three whose run times differ by no more than a quarter and that delay.

Evidence: TwoLossesDuringTheRunDoNotSuffice fails without the change.

--- a/packages/cell/worker_loss.cc
+++ b/packages/cell/worker_loss.cc
@@ -5,14 +5,16 @@
 namespace pomelotray {
 namespace {
 
-// Two run times are similar if the longer one is at most twice the shorter one plus this time, by
-// which the loss of a worker may be noticed late.
+// Two run times are similar if they differ by at most this factor and this time, by which the loss
+// of a worker may be noticed late.
 constexpr absl::Duration kNoticeDelay = absl::Milliseconds(250);
-constexpr double kSimilarFactor = 2;
+constexpr double kSimilarFactor = 1.25;
 // Number of similar losses after which a task is given up, the last of them on a worker of its own.
-// Fewer are needed if the worker was lost immediately after the start each time.
+// Fewer are needed if the workers were lost at the start, since a loss for another cause rarely
+// falls into that time.
 constexpr int kLossesToGiveUp = 3;
-constexpr int kLossesAfterStartToGiveUp = 2;
+constexpr int kLossesAtStartToGiveUp = 2;
+constexpr absl::Duration kStartTime = kNoticeDelay;
 // A task that did not start last is suspected after this many losses.
 constexpr size_t kLossesToSuspect = 2;
 // A clearing attempt must run longer than the lost ones by this factor and time.
@@ -24,6 +26,10 @@
   return longer < absl::InfiniteDuration() && longer <= shorter * kSimilarFactor + kNoticeDelay;
 }
 
+bool IsAtStart(const LostAttempt& attempt) {
+  return attempt.started_last && attempt.ran_for <= kStartTime;
+}
+
 }  // namespace
 
 const char* WorkerLossCauseName(WorkerLossCause cause) {
@@ -79,14 +85,12 @@
   }
   const LostAttempt& last = attempts_.back();
   int similar = 0;
-  int similar_after_start = 0;
+  int at_start = 0;
   for (const LostAttempt& attempt : attempts_) {
-    if (AreSimilar(attempt, last)) {
-      ++similar;
-      similar_after_start += attempt.started_last && last.started_last ? 1 : 0;
-    }
+    similar += AreSimilar(attempt, last) ? 1 : 0;
+    at_start += IsAtStart(attempt) ? 1 : 0;
   }
-  return similar >= kLossesToGiveUp || similar_after_start >= kLossesAfterStartToGiveUp;
+  return similar >= kLossesToGiveUp || (IsAtStart(last) && at_start >= kLossesAtStartToGiveUp);
 }
 
 absl::Duration WorkerLossHistory::Probation() const {
--- a/tests/cell/worker_loss_test.cc
+++ b/tests/cell/worker_loss_test.cc
@@ -31,6 +31,16 @@
   BOOST_TEST(!losses.CrashesWorkers());
 }
 
+// Guards against giving up a task because its workers were lost twice for other causes, both times
+// before anything else was started there.
+BOOST_AUTO_TEST_CASE(TwoLossesDuringTheRunDoNotSuffice) {
+  WorkerLossHistory losses;
+  losses.Add(Lost(1, absl::Milliseconds(340), false, true));
+  losses.Add(Lost(2, absl::Milliseconds(485), true, true));
+  BOOST_TEST(losses.IsSuspected());
+  BOOST_TEST(!losses.CrashesWorkers());
+}
+
 // Guards against more crashes than needed to be sure of the cause.
 BOOST_AUTO_TEST_CASE(SecondLossRightAfterTheStartOnAnOtherwiseIdleWorkerSuffices) {
   WorkerLossHistory losses;
