cell: Keep the newer attempt when the roster lists one that it has replaced

Cause: the roster is rewritten every half second. An owner that lists the attempts of an unreachable worker there, then learns that the worker has crashed and starts the tasks elsewhere, may be lost before the next write. The next owner took the listed attempts for running, stopped the newer ones as superfluous, learned of the crash, and started the tasks again while the stops were under way.

The change: an attempt that a worker reports replaces one with a lower number that is only known from the roster; attempt numbers rise with each start, so the lower one was over when the higher one was started.

--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -181,13 +181,20 @@
     CellTask& task = run->tasks[attempt->task->task];
     SetDemand(job->Step(*run), attempt);
     attempt->isolated = task.losses.IsSuspected();
-    wanted = task.phase == TaskPhase::kWaiting && !job->cancel_requested && !attempt->stop_wanted &&
-             attempt->key.run >= task.last_run;
+    // The roster may be older than the last starts of the earlier owner and list an attempt that
+    // had already been replaced by a newer one.
+    const bool replaces = task.phase == TaskPhase::kActive && attempt->key.run > task.last_run;
+    wanted = (task.phase == TaskPhase::kWaiting || replaces) && !job->cancel_requested &&
+             !attempt->stop_wanted && attempt->key.run >= task.last_run;
     if (wanted) {
+      if (replaces) {
+        StopAttempt(task.worker, AttemptKey{attempt->key.task, task.last_run});
+      } else {
+        --run->waiting;
+      }
       task.phase = TaskPhase::kActive;
       task.worker = worker->description.id;
       task.last_run = attempt->key.run;
-      --run->waiting;
       job->state = CellJobState::kRunning;
       job->visible = CellJobState::kRunning;
     }
--- a/tests/cell/pool_scheduler_test.cc
+++ b/tests/cell/pool_scheduler_test.cc
@@ -268,6 +268,38 @@
   BOOST_TEST(Stops(fixture.Round()).size() == 1U);
 }
 
+// Guards against two runs of a task after a takeover with a roster that is older than the last
+// start: the running attempt was stopped in favor of the one that it had replaced, and the task was
+// started again while the stop was under way.
+BOOST_AUTO_TEST_CASE(NewerAttemptReplacesTheOneInAnOldRoster) {
+  Fixture fixture;
+  const std::vector<WorkerDescription> workers = {Fixture::Worker("w1", 1000),
+                                                  Fixture::Worker("w2", 1000)};
+  fixture.AddWorkers(workers);
+  const JobIntake job = Fixture::Job("a", {Fixture::Step(1, 1000)});
+  fixture.AddJob(job);
+  const SentOrder first = Starts(fixture.Round()).at(0);
+  const std::string other = first.worker.value() == "w1" ? "w2" : "w1";
+  fixture.Advance(absl::Seconds(3));
+  fixture.Report(other, {});
+  fixture.scheduler().HoldFailed(first.worker, fixture.Now());
+  const std::vector<RosterEntry> roster = fixture.scheduler().BuildRoster(fixture.Now());
+  fixture.scheduler().WorkerReplaced(first.worker, fixture.Now());
+  const SentOrder second = Starts(fixture.Round()).at(0);
+  BOOST_REQUIRE(second.worker.value() == other);
+  fixture.TakeOver({job}, roster);
+  fixture.Report(other, {Fixture::Running(second.order.key)});
+  for (const SentOrder& sent : fixture.Round()) {
+    BOOST_TEST((sent.order.kind == WorkerOrder::Kind::kStop));
+    BOOST_TEST((sent.order.key == first.order.key));
+  }
+  fixture.scheduler().WorkerReplaced(first.worker, fixture.Now());
+  BOOST_TEST(fixture.Round().empty());
+  fixture.Report(other, {}, {{second.order.key, AttemptEnd::kSucceeded}});
+  fixture.CommitAll();
+  BOOST_TEST((fixture.State("a") == CellJobState::kCompleted));
+}
+
 // Guards against transactions that the store rejects as too large: a job that reaches a final state
 // changes up to four keys.
 BOOST_AUTO_TEST_CASE(TransactionsHoldNoMoreKeysThanAllowed) {
