tests/cell: Simulate pools whose workers are crashed by tasks and change their capacity

PoolFaultRunTest drives PoolScheduler on the paused clock against simulated workers, by seed: tasks that crash their workers at once or late, random crashes, cut-offs, owner changes, store outages, capacities that shrink and grow.

--- /dev/null
+++ b/tests/cell/pool_simulation.cc
@@ -0,0 +1,550 @@
+#include "tests/cell/pool_simulation.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/strip.h"
+
+namespace pomelotray {
+namespace {
+
+const char kPool[] = "work";
+constexpr int kMachines = 12;
+constexpr int64_t kCpu = 8000;
+constexpr absl::Duration kStep = absl::Milliseconds(5);
+constexpr absl::Duration kFaultTime = absl::Seconds(30);
+// Covers the end of all leases, a takeover and the work that is left.
+constexpr absl::Duration kQuietTime = absl::Seconds(40);
+constexpr absl::Duration kBeatInterval = absl::Milliseconds(1500);
+constexpr absl::Duration kHoldRetryInterval = absl::Milliseconds(250);
+constexpr absl::Duration kRoundInterval = absl::Milliseconds(20);
+constexpr absl::Duration kDirectoryInterval = absl::Milliseconds(500);
+// A smaller capacity counts this long after the worker has it: the time in which an owner must have
+// noticed a change, and one beat of the worker.
+constexpr absl::Duration kCapacityNotice = absl::Milliseconds(4500);
+constexpr int kMaxStartsAfterThirdCrash = 2;
+constexpr double kJobsPerStep = 0.02;
+
+}  // namespace
+
+PoolSimulation::PoolSimulation(int seed, Faults faults)
+    : seed_(seed),
+      faults_(faults),
+      random_(static_cast<unsigned>(seed)),
+      begin_(clock_.Now()),
+      scheduler_(std::make_unique<PoolScheduler>(PoolPart{PoolName(kPool), 0, 1}, term_,
+                                                 PoolLimits(), &events_)),
+      next_directory_(begin_),
+      next_round_(begin_) {
+  for (int i = 0; i < kMachines; ++i) {
+    AddWorker(absl::StrCat("10.0.0.", i, ":80"));
+  }
+}
+
+void PoolSimulation::AddWorker(const std::string& machine) {
+  Worker worker;
+  worker.description.id = WorkerId(absl::StrCat("w", next_worker_++));
+  worker.description.address = machine;
+  worker.description.pool = PoolName(kPool);
+  worker.description.capacity.cpu = MilliCores(kCpu);
+  worker.description.capacity.memory = MebiBytes(100'000);
+  worker.published = worker.description;
+  worker.started_at = Now();
+  worker.next_hold = Now();
+  worker.next_beat = Now();
+  worker.last_beat = Now();
+  worker.earlier_capacity = worker.description.capacity;
+  const std::string id = worker.description.id.value();
+  workers_.emplace(id, std::move(worker));
+}
+
+void PoolSimulation::Violation(std::string text) {
+  violations_.push_back(
+      absl::StrCat("at ", absl::ToDoubleSeconds(Now() - begin_), " s: ", std::move(text)));
+}
+
+void PoolSimulation::After(absl::Duration delay, std::function<void()> action) {
+  actions_.emplace(Now() + delay, std::move(action));
+}
+
+int PoolSimulation::crashing_jobs() const {
+  return static_cast<int>(std::count_if(jobs_.begin(), jobs_.end(), [](const auto& entry) {
+    return !entry.second.crashing_task.empty();
+  }));
+}
+
+std::vector<std::string> PoolSimulation::Run() {
+  while (Now() < begin_ + kFaultTime) {
+    SubmitJobs();
+    InjectFaults();
+    Step();
+  }
+  for (auto& [id, worker] : workers_) {
+    SetCapacity(&worker, kCpu);
+  }
+  while (Now() < begin_ + kFaultTime + kQuietTime) {
+    Step();
+  }
+  CheckFinalStates();
+  return violations_;
+}
+
+void PoolSimulation::Step() {
+  clock_.Advance(kStep);
+  while (!actions_.empty() && actions_.begin()->first <= Now()) {
+    const std::function<void()> action = std::move(actions_.begin()->second);
+    actions_.erase(actions_.begin());
+    action();
+  }
+  RestartWorkers();
+  for (auto& [id, worker] : workers_) {
+    AdvanceRuns(&worker);
+  }
+  Publish();
+  if (Now() >= next_directory_) {
+    next_directory_ = Now() + kDirectoryInterval;
+    UpdateDirectory();
+  }
+  HoldWorkers();
+  if (Now() >= next_round_) {
+    next_round_ = Now() + kRoundInterval;
+    SendOrders();
+    CommitProgress();
+  }
+}
+
+void PoolSimulation::SubmitJobs() {
+  if (Below(1000) >= kJobsPerStep * 1000) {
+    return;
+  }
+  JobTruth job;
+  JobIntake& intake = job.intake;
+  intake.id = JobId(absl::StrCat("j", next_job_++));
+  intake.policy.name = "queue";
+  intake.policy.pool = PoolName(kPool);
+  intake.policy.max_attempts = 3;
+  intake.policy.priority = Below(3);
+  intake.policy.stretch = 2;
+  intake.policy.target_latency = absl::Seconds(1);
+  intake.spec.payload = "payload";
+  intake.accepted = Now();
+  const int steps = 1 + Below(2);
+  for (int i = 0; i < steps; ++i) {
+    StepSpec step;
+    step.task_count = 1 + Below(5);
+    step.demand.cpu = MilliCores(500 + Below(3500));
+    step.demand.memory = MebiBytes(100);
+    step.estimate = Millis(200, 2500);
+    step.long_running = steps == 1 && Below(30) == 0;
+    if (i > 0) {
+      step.after = {i - 1};
+    }
+    intake.spec.steps.push_back(step);
+  }
+  if (Below(1000) < faults_.crashing_jobs * 1000) {
+    job.crashing_task = absl::StrCat(intake.id.value(), ".0.", Below(steps), ".0");
+    job.crash_after = Below(5) == 0 ? Millis(100, 190) : Millis(5, 40);
+  }
+  scheduler_->AddJob(intake, Now());
+  jobs_.emplace(intake.id.value(), std::move(job));
+}
+
+void PoolSimulation::InjectFaults() {
+  const double steps = absl::FDivDuration(kFaultTime, kStep);
+  const auto happens = [this, steps](double mean) {
+    return random_() % 1'000'000 < mean / steps * 1e6;
+  };
+  if (happens(faults_.worker_crashes)) {
+    CrashRandomWorker();
+  }
+  if (happens(faults_.cut_offs)) {
+    std::next(workers_.begin(), Below(static_cast<int>(workers_.size())))->second.cut_until =
+        Now() + Millis(500, 9000);
+  }
+  if (happens(faults_.store_outages)) {
+    store_down_until_ = Now() + Millis(300, 5000);
+  }
+  if (happens(faults_.owner_changes)) {
+    ChangeOwner();
+  }
+  if (happens(faults_.capacity_changes)) {
+    ChangeCapacityOfRandomWorker();
+  }
+}
+
+void PoolSimulation::CrashRandomWorker() {
+  const WorkerEntry it = std::next(workers_.begin(), Below(static_cast<int>(workers_.size())));
+  if (it->second.up) {
+    CrashWorker(&it->second, "");
+  }
+}
+
+void PoolSimulation::ChangeCapacityOfRandomWorker() {
+  Worker& worker = std::next(workers_.begin(), Below(static_cast<int>(workers_.size())))->second;
+  if (worker.up) {
+    SetCapacity(&worker, kCpu / 8 * (1 + Below(8)));
+  }
+}
+
+void PoolSimulation::SetCapacity(Worker* worker, int64_t cpu) {
+  worker->earlier_capacity = CapacityThatCounts(*worker);
+  worker->description.capacity.cpu = MilliCores(cpu);
+  worker->lower_counts_at = Now() + kCapacityNotice;
+}
+
+Resources PoolSimulation::CapacityThatCounts(const Worker& worker) const {
+  return Now() < worker.lower_counts_at ? Max(worker.earlier_capacity, worker.description.capacity)
+                                        : worker.description.capacity;
+}
+
+void PoolSimulation::CrashWorker(Worker* worker, const std::string& cause) {
+  for (const TaskRun& run : worker->runs) {
+    const bool crashes_workers = run.crash_after < absl::InfiniteDuration();
+    bystander_losses_ += crashes_workers ? 0 : 1;
+  }
+  if (!cause.empty()) {
+    ++crashes_[cause];
+  }
+  worker->runs.clear();
+  worker->ends.clear();
+  worker->up = false;
+  worker->back_at = Now() + Millis(1000, 4000);
+}
+
+void PoolSimulation::RestartWorkers() {
+  std::vector<std::string> restarting;
+  for (auto& [id, worker] : workers_) {
+    if (!worker.up && worker.back_at <= Now()) {
+      restarting.push_back(id);
+    }
+  }
+  for (const std::string& id : restarting) {
+    Worker& worker = workers_.at(id);
+    worker.back_at = absl::InfiniteFuture();
+    if (Below(2) == 0) {
+      // The next process has another id. The entry of this one stays until its beats are missed.
+      AddWorker(worker.description.address);
+      continue;
+    }
+    Worker next;
+    next.description = worker.description;
+    next.published = worker.published;
+    next.started_at = Now();
+    next.next_hold = Now();
+    next.next_beat = Now();
+    next.last_beat = Now();
+    next.earlier_capacity = CapacityThatCounts(worker);
+    next.lower_counts_at = worker.lower_counts_at;
+    worker = std::move(next);
+  }
+}
+
+void PoolSimulation::AdvanceRuns(Worker* worker) {
+  if (!worker->up) {
+    return;
+  }
+  for (size_t i = 0; i < worker->runs.size();) {
+    const TaskRun run = worker->runs[i];
+    if (run.started + run.crash_after <= Now()) {
+      CrashWorker(worker, run.key.task);
+      return;
+    }
+    if (worker->lease_end <= Now()) {
+      EndRun(worker, i, AttemptEnd::kLeaseExpired);
+    } else if (run.stopping && run.stopped_at <= Now()) {
+      EndRun(worker, i, AttemptEnd::kStopped);
+    } else if (!run.stopping && !run.long_running && run.started + run.duration <= Now()) {
+      EndRun(worker, i, AttemptEnd::kSucceeded);
+    } else {
+      ++i;
+    }
+  }
+}
+
+void PoolSimulation::EndRun(Worker* worker, size_t index, AttemptEnd end) {
+  const AttemptKey key = worker->runs[index].key;
+  worker->runs.erase(worker->runs.begin() + static_cast<int64_t>(index));
+  worker->last_end = EndNumber(worker->last_end.value() + 1);
+  worker->ends.push_back(EndedAttempt{worker->last_end, key, end, ""});
+  worker->refused[key.task] = std::max(worker->refused[key.task], key.run);
+}
+
+void PoolSimulation::Publish() {
+  const bool store_down = Now() < store_down_until_;
+  for (auto it = workers_.begin(); it != workers_.end();) {
+    Worker& worker = it->second;
+    if (store_down) {
+      // Nobody can learn of the capacity.
+      worker.lower_counts_at = worker.lower_counts_at > Now()
+                                   ? std::max(worker.lower_counts_at, Now() + kCapacityNotice)
+                                   : worker.lower_counts_at;
+      worker.last_beat = Now();
+    } else if (worker.up && worker.next_beat <= Now()) {
+      worker.published = worker.description;
+      worker.last_beat = Now();
+      worker.next_beat = Now() + kBeatInterval;
+    }
+    const bool gone = !worker.up && worker.back_at == absl::InfiniteFuture() &&
+                      Now() - worker.last_beat > 3 * kBeatInterval;
+    it = gone ? workers_.erase(it) : std::next(it);
+  }
+}
+
+void PoolSimulation::UpdateDirectory() {
+  if (Now() < store_down_until_) {
+    return;
+  }
+  std::vector<WorkerDescription> listed;
+  for (const auto& [id, worker] : workers_) {
+    if (Now() - worker.last_beat <= 3 * kBeatInterval) {
+      listed.push_back(worker.published);
+    }
+  }
+  scheduler_->UpdateDirectory(listed, Now());
+  const std::vector<RosterEntry> roster = scheduler_->BuildRoster(Now());
+  stored_roster_ = EncodeRoster(roster);
+  std::vector<WorkerId> open;
+  for (const RosterEntry& entry : roster) {
+    if (!entry.unreachable) {
+      open.push_back(entry.worker.id);
+    }
+  }
+  scheduler_->ConfirmRoster(open);
+}
+
+void PoolSimulation::CommitProgress() {
+  if (Now() < store_down_until_) {
+    return;
+  }
+  const std::vector<ProgressRecord> records = scheduler_->TakeChangedRecords(1000);
+  for (const ProgressRecord& record : records) {
+    stored_progress_[record.job] = record.text;
+    if (IsFinal(record.state)) {
+      stored_final_.insert(record.job);
+    }
+  }
+  scheduler_->MarkCommitted(records);
+}
+
+void PoolSimulation::ChangeOwner() {
+  // Without the store, nobody else can become the owner.
+  if (Now() < store_down_until_) {
+    return;
+  }
+  ++owner_;
+  ++term_;
+  scheduler_ = std::make_unique<PoolScheduler>(PoolPart{PoolName(kPool), 0, 1}, term_, PoolLimits(),
+                                               &events_);
+  std::vector<JobIntake> jobs;
+  for (const auto& [id, job] : jobs_) {
+    jobs.push_back(job.intake);
+  }
+  std::optional<std::vector<RosterEntry>> roster = std::vector<RosterEntry>();
+  if (!stored_roster_.empty()) {
+    roster = Capture([this] { return DecodeRoster(stored_roster_); }).value();
+  }
+  scheduler_->LoadInheritedState(std::move(jobs), stored_progress_, roster, Now());
+  for (auto& [id, worker] : workers_) {
+    worker.next_hold = Now() + Millis(5, 50);
+  }
+  next_directory_ = Now();
+}
+
+WorkerTime PoolSimulation::ClockOf(const Worker& worker) const {
+  return WorkerTime(absl::ToInt64Milliseconds(Now() - worker.started_at));
+}
+
+void PoolSimulation::SendOrders() {
+  for (auto& [id, order] : scheduler_->Schedule(Now()).orders) {
+    std::optional<WorkerTime> lease_end = WorkerTime(0);
+    if (order.kind == WorkerOrder::Kind::kStart) {
+      lease_end = scheduler_->PrepareStart(id, order.key, Now());
+    }
+    if (!lease_end.has_value()) {
+      scheduler_->StartFinished(id, order.key, OrderOutcome{std::nullopt, true}, Now());
+      continue;
+    }
+    After(Millis(1, 15),
+          [this, worker = id.value(), order = order, token = FencingToken(term_),
+           lease = *lease_end, owner = owner_] { Deliver(worker, order, token, lease, owner); });
+  }
+}
+
+void PoolSimulation::Deliver(const std::string& id, const WorkerOrder& order, FencingToken token,
+                             WorkerTime lease_end, int owner) {
+  const WorkerEntry it = workers_.find(id);
+  OrderOutcome outcome;
+  absl::Duration delay = Millis(1, 15);
+  if (it == workers_.end() || !it->second.up || Now() < it->second.cut_until) {
+    delay = Below(2) == 0 ? Millis(5, 20) : absl::Milliseconds(500);
+  } else {
+    outcome.answer = Execute(&it->second, order, token, lease_end);
+  }
+  After(delay, [this, id, order, outcome, owner] {
+    if (owner != owner_) {
+      return;
+    }
+    if (order.kind == WorkerOrder::Kind::kStart) {
+      scheduler_->StartFinished(WorkerId(id), order.key, outcome, Now());
+    } else {
+      scheduler_->StopFinished(WorkerId(id), order.key, outcome, Now());
+    }
+  });
+}
+
+OrderAnswer PoolSimulation::Execute(Worker* worker, const WorkerOrder& order, FencingToken token,
+                                    WorkerTime lease_end) {
+  if (token < worker->token) {
+    return OrderAnswer::kFenced;
+  }
+  worker->token = token;
+  const auto same_task = [&order](const TaskRun& run) { return run.key.task == order.key.task; };
+  const auto present = std::find_if(worker->runs.begin(), worker->runs.end(), same_task);
+  if (order.kind == WorkerOrder::Kind::kStop) {
+    worker->refused[order.key.task] = std::max(worker->refused[order.key.task], order.key.run);
+    if (present != worker->runs.end() && present->key.run <= order.key.run && !present->stopping) {
+      present->stopping = true;
+      present->stopped_at = Now() + Millis(50, 900);
+    }
+    return OrderAnswer::kAccepted;
+  }
+  if (present != worker->runs.end() && present->key.run == order.key.run) {
+    return OrderAnswer::kAccepted;
+  }
+  const auto refused = worker->refused.find(order.key.task);
+  if (present != worker->runs.end() ||
+      (refused != worker->refused.end() && order.key.run <= refused->second)) {
+    return OrderAnswer::kSuperseded;
+  }
+  if (lease_end <= ClockOf(*worker)) {
+    return OrderAnswer::kLeaseOver;
+  }
+  worker->lease_end =
+      std::max(worker->lease_end, worker->started_at + absl::Milliseconds(lease_end.value()));
+  TaskNameParts parts;
+  ParseTaskName(order.key.task, &parts);
+  const JobTruth& job = jobs_.at(parts.job);
+  const StepSpec& step = job.intake.spec.steps[parts.step];
+  TaskRun run;
+  run.key = order.key;
+  run.demand = step.demand;
+  run.started = Now();
+  run.duration = step.estimate;
+  run.long_running = step.long_running;
+  if (order.key.task == job.crashing_task) {
+    run.crash_after = job.crash_after;
+  }
+  worker->runs.push_back(run);
+  CheckStart(*worker, run);
+  return OrderAnswer::kAccepted;
+}
+
+void PoolSimulation::CheckStart(const Worker& worker, const TaskRun& started) {
+  Resources used;
+  for (const TaskRun& run : worker.runs) {
+    used += run.demand;
+  }
+  const std::string& task = started.key.task;
+  if (!used.FitsInto(CapacityThatCounts(worker))) {
+    Violation(absl::StrCat(task, " exceeds the capacity of ", worker.description.id.value(), ": ",
+                           used.cpu.value(), " of ", CapacityThatCounts(worker).cpu.value()));
+  }
+  int places = 0;
+  for (const auto& [id, other] : workers_) {
+    places += static_cast<int>(
+        std::count_if(other.runs.begin(), other.runs.end(),
+                      [&task](const TaskRun& run) { return run.key.task == task; }));
+  }
+  if (places > 1) {
+    Violation(absl::StrCat(task, " runs twice"));
+  }
+  if (acknowledged_successes_.count(task) > 0) {
+    Violation(absl::StrCat(task, " is started after it succeeded"));
+  }
+  if (crashes_[task] >= 3 && ++starts_after_third_crash_[task] > kMaxStartsAfterThirdCrash) {
+    Violation(absl::StrCat(task, " is started after ", crashes_[task], " crashes"));
+  }
+}
+
+void PoolSimulation::HoldWorkers() {
+  std::vector<WorkerDescription> known;
+  for (const auto& [id, worker] : scheduler_->workers()) {
+    known.push_back(worker.description);
+  }
+  for (const WorkerDescription& description : known) {
+    const WorkerEntry it = workers_.find(description.id.value());
+    if (it == workers_.end()) {
+      FailHold(description);
+    } else if (it->second.next_hold <= Now()) {
+      Hold(description, &it->second);
+    }
+  }
+}
+
+void PoolSimulation::FailHold(const WorkerDescription& description) {
+  const bool replaced =
+      std::any_of(workers_.begin(), workers_.end(), [&description](const auto& entry) {
+        return entry.second.up && entry.second.description.address == description.address &&
+               entry.second.description.id != description.id;
+      });
+  if (replaced) {
+    scheduler_->WorkerReplaced(description.id, Now());
+  } else {
+    scheduler_->HoldFailed(description.id, Now());
+  }
+}
+
+void PoolSimulation::Hold(const WorkerDescription& description, Worker* worker) {
+  if (!worker->up || Now() < worker->cut_until) {
+    worker->next_hold = Now() + kHoldRetryInterval;
+    FailHold(description);
+    return;
+  }
+  const WorkerId& worker_id = description.id;
+  worker->next_hold = Now() + Millis(20, 200);
+  worker->token = FencingToken(term_);
+  const EndNumber acknowledged = scheduler_->AcknowledgedEnd(worker_id);
+  const std::optional<WorkerTime> lease_end = scheduler_->ExtendLease(worker_id, Now());
+  if (lease_end.has_value()) {
+    worker->lease_end =
+        std::max(worker->lease_end, worker->started_at + absl::Milliseconds(lease_end->value()));
+  }
+  WorkerReport report;
+  report.clock = ClockOf(*worker);
+  report.started_at = worker->started_at;
+  for (const TaskRun& run : worker->runs) {
+    const double share = absl::FDivDuration(Now() - run.started, run.duration);
+    report.running.push_back(
+        RunningAttempt{run.key, "", run.long_running ? 100 : static_cast<int>(share * 100), 0});
+  }
+  for (size_t i = 0; i < worker->ends.size();) {
+    const EndedAttempt& end = worker->ends[i];
+    if (end.number <= acknowledged) {
+      if (end.end == AttemptEnd::kSucceeded) {
+        acknowledged_successes_.insert(end.key.task);
+      }
+      worker->ends.erase(worker->ends.begin() + static_cast<int64_t>(i));
+    } else {
+      report.ended.push_back(end);
+      ++i;
+    }
+  }
+  scheduler_->ApplyReport(worker_id, report, Now(), Now());
+}
+
+void PoolSimulation::CheckFinalStates() {
+  for (const auto& [id, job] : jobs_) {
+    const std::optional<CellJobState> state = scheduler_->VisibleState(JobId(id));
+    const bool lasting = job.intake.spec.steps[0].long_running;
+    const CellJobState expected = !job.crashing_task.empty() ? CellJobState::kFailed
+                                  : lasting                  ? CellJobState::kRunning
+                                                             : CellJobState::kCompleted;
+    if (state != expected) {
+      const std::string shown(state.has_value() ? CellJobStateName(*state) : "unknown");
+      Violation(id + " is " + shown + ", not " + std::string(CellJobStateName(expected)));
+    }
+  }
+}
+
+}  // namespace pomelotray
