tests/soak: Crash workers by tasks and change their capacity

One job in 25 has a task that crashes each worker that starts it; the worker refuses connections for 1.5 s and starts again under its id. Such a job has to end as failed after at most five starts, all others as completed. Workers also publish lower and higher capacities.

--- a/tests/soak/run_history.cc
+++ b/tests/soak/run_history.cc
@@ -5,6 +5,13 @@
 #include "absl/strings/str_cat.h"
 
 namespace pomelotray {
+namespace {
+
+// After this many crashes, a task may be started only `kMaxStartsAfterCrashes` more times.
+constexpr int kMaxCrashes = 3;
+constexpr int kMaxStartsAfterCrashes = 2;
+
+}  // namespace
 
 void RunHistory::AddViolationLocked(std::string text) { violations_.push_back(std::move(text)); }
 
@@ -43,6 +50,10 @@
     AddViolationLocked(
         absl::StrCat(task, " run ", run, " started after a success was acknowledged"));
   }
+  if (crashes_[task] >= kMaxCrashes && ++starts_since_third_crash_[task] > kMaxStartsAfterCrashes) {
+    AddViolationLocked(
+        absl::StrCat(task, " run ", run, " started after ", crashes_[task], " crashes"));
+  }
   std::set<std::string>& workers = running_[task];
   workers.insert(worker);
   if (workers.size() > 1) {
@@ -56,6 +67,11 @@
   running_[task].erase(worker);
 }
 
+void RunHistory::CrashedBy(const std::string& task) {
+  absl::MutexLock lock(&mutex_);
+  ++crashes_[task];
+}
+
 void RunHistory::SuccessAcknowledged(const std::string& task) {
   absl::MutexLock lock(&mutex_);
   succeeded_.insert(task);
--- a/tests/soak/run_history.h
+++ b/tests/soak/run_history.h
@@ -23,6 +23,8 @@
   void Started(const std::string& worker, const std::string& task, int64_t run,
                const std::string& payload);
   void Ended(const std::string& worker, const std::string& task, int64_t run);
+  // Records that the task crashed the worker that ran it.
+  void CrashedBy(const std::string& task);
   // Records that the owner acknowledged a successful run of the task.
   void SuccessAcknowledged(const std::string& task);
   // Adds a violation that the caller detected itself.
@@ -42,6 +44,9 @@
   // Workers that currently run a task, by task.
   std::map<std::string, std::set<std::string>> running_ ABSL_GUARDED_BY(mutex_);
   std::set<std::string> succeeded_ ABSL_GUARDED_BY(mutex_);
+  // The workers that each task has crashed, and its starts since the third crash.
+  std::map<std::string, int> crashes_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, int> starts_since_third_crash_ ABSL_GUARDED_BY(mutex_);
   std::vector<std::string> violations_ ABSL_GUARDED_BY(mutex_);
 };
 
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -24,6 +24,9 @@
 constexpr absl::Duration kCallTimeout = absl::Seconds(3);
 constexpr int kMaxAttempts = 4;
 constexpr absl::Duration kStopTimeout = absl::Seconds(6);
+// By then an instance that reaches the store has learned of a worker's capacity: the time in which
+// it has to notice changes, and one interval in which the worker publishes it.
+constexpr absl::Duration kCapacityNotice = absl::Milliseconds(4500);
 
 std::string MakeFolder() {
   std::string pattern = "/tmp/pomelotray-soak-XXXXXX";
@@ -151,11 +154,25 @@
       break;
   }
   store_fault_until_ = absl::Now() + absl::Milliseconds(300 + RandomBelow(&random_, 4000));
+  for (const std::unique_ptr<WorkerStandin>& worker : workers_) {
+    worker->PostponeLowerCpu(store_fault_until_ + kCapacityNotice);
+  }
+}
+
+void SoakRun::ChangeCapacity(int worker) {
+  // Workers publish their capacity in the store.
+  if (absl::Now() < store_fault_until_) {
+    return;
+  }
+  const int64_t cpu = kWorkerCpu / 4 * (1 + RandomBelow(&random_, 4));
+  workers_[worker]->SetCpu(cpu, absl::Now() + kCapacityNotice);
+  store_.Put(absl::StrCat("servers/w-", worker), workers_[worker]->Entry());
 }
 
 void SoakRun::InjectFault() {
-  WorkerStandin& worker = *workers_[RandomBelow(&random_, limits_.workers)];
-  switch (RandomBelow(&random_, 5)) {
+  const int index = RandomBelow(&random_, limits_.workers);
+  WorkerStandin& worker = *workers_[index];
+  switch (RandomBelow(&random_, 6)) {
     case 0:
       worker.Restart();
       break;
@@ -165,6 +182,9 @@
     case 2:
       InjectStoreFault();
       break;
+    case 3:
+      ChangeCapacity(index);
+      break;
     default:
       InjectInstanceFault();
       break;
@@ -253,14 +273,15 @@
   const absl::Time end = absl::Now() + limits_.recovery_timeout;
   size_t instance = 0;
   for (const std::string& id : history_.accepted()) {
+    const std::string expected = HasCrashingTask(id) ? "failed" : "completed";
     std::string state = StateOf(id, ++instance % instances_.size());
-    while (state != "completed" && absl::Now() < end) {
+    while (state != expected && absl::Now() < end) {
       absl::SleepFor(absl::Milliseconds(50));
       state = StateOf(id, ++instance % instances_.size());
     }
-    if (state != "completed") {
+    if (state != expected) {
       history_.AddViolation(
-          absl::StrCat("accepted job ", id, " did not complete; last state: ", state));
+          absl::StrCat("accepted job ", id, " is not ", expected, "; last state: ", state));
     }
   }
 }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -51,11 +51,14 @@
   void InjectFault();
   void InjectInstanceFault();
   void InjectStoreFault();
+  // Shrinks the capacity of the worker, or lets it grow again.
+  void ChangeCapacity(int worker);
   // Ends the store and instance faults whose time is over, or all of them if `all` is set.
   void EndFaults(bool all);
   void CallerLoop(int caller);
   void SubmitJob(const std::string& id, std::mt19937* random);
-  // Adds a violation for each accepted job that is not reported as completed in time.
+  // Adds a violation for each accepted job that is not reported as completed in time or, if it has
+  // a task that crashes its workers, as failed.
   void WaitForCompletion();
   std::string StateOf(const std::string& id, size_t instance);
 
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -20,8 +20,8 @@
 BOOST_AUTO_TEST_SUITE(SoakTest)
 
 // Guards against lost, duplicated or unfinished jobs while instances are killed, paused and
-// restarted, workers restart or answer late, and the store is down, slow, loses answers or expires
-// its leases.
+// restarted, workers restart, answer late, are crashed by tasks or change their capacity, and the
+// store is down, slow, loses answers or expires its leases.
 BOOST_AUTO_TEST_CASE(GuaranteesHoldUnderFaults) {
   std::istringstream seeds(Setting("POMELOTRAY_SOAK_SEEDS", kSeeds));
   for (int seed = 0; seeds >> seed;) {
--- a/tests/soak/worker_standin.cc
+++ b/tests/soak/worker_standin.cc
@@ -21,22 +21,61 @@
 // One task out of this many fails in its first run.
 constexpr uint64_t kFirstRunFailureInterval = 20;
 constexpr int64_t kTaskCpu = 1000;
+// One job out of this many has a task that crashes its workers.
+constexpr uint64_t kCrashingJobInterval = 25;
+constexpr absl::Duration kCrashDelay = absl::Milliseconds(10);
+constexpr absl::Duration kDowntimeAfterCrash = absl::Milliseconds(1500);
+
+// Whether the task crashes each worker that starts it: the first one of a job that has such a task.
+bool CrashesWorkers(const std::string& task) {
+  const size_t end_of_job = task.find('.');
+  return task.substr(end_of_job) == ".0.0.0" && HasCrashingTask(task.substr(0, end_of_job));
+}
 
 }  // namespace
 
+bool HasCrashingTask(const std::string& job) { return StableHash(job) % kCrashingJobInterval == 0; }
+
 WorkerStandin::WorkerStandin(std::string id, int64_t cpu, RunHistory* history)
-    : id_(std::move(id)), cpu_(cpu), history_(history), started_at_(absl::Now()) {
+    : id_(std::move(id)), history_(history), cpu_(cpu), started_at_(absl::Now()) {
   Listen();
-  advance_thread_ = std::thread([this] {
-    for (;;) {
-      absl::SleepFor(kPollInterval);
+  advance_thread_ = std::thread([this] { AdvanceLoop(); });
+}
+
+void WorkerStandin::AdvanceLoop() {
+  for (;;) {
+    absl::SleepFor(kPollInterval);
+    std::string crashing_task;
+    {
       absl::MutexLock lock(&mutex_);
       if (stopping_) {
         return;
       }
-      Advance();
+      if (crash_at_ <= absl::Now()) {
+        crashing_task = crashing_task_;
+      } else {
+        Advance();
+      }
+    }
+    if (!crashing_task.empty()) {
+      history_->CrashedBy(crashing_task);
+      RestartAfter(kDowntimeAfterCrash);
     }
-  });
+  }
+}
+
+void WorkerStandin::SetCpu(int64_t cpu, absl::Time lower_counts_at) {
+  absl::MutexLock lock(&mutex_);
+  earlier_cpu_ = absl::Now() < lower_cpu_counts_at_ ? std::max(earlier_cpu_, cpu_) : cpu_;
+  cpu_ = cpu;
+  lower_cpu_counts_at_ = lower_counts_at;
+}
+
+void WorkerStandin::PostponeLowerCpu(absl::Time lower_counts_at) {
+  absl::MutexLock lock(&mutex_);
+  if (absl::Now() < lower_cpu_counts_at_) {
+    lower_cpu_counts_at_ = std::max(lower_cpu_counts_at_, lower_counts_at);
+  }
 }
 
 WorkerStandin::~WorkerStandin() {
@@ -44,9 +83,9 @@
     absl::MutexLock lock(&mutex_);
     stopping_ = true;
   }
+  advance_thread_.join();
   server_->stop();
   server_thread_.join();
-  advance_thread_.join();
 }
 
 void WorkerStandin::Listen() {
@@ -62,16 +101,25 @@
         id_, " cannot listen on its port again; the result of this soak run is invalid"));
   }
   server_thread_ = std::thread([this] { server_->listen_after_bind(); });
+  // A server that is stopped before it runs would ignore that.
+  while (!server_->is_running()) {
+    absl::SleepFor(absl::Milliseconds(1));
+  }
 }
 
 std::string WorkerStandin::address() const { return absl::StrCat("127.0.0.1:", port_); }
 
 std::string WorkerStandin::Entry() const {
+  int64_t cpu = 0;
+  {
+    absl::MutexLock lock(&mutex_);
+    cpu = cpu_;
+  }
   return json{{"service", "work"},
               {"address", address()},
               {"zone", "a"},
               {"state", "ready"},
-              {"capacity", {{"cpu", cpu_}, {"mem-mb", 100'000}, {"gpu", 0}}},
+              {"capacity", {{"cpu", cpu}, {"mem-mb", 100'000}, {"gpu", 0}}},
               {"labels", {"a", "r1-1"}}}
       .dump();
 }
@@ -152,9 +200,15 @@
                        absl::Now() + kMinTaskDuration +
                            absl::Milliseconds(static_cast<int64_t>(
                                hash % static_cast<uint64_t>(kTaskDurationRangeMs)))};
-  if (static_cast<int64_t>(running_.size()) * kTaskCpu > cpu_) {
+  const int64_t allowed = absl::Now() < lower_cpu_counts_at_ ? std::max(cpu_, earlier_cpu_) : cpu_;
+  if (static_cast<int64_t>(running_.size()) * kTaskCpu > allowed) {
     history_->AddViolation(absl::StrCat(id_, " exceeds its CPU capacity with task ", task));
   }
+  if (CrashesWorkers(task)) {
+    running_[task].finish_time = absl::InfiniteFuture();
+    crash_at_ = std::min(crash_at_, absl::Now() + kCrashDelay);
+    crashing_task_ = task;
+  }
   history_->Started(id_, task, run, order.at("spec").get<std::string>());
   return 200;
 }
@@ -243,7 +297,10 @@
   }
 }
 
-void WorkerStandin::Restart() {
+void WorkerStandin::Restart() { RestartAfter(absl::ZeroDuration()); }
+
+void WorkerStandin::RestartAfter(absl::Duration downtime) {
+  absl::MutexLock restart_lock(&restart_mutex_);
   {
     absl::MutexLock lock(&mutex_);
     ++incarnation_;
@@ -253,6 +310,7 @@
   server_->stop();
   server_thread_.join();
   ResetState();
+  absl::SleepFor(downtime);
   Listen();
 }
 
@@ -265,6 +323,7 @@
   last_ended_run_.clear();
   run_ends_.clear();
   next_end_number_ = 1;
+  crash_at_ = absl::InfiniteFuture();
   token_ = 0;
   lease_end_ms_ = 0;
   // Owners tell incarnations apart by the start time in milliseconds, so it must differ.
--- a/tests/soak/worker_standin.h
+++ b/tests/soak/worker_standin.h
@@ -18,10 +18,14 @@
 
 namespace pomelotray {
 
+// Whether the job has a task that crashes each worker that starts it; depends on a hash of the id.
+bool HasCrashingTask(const std::string& job);
+
 // Stand-in for a worker, served over HTTP. It checks fencing tokens, keeps its lease by its own
 // clock and numbers the ends of runs. It does not reject tasks for lack of capacity but reports
 // over-commitment to the history. A hash of the task name determines the duration, 0.1 to 0.5 s,
-// and whether the first run fails.
+// and whether the first run fails. The first task of some jobs crashes it: it refuses connections
+// for a second or two and then starts again.
 class WorkerStandin {
  public:
   // `cpu` is the capacity of the worker; each task takes 1000 of it.
@@ -32,6 +36,11 @@
   // Returns the value of the worker's entry in the store.
   std::string Entry() const;
 
+  // Changes the capacity. Starts that exceed a lower one are violations from `lower_counts_at` on,
+  // when all instances can have learned of it.
+  void SetCpu(int64_t cpu, absl::Time lower_counts_at);
+  // Postpones that time, since instances cannot learn of the capacity.
+  void PostponeLowerCpu(absl::Time lower_counts_at);
   // Simulates a restart: all runs are lost and the server starts again under the same id and port.
   void Restart();
   // Executes orders but delays their answers until `time` has passed.
@@ -51,6 +60,9 @@
   };
 
   void Listen();
+  void AdvanceLoop();
+  // Ends the server and its runs, and starts it again after `downtime`.
+  void RestartAfter(absl::Duration downtime);
   void RegisterHandlers();
   // Clears all state as a restart does and sets a new start time.
   void ResetState();
@@ -70,14 +82,22 @@
   int64_t ClockMs() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   const std::string id_;
-  const int64_t cpu_;
   RunHistory* const history_;
+  // Held during a restart. Restarts come from the soak run and from crashing tasks.
+  absl::Mutex restart_mutex_;
   std::unique_ptr<httplib::Server> server_;
   int port_ = 0;
   std::thread server_thread_;
   std::thread advance_thread_;
   mutable absl::Mutex mutex_;
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+  int64_t cpu_ ABSL_GUARDED_BY(mutex_);
+  // The capacity that starts may use until `lower_cpu_counts_at_`.
+  int64_t earlier_cpu_ ABSL_GUARDED_BY(mutex_) = 0;
+  absl::Time lower_cpu_counts_at_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  // Time at which a task that has been started crashes the worker.
+  absl::Time crash_at_ ABSL_GUARDED_BY(mutex_) = absl::InfiniteFuture();
+  std::string crashing_task_ ABSL_GUARDED_BY(mutex_);
   absl::Time started_at_ ABSL_GUARDED_BY(mutex_);
   int64_t incarnation_ ABSL_GUARDED_BY(mutex_) = 0;
   absl::Time answers_delayed_until_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
