cell: Let suspected tasks start beside long-running ones that are above suspicion

Cause: the isolation of suspects asked for a worker without any other attempt, which need not exist. The class: a wait for a state that nothing brings about.

The change: a long-running attempt that has run for 10 s is settled: it has not crashed its worker, and it does not end. A suspect takes an empty worker if there is one and otherwise one that runs settled attempts only; a loss of the worker then counts as if the suspect had been alone. Workers to be emptied are chosen and reserved by the same rule.

Evidence: SuspectStartsBesideLongRunningTasksIfNoWorkerIsEmpty (one start instead of two without the change).

--- a/packages/cell/cell_worker.cc
+++ b/packages/cell/cell_worker.cc
@@ -5,6 +5,17 @@
 #include <vector>
 
 namespace pomelotray {
+namespace {
+
+// A task that crashes its workers does so within this time of its start.
+constexpr absl::Duration kSettleTime = absl::Seconds(10);
+
+}  // namespace
+
+bool Attempt::IsSettled(absl::Time now) const {
+  return estimate == absl::InfiniteDuration() && phase == AttemptPhase::kRunning && !isolated &&
+         now - known_since > kSettleTime;
+}
 
 absl::Time Attempt::ExpectedEnd(absl::Time now) const {
   if (estimate == absl::InfiniteDuration()) {
@@ -41,6 +52,21 @@
   return needed.FitsInto(free) ? at : absl::InfiniteFuture();
 }
 
+bool CellWorker::IsOpenToSuspects(absl::Time now) const {
+  return std::all_of(attempts.begin(), attempts.end(),
+                     [now](const auto& entry) { return entry.second.IsSettled(now); });
+}
+
+absl::Time CellWorker::ExpectedOpenToSuspects(absl::Time now) const {
+  absl::Time open = now;
+  for (const auto& [key, attempt] : attempts) {
+    if (!attempt.IsSettled(now)) {
+      open = std::max(open, attempt.ExpectedEnd(now));
+    }
+  }
+  return open;
+}
+
 bool CellWorker::HasLabel(const std::string& label) const {
   return label.empty() || std::find(description.labels.begin(), description.labels.end(), label) !=
                               description.labels.end();
--- a/packages/cell/cell_worker.h
+++ b/packages/cell/cell_worker.h
@@ -65,6 +65,9 @@
   // none, from its estimate. Never before `now`: an attempt that exceeds its estimate may end at
   // any time.
   absl::Time ExpectedEnd(absl::Time now) const;
+  // Whether the attempt runs until it is stopped and has run for longer than a task takes to crash
+  // its worker.
+  bool IsSettled(absl::Time now) const;
 };
 
 // An ended attempt that the worker keeps reporting until the owner acknowledges it.
@@ -127,6 +130,10 @@
   // Returns the time at which `needed` is expected to be free as running attempts end, or the
   // infinite future if it never will be.
   absl::Time ExpectedFree(const Resources& needed, absl::Time now) const;
+  // Whether a suspected task may start on the worker: all attempts there, if any, are settled.
+  bool IsOpenToSuspects(absl::Time now) const;
+  // Returns the time at which this is expected, or the infinite future.
+  absl::Time ExpectedOpenToSuspects(absl::Time now) const;
 };
 
 }  // namespace pomelotray
--- a/packages/cell/pool_scheduler_losses.cc
+++ b/packages/cell/pool_scheduler_losses.cc
@@ -15,9 +15,6 @@
 // the loss: up to this factor and time longer, since start orders are answered one by one.
 constexpr double kStartedLastFactor = 2;
 constexpr absl::Duration kStartedLastMargin = absl::Milliseconds(50);
-// Losses of workers after a longer run time do not count against a task that runs until it is
-// stopped: it outlives many workers.
-constexpr absl::Duration kMaxCrashDelayOfLongRunning = absl::Seconds(10);
 
 // Returns for how long the attempt can have run before the worker was lost at `lost_at`.
 absl::Duration RunTime(const Attempt& attempt, absl::Time lost_at) {
@@ -42,8 +39,11 @@
   LostAttempt lost;
   lost.run = attempt.key.run;
   lost.ran_for = RunTime(attempt, lost_at);
-  const JobId* const sole_job = worker.SoleJob();
-  lost.alone = sole_job != nullptr && *sole_job == attempt.task->job;
+  lost.alone = std::all_of(worker.attempts.begin(), worker.attempts.end(), [&](const auto& entry) {
+    const Attempt& other = entry.second;
+    const bool same_job = other.task.has_value() && other.task->job == attempt.task->job;
+    return same_job || other.IsSettled(lost_at);
+  });
   const absl::Duration limit =
       std::min(ShortestRunTime(worker, lost_at) * kStartedLastFactor + kStartedLastMargin,
                kMaxCrashDelayAfterStart);
@@ -55,15 +55,14 @@
   const absl::Time lost_at = std::min(worker->unreachable_since, now);
   for (auto& [key, attempt] : worker->attempts) {
     // A worker that did not confirm the start may have been lost before the order arrived.
-    if (attempt.phase != AttemptPhase::kRunning || !IsCurrent(*worker, attempt)) {
+    // A settled attempt outlives many workers.
+    if (attempt.phase != AttemptPhase::kRunning || !IsCurrent(*worker, attempt) ||
+        attempt.IsSettled(lost_at)) {
       continue;
     }
     CellJob* job = FindJob(attempt.task->job);
     StepRun* run = FindStepRun(*attempt.task);
     const LostAttempt lost = DescribeLoss(*worker, attempt, lost_at);
-    if (job->Step(*run).long_running && lost.ran_for > kMaxCrashDelayOfLongRunning) {
-      continue;
-    }
     WorkerLossHistory& losses = run->tasks[attempt.task->task].losses;
     const bool suspect = lost.started_last || !losses.empty();
     if ((certain || suspect) && losses.Add(lost)) {
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -134,6 +134,7 @@
       available.has_serving = worker.HasServing();
       available.has_best_effort = worker.HasBestEffort();
       available.empty = worker.attempts.empty();
+      available.open_to_suspects = worker.IsOpenToSuspects(now);
       available.sole_job = worker.SoleJob();
       available.isolated = worker.HasIsolated();
       isolated_workers_ += available.isolated ? 1 : 0;
@@ -262,7 +263,8 @@
   const StepSpec& step = candidate.job->Step(candidate.job->runs[candidate.run]);
   const Resources needed = ReservedFor(step);
   AvailableWorker* best = nullptr;
-  std::tuple<bool, bool, double> best_score;
+  std::tuple<bool, bool, bool, double> best_score;
+  const bool suspected = task.losses.IsSuspected();
   result_.workers_examined += static_cast<int64_t>(eligible_workers.size());
   for (const EligibleWorker& eligible : eligible_workers) {
     AvailableWorker* const available = eligible.available;
@@ -272,8 +274,9 @@
         !MayShareWorker(candidate, task, *available)) {
       continue;
     }
-    const std::tuple<bool, bool, double> score(
-        worker.id == task.avoided_worker, !available->worker->HasLabel(step.preferred_rack),
+    const std::tuple<bool, bool, bool, double> score(
+        suspected && !available->empty, worker.id == task.avoided_worker,
+        !available->worker->HasLabel(step.preferred_rack),
         LeftoverScore(available->free - needed, worker.capacity));
     if (best == nullptr || score < best_score) {
       best = available;
@@ -388,7 +391,7 @@
   if (!task.losses.IsSuspected()) {
     return !available.isolated || own_job;
   }
-  return available.empty ? MayReserve(1) : own_job;
+  return own_job || (available.open_to_suspects && MayReserve(1));
 }
 
 void ScheduleRound::Allocate(const Candidate& candidate, const CellTask& task,
@@ -401,6 +404,7 @@
     available->sole_job = nullptr;
   }
   available->empty = false;
+  available->open_to_suspects = false;
   if (task.losses.IsSuspected() && !available->isolated) {
     available->isolated = true;
     ++isolated_workers_;
@@ -512,17 +516,17 @@
 void ScheduleRound::ReserveWorkerForSuspect(const Candidate& candidate) {
   const Resources needed = ReservedFor(candidate.job->Step(candidate.job->runs[candidate.run]));
   AvailableWorker* first = nullptr;
-  absl::Time first_empty = absl::InfiniteFuture();
+  absl::Time first_open = absl::InfiniteFuture();
   for (const EligibleWorker& eligible : FindEligibleWorkers(candidate)) {
     const CellWorker& worker = *eligible.available->worker;
     if (eligible.available->reserved || eligible.available->isolated ||
         !needed.FitsInto(worker.description.capacity)) {
       continue;
     }
-    const absl::Time empty = worker.ExpectedFree(worker.description.capacity, now_);
-    if (empty < first_empty) {
+    const absl::Time open = worker.ExpectedOpenToSuspects(now_);
+    if (open < first_open) {
       first = eligible.available;
-      first_empty = empty;
+      first_open = open;
     }
   }
   if (first == nullptr || !MayReserve(1)) {
@@ -531,7 +535,7 @@
   ++reserved_workers_;
   result_.reserved_workers = static_cast<int64_t>(reserved_workers_);
   first->reserved = true;
-  first->reserved_until = first_empty;
+  first->reserved_until = first_open;
 }
 
 bool ScheduleRound::CanRequestAdvice(const Candidate& candidate) const {
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -89,8 +89,11 @@
     // Best-effort tasks slow down serving tasks on the same worker, so a worker never runs both.
     bool has_serving = false;
     bool has_best_effort = false;
-    // The worker runs no attempts, or only those of `sole_job`, which is null if it runs several.
     bool empty = false;
+    // The worker runs at most attempts that have run for so long that they are not suspected and
+    // that will run until they are stopped.
+    bool open_to_suspects = false;
+    // The job that all attempts on the worker belong to; null if there is no such job.
     const JobId* sole_job = nullptr;
     // The worker runs a suspected task and takes tasks of `sole_job` only.
     bool isolated = false;
--- a/tests/cell/crashing_tasks_test.cc
+++ b/tests/cell/crashing_tasks_test.cc
@@ -311,6 +311,44 @@
   BOOST_TEST(Starts(fixture.Round()).size() == 1U);
 }
 
+// Guards against a suspected task that never starts because long-running tasks of other jobs occupy
+// a part of every worker, and against one that cannot be given up there.
+BOOST_AUTO_TEST_CASE(SuspectStartsBesideLongRunningTasksIfNoWorkerIsEmpty) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w0", 2000), Fixture::Worker("w1", 2000)});
+  StepSpec lasting = Fixture::Step(2, 1000);
+  lasting.long_running = true;
+  lasting.max_per_worker = 1;
+  fixture.AddJob(Fixture::Job("lasting", {lasting}, 2, /*priority=*/0));
+  std::map<std::string, AttemptKey> running;
+  for (const SentOrder& sent : Starts(fixture.Round())) {
+    running[sent.worker.value()] = sent.order.key;
+  }
+  BOOST_REQUIRE_EQUAL(running.size(), 2U);
+  for (int second = 0; second < 12; ++second) {
+    fixture.Advance(absl::Seconds(1));
+    for (const auto& [worker, key] : running) {
+      fixture.Report(worker, {Fixture::Running(key, second)});
+    }
+  }
+  fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}));
+  const std::string first = Starts(fixture.Round()).at(0).worker.value();
+  const std::string other = first == "w0" ? "w1" : "w0";
+  fixture.Advance(absl::Milliseconds(10));
+  fixture.Crash(first, "w2");
+  fixture.Report(other, {Fixture::Running(running.at(other), 50)});
+  // The long-running task takes the idle worker, so the suspect has to share the other one.
+  const std::vector<SentOrder> again = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(again.size(), 2U);
+  BOOST_TEST(again[0].worker.value() == "w2");
+  BOOST_TEST(again[1].worker.value() == other);
+  fixture.Advance(absl::Milliseconds(10));
+  fixture.Crash(other, "w3");
+  fixture.CommitAll();
+  BOOST_TEST((fixture.State("a") == CellJobState::kFailed));
+  BOOST_TEST((fixture.State("lasting") == CellJobState::kRunning));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/cell/pool_simulation.cc
+++ b/tests/cell/pool_simulation.cc
@@ -23,6 +23,7 @@
 // A smaller capacity counts this long after the worker has it: the time in which an owner must have
 // noticed a change, and one beat of the worker.
 constexpr absl::Duration kCapacityNotice = absl::Milliseconds(4500);
+constexpr absl::Duration kGangTimeout = absl::Seconds(3);
 constexpr int kMaxStartsAfterThirdCrash = 2;
 constexpr double kJobsPerStep = 0.02;
 
@@ -101,6 +102,7 @@
   for (auto& [id, worker] : workers_) {
     AdvanceRuns(&worker);
   }
+  AdvanceGangs();
   Publish();
   if (Now() >= next_directory_) {
     next_directory_ = Now() + kDirectoryInterval;
@@ -114,12 +116,8 @@
   }
 }
 
-void PoolSimulation::SubmitJobs() {
-  if (Below(1000) >= kJobsPerStep * 1000) {
-    return;
-  }
-  JobTruth job;
-  JobIntake& intake = job.intake;
+JobIntake PoolSimulation::MakeJob() {
+  JobIntake intake;
   intake.id = JobId(absl::StrCat("j", next_job_++));
   intake.policy.name = "queue";
   intake.policy.pool = PoolName(kPool);
@@ -137,17 +135,41 @@
     step.demand.memory = MebiBytes(100);
     step.estimate = Millis(200, 2500);
     step.long_running = steps == 1 && Below(30) == 0;
+    step.gang = !step.long_running && Below(6) == 0;
     if (i > 0) {
       step.after = {i - 1};
     }
     intake.spec.steps.push_back(step);
   }
+  if (!intake.spec.steps[0].long_running && Below(10) == 0) {
+    intake.spec.occurrences = 1 + Below(3);
+    intake.spec.first_due = Now() + Millis(0, 2000);
+    intake.spec.interval = Millis(500, 3000);
+  }
+  return intake;
+}
+
+void PoolSimulation::SubmitJobs() {
+  if (Below(1000) >= kJobsPerStep * 1000) {
+    return;
+  }
+  JobTruth job;
+  job.intake = MakeJob();
+  const JobId id = job.intake.id;
   if (Below(1000) < faults_.crashing_jobs * 1000) {
-    job.crashing_task = absl::StrCat(intake.id.value(), ".0.", Below(steps), ".0");
+    const int step = Below(static_cast<int>(job.intake.spec.steps.size()));
+    job.crashing_task = absl::StrCat(id.value(), ".0.", step, ".0");
     job.crash_after = Below(5) == 0 ? Millis(100, 190) : Millis(5, 40);
+  } else if (Below(1000) < faults_.cancelled_jobs * 1000) {
+    After(Millis(50, 3000), [this, id] { Cancel(id); });
   }
-  scheduler_->AddJob(intake, Now());
-  jobs_.emplace(intake.id.value(), std::move(job));
+  scheduler_->AddJob(job.intake, Now());
+  jobs_.emplace(id.value(), std::move(job));
+}
+
+void PoolSimulation::Cancel(const JobId& id) {
+  jobs_.at(id.value()).cancelled = true;
+  scheduler_->CancelJob(id, Now());
 }
 
 void PoolSimulation::InjectFaults() {
@@ -202,6 +224,7 @@
   for (const TaskRun& run : worker->runs) {
     const bool crashes_workers = run.crash_after < absl::InfiniteDuration();
     bystander_losses_ += crashes_workers ? 0 : 1;
+    broken_gangs_.insert(run.gang);
   }
   if (!cause.empty()) {
     ++crashes_[cause];
@@ -254,7 +277,8 @@
       EndRun(worker, i, AttemptEnd::kLeaseExpired);
     } else if (run.stopping && run.stopped_at <= Now()) {
       EndRun(worker, i, AttemptEnd::kStopped);
-    } else if (!run.stopping && !run.long_running && run.started + run.duration <= Now()) {
+    } else if (!run.stopping && !run.long_running && run.gang.empty() &&
+               run.started + run.duration <= Now()) {
       EndRun(worker, i, AttemptEnd::kSucceeded);
     } else {
       ++i;
@@ -264,12 +288,50 @@
 
 void PoolSimulation::EndRun(Worker* worker, size_t index, AttemptEnd end) {
   const AttemptKey key = worker->runs[index].key;
+  if (end != AttemptEnd::kSucceeded) {
+    broken_gangs_.insert(worker->runs[index].gang);
+  }
   worker->runs.erase(worker->runs.begin() + static_cast<int64_t>(index));
   worker->last_end = EndNumber(worker->last_end.value() + 1);
   worker->ends.push_back(EndedAttempt{worker->last_end, key, end, ""});
   worker->refused[key.task] = std::max(worker->refused[key.task], key.run);
 }
 
+void PoolSimulation::AdvanceGangs() {
+  std::map<std::string, int> members;
+  for (const auto& [id, worker] : workers_) {
+    for (const TaskRun& run : worker.runs) {
+      ++members[run.gang];
+    }
+  }
+  for (auto& [id, worker] : workers_) {
+    for (size_t i = 0; i < worker.runs.size();) {
+      const TaskRun run = worker.runs[i];
+      if (run.gang.empty() || run.stopping) {
+        ++i;
+        continue;
+      }
+      TaskNameParts parts;
+      ParseTaskName(run.key.task, &parts);
+      const int size = jobs_.at(parts.job).intake.spec.steps[parts.step].task_count;
+      if (members[run.gang] == size) {
+        complete_gangs_.emplace(run.gang, Now());
+      }
+      const auto complete = complete_gangs_.find(run.gang);
+      if (complete != complete_gangs_.end() && complete->second + run.duration <= Now() &&
+          broken_gangs_.count(run.gang) == 0) {
+        EndRun(&worker, i, AttemptEnd::kSucceeded);
+      } else if (broken_gangs_.count(run.gang) > 0) {
+        EndRun(&worker, i, AttemptEnd::kGangBroken);
+      } else if (complete == complete_gangs_.end() && Now() - run.started > kGangTimeout) {
+        EndRun(&worker, i, AttemptEnd::kGangIncomplete);
+      } else {
+        ++i;
+      }
+    }
+  }
+}
+
 void PoolSimulation::Publish() {
   const bool store_down = Now() < store_down_until_;
   for (auto it = workers_.begin(); it != workers_.end();) {
@@ -345,6 +407,11 @@
     roster = Capture([this] { return DecodeRoster(stored_roster_); }).value();
   }
   scheduler_->LoadInheritedState(std::move(jobs), stored_progress_, roster, Now());
+  for (const auto& [id, job] : jobs_) {
+    if (job.cancelled) {
+      scheduler_->CancelJob(JobId(id), Now());
+    }
+  }
   for (auto& [id, worker] : workers_) {
     worker.next_hold = Now() + Millis(5, 50);
   }
@@ -432,6 +499,10 @@
   run.started = Now();
   run.duration = step.estimate;
   run.long_running = step.long_running;
+  if (step.gang) {
+    run.gang =
+        absl::StrCat(parts.job, ".", parts.occurrence, ".", parts.step, "#", order.key.run.value());
+  }
   if (order.key.task == job.crashing_task) {
     run.crash_after = job.crash_after;
   }
@@ -536,6 +607,9 @@
 void PoolSimulation::CheckFinalStates() {
   for (const auto& [id, job] : jobs_) {
     const std::optional<CellJobState> state = scheduler_->VisibleState(JobId(id));
+    if (job.cancelled && state.has_value() && IsFinal(*state)) {
+      continue;
+    }
     const bool lasting = job.intake.spec.steps[0].long_running;
     const CellJobState expected = !job.crashing_task.empty() ? CellJobState::kFailed
                                   : lasting                  ? CellJobState::kRunning
--- a/tests/cell/pool_simulation.h
+++ b/tests/cell/pool_simulation.h
@@ -20,10 +20,12 @@
 // judged by. Single-threaded, so a seed always gives the same run.
 class PoolSimulation {
  public:
-  // Mean number of faults of each kind in the first part of the run.
+  // Mean number of faults of each kind in the first part of the run, unless noted otherwise.
   struct Faults {
     // Share of the jobs that have a task that crashes each worker that starts it.
     double crashing_jobs = 0.04;
+    // Share of the other jobs that are cancelled.
+    double cancelled_jobs = 0.1;
     double worker_crashes = 6;
     double cut_offs = 3;
     double owner_changes = 3;
@@ -48,6 +50,8 @@
     // Infinite unless the task crashes its worker.
     absl::Duration crash_after = absl::InfiniteDuration();
     bool long_running = false;
+    // Identifies the attempts of a gang that work together; empty if the task is not in a gang.
+    std::string gang;
     bool stopping = false;
     absl::Time stopped_at = absl::InfiniteFuture();
   };
@@ -77,6 +81,7 @@
     JobIntake intake;
     std::string crashing_task;
     absl::Duration crash_after;
+    bool cancelled = false;
   };
   using WorkerEntry = std::map<std::string, Worker>::iterator;
 
@@ -96,6 +101,10 @@
   void RestartWorkers();
   void AdvanceRuns(Worker* worker);
   void EndRun(Worker* worker, size_t index, AttemptEnd end);
+  // Ends the members of gangs that are complete for long enough, were broken or wait too long.
+  void AdvanceGangs();
+  JobIntake MakeJob();
+  void Cancel(const JobId& id);
   void Publish();
   void UpdateDirectory();
   void CommitProgress();
@@ -141,6 +150,9 @@
   std::set<std::string> acknowledged_successes_;
   std::map<std::string, int> crashes_;
   std::map<std::string, int> starts_after_third_crash_;
+  // When each gang became complete, and the gangs that have lost a member.
+  std::map<std::string, absl::Time> complete_gangs_;
+  std::set<std::string> broken_gangs_;
   int bystander_losses_ = 0;
   std::vector<std::string> violations_;
 };
