cell, platform: Start nothing on a restarted worker by the description of its earlier process

Cause: the next process of a worker reports to the owner before the directory is read again, and starts were placed by the entry of the earlier process. Capacity, labels and kind may all differ. The class: two sources about one worker, read at different times and used together.

Evidence: RestartedWorkerGetsNoStartsUntilItsDescriptionIsCurrent asks for no start before the entry is current, and by its capacity after.

--- a/packages/cell/cell_worker.cc
+++ b/packages/cell/cell_worker.cc
@@ -72,9 +72,13 @@
                               description.labels.end();
 }
 
+bool CellWorker::IsDescriptionCurrent() const {
+  return description.started_at == absl::InfinitePast() || description.started_at == started_at;
+}
+
 bool CellWorker::AcceptsStarts(absl::Time now) const {
-  return listed && fenced && on_roster && !description.draining && unanswered_at < last_report &&
-         quarantined_until <= now && !HasUnknownDemand();
+  return listed && fenced && on_roster && IsDescriptionCurrent() && !description.draining &&
+         unanswered_at < last_report && quarantined_until <= now && !HasUnknownDemand();
 }
 
 bool CellWorker::HasUnknownDemand() const {
--- a/packages/cell/cell_worker.h
+++ b/packages/cell/cell_worker.h
@@ -117,6 +117,9 @@
   absl::Time quarantined_until = absl::InfinitePast();
 
   bool HasLabel(const std::string& label) const;
+  // Whether the description is that of the process that reported last. The next process of a worker
+  // may have another capacity and other labels.
+  bool IsDescriptionCurrent() const;
   // Whether new attempts may be started on the worker.
   bool AcceptsStarts(absl::Time now) const;
   bool HasUnknownDemand() const;
--- a/tests/cell/pool_scheduler_test.cc
+++ b/tests/cell/pool_scheduler_test.cc
@@ -300,6 +300,27 @@
   BOOST_TEST((fixture.State("a") == CellJobState::kCompleted));
 }
 
+// Guards against starts beyond the capacity of a worker, or without the label that the step
+// requires, after a restart under the same id: the directory still describes the earlier process.
+BOOST_AUTO_TEST_CASE(RestartedWorkerGetsNoStartsUntilItsDescriptionIsCurrent) {
+  Fixture fixture;
+  WorkerDescription worker = Fixture::Worker("w1", 2000);
+  worker.started_at = absl::UnixEpoch();
+  fixture.AddWorkers({worker});
+  WorkerReport report;
+  report.started_at = absl::UnixEpoch() + absl::Seconds(1);
+  fixture.scheduler().ApplyReport(worker.id, report, fixture.Now(), fixture.Now());
+  fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 2000)}));
+  fixture.AddJob(Fixture::Job("b", {Fixture::Step(1, 1000)}));
+  BOOST_TEST(Starts(fixture.Round()).empty());
+  worker.started_at = report.started_at;
+  worker.capacity.cpu = MilliCores(1000);
+  fixture.scheduler().UpdateDirectory({worker}, fixture.Now());
+  const std::vector<SentOrder> started = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(started.size(), 1U);
+  BOOST_TEST(started[0].order.key.task == "b.0.0.0");
+}
+
 // Guards against transactions that the store rejects as too large: a job that reaches a final state
 // changes up to four keys.
 BOOST_AUTO_TEST_CASE(TransactionsHoldNoMoreKeysThanAllowed) {
--- a/tests/cell/pool_simulation.cc
+++ b/tests/cell/pool_simulation.cc
@@ -50,6 +50,7 @@
   worker.description.pool = PoolName(kPool);
   worker.description.capacity.cpu = MilliCores(kCpu);
   worker.description.capacity.memory = MebiBytes(100'000);
+  worker.description.started_at = Now();
   worker.published = worker.description;
   worker.started_at = Now();
   worker.next_hold = Now();
@@ -252,6 +253,7 @@
     }
     Worker next;
     next.description = worker.description;
+    next.description.started_at = Now();
     next.published = worker.published;
     next.started_at = Now();
     next.next_hold = Now();
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -95,6 +95,10 @@
       R"({"service":"s1","address":"10.0.0.9:80","zone":"a","state":"ready",
           "capacity":{"cpu":16000,"mem-mb":32768,"gpu":0},"labels":["a","r1-3"],"sequence":4})";
   BOOST_TEST(Capture([&] { return DecodeWorker("i-1", kValidEntry); }).ok());
+  nlohmann::json with_start = nlohmann::json::parse(kValidEntry);
+  with_start["born"] = 1'700'000'000'123;
+  BOOST_TEST((Capture([&] { return DecodeWorker("i-1", with_start.dump()); }).value().started_at ==
+              absl::FromUnixMillis(1'700'000'000'123)));
   for (const std::string field : {"service", "address", "zone", "state", "capacity", "labels"}) {
     nlohmann::json value = nlohmann::json::parse(kValidEntry);
     value.erase(field);
