--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -22,7 +22,6 @@
 constexpr absl::Duration kMaxStaleOwnerDelay = absl::Milliseconds(300);
 // Delay before a failed question to the adviser is retried.
 constexpr absl::Duration kAdviceRetryDelay = absl::Milliseconds(200);
-constexpr absl::Duration kPoolStateInterval = absl::Seconds(5);
 // Added to a lease for delays in reading clocks and scheduling threads, in addition to clock drift.
 constexpr absl::Duration kLeaseSlack = absl::Milliseconds(300);
 
@@ -453,41 +452,6 @@
   return result;
 }
 
-void PoolScheduler::RecordPoolState(const RoundResult& round, absl::Time now) {
-  if (now - pool_state_recorded_at_ < kPoolStateInterval) {
-    return;
-  }
-  pool_state_recorded_at_ = now;
-  const auto count = [this](const auto& matches) {
-    return static_cast<int64_t>(
-        std::count_if(workers_.begin(), workers_.end(),
-                      [&matches](const auto& entry) { return matches(entry.second); }));
-  };
-  Resources capacity;
-  Resources used;
-  for (const auto& [id, worker] : workers_) {
-    if (worker.AcceptsStarts(now)) {
-      capacity += worker.description.capacity;
-      used += worker.used;
-    }
-  }
-  events_->Record(EventCode::kPoolState)
-      .With("part", part_.Name().value())
-      .With("open_jobs", static_cast<int64_t>(open_jobs_.size()))
-      .With("waiting_tasks", round.waiting_tasks)
-      .With("listed", count([](const CellWorker& worker) { return worker.listed; }))
-      .With("accepting", count([now](const CellWorker& w) { return w.AcceptsStarts(now); }))
-      .With("unreachable", count([](const CellWorker& worker) {
-              return worker.unreachable_since < absl::InfiniteFuture();
-            }))
-      .With("quarantined",
-            count([now](const CellWorker& worker) { return worker.quarantined_until > now; }))
-      .With("reserved_workers", round.reserved_workers)
-      .With("accepting_cpu", capacity.cpu.value())
-      .With("used_cpu", used.cpu.value())
-      .Emit();
-}
-
 std::optional<WorkerTime> PoolScheduler::ExtendLease(const WorkerId& id, absl::Time now) {
   CellWorker* worker = FindWorker(id);
   if (worker == nullptr || !IsTrusted(id)) {
--- a/packages/cell/pool_scheduler_records.cc
+++ b/packages/cell/pool_scheduler_records.cc
@@ -1,5 +1,5 @@
 // The part of PoolScheduler that produces the stored job records, tracks which attempt ends may be
-// acknowledged to the workers, and answers queries about job states.
+// acknowledged to the workers, answers queries about job states and logs summaries.
 
 #include <algorithm>
 #include <utility>
@@ -8,6 +8,11 @@
 #include "cell/pool_scheduler.h"
 
 namespace pomelotray {
+namespace {
+
+constexpr absl::Duration kPoolStateInterval = absl::Seconds(5);
+
+}  // namespace
 
 EndNumber PoolScheduler::AcknowledgedEnd(const WorkerId& id) const {
   // After a failed hold the worker may have restarted, which restarts the numbering of its attempt
@@ -120,4 +125,39 @@
   return expired;
 }
 
+void PoolScheduler::RecordPoolState(const RoundResult& round, absl::Time now) {
+  if (now - pool_state_recorded_at_ < kPoolStateInterval) {
+    return;
+  }
+  pool_state_recorded_at_ = now;
+  const auto count = [this](const auto& matches) {
+    return static_cast<int64_t>(
+        std::count_if(workers_.begin(), workers_.end(),
+                      [&matches](const auto& entry) { return matches(entry.second); }));
+  };
+  Resources capacity;
+  Resources used;
+  for (const auto& [id, worker] : workers_) {
+    if (worker.AcceptsStarts(now)) {
+      capacity += worker.description.capacity;
+      used += worker.used;
+    }
+  }
+  events_->Record(EventCode::kPoolState)
+      .With("part", part_.Name().value())
+      .With("open_jobs", static_cast<int64_t>(open_jobs_.size()))
+      .With("waiting_tasks", round.waiting_tasks)
+      .With("listed", count([](const CellWorker& worker) { return worker.listed; }))
+      .With("accepting", count([now](const CellWorker& w) { return w.AcceptsStarts(now); }))
+      .With("unreachable", count([](const CellWorker& worker) {
+              return worker.unreachable_since < absl::InfiniteFuture();
+            }))
+      .With("quarantined",
+            count([now](const CellWorker& worker) { return worker.quarantined_until > now; }))
+      .With("reserved_workers", round.reserved_workers)
+      .With("accepting_cpu", capacity.cpu.value())
+      .With("used_cpu", used.cpu.value())
+      .Emit();
+}
+
 }  // namespace pomelotray
--- a/tests/cell/pool_simulation.h
+++ b/tests/cell/pool_simulation.h
@@ -125,7 +125,6 @@
   WorkerTime ClockOf(const Worker& worker) const;
   Resources CapacityThatCounts(const Worker& worker) const;
 
-  const int seed_;
   const Faults faults_;
   std::mt19937 random_;
   ManualClock clock_;
--- /dev/null
+++ b/tests/cell/pool_simulation_workers.cc
@@ -0,0 +1,163 @@
+// The part of PoolSimulation that runs tasks on the simulated workers and checks each start.
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "tests/cell/pool_simulation.h"
+
+namespace pomelotray {
+namespace {
+
+constexpr absl::Duration kGangTimeout = absl::Seconds(3);
+constexpr int kMaxStartsAfterThirdCrash = 2;
+
+}  // namespace
+
+OrderAnswer PoolSimulation::Execute(Worker* worker, const WorkerOrder& order, FencingToken token,
+                                    WorkerTime lease_end) {
+  if (token < worker->token) {
+    return OrderAnswer::kFenced;
+  }
+  worker->token = token;
+  const auto same_task = [&order](const TaskRun& run) { return run.key.task == order.key.task; };
+  const auto present = std::find_if(worker->runs.begin(), worker->runs.end(), same_task);
+  if (order.kind == WorkerOrder::Kind::kStop) {
+    worker->refused[order.key.task] = std::max(worker->refused[order.key.task], order.key.run);
+    if (present != worker->runs.end() && present->key.run <= order.key.run && !present->stopping) {
+      present->stopping = true;
+      present->stopped_at = Now() + Millis(50, 900);
+    }
+    return OrderAnswer::kAccepted;
+  }
+  if (present != worker->runs.end() && present->key.run == order.key.run) {
+    return OrderAnswer::kAccepted;
+  }
+  const auto refused = worker->refused.find(order.key.task);
+  if (present != worker->runs.end() ||
+      (refused != worker->refused.end() && order.key.run <= refused->second)) {
+    return OrderAnswer::kSuperseded;
+  }
+  if (lease_end <= ClockOf(*worker)) {
+    return OrderAnswer::kLeaseOver;
+  }
+  worker->lease_end =
+      std::max(worker->lease_end, worker->started_at + absl::Milliseconds(lease_end.value()));
+  TaskNameParts parts;
+  ParseTaskName(order.key.task, &parts);
+  const JobTruth& job = jobs_.at(parts.job);
+  const StepSpec& step = job.intake.spec.steps[parts.step];
+  TaskRun run;
+  run.key = order.key;
+  run.demand = step.demand;
+  run.started = Now();
+  run.duration = step.estimate;
+  run.long_running = step.long_running;
+  if (step.gang) {
+    run.gang =
+        absl::StrCat(parts.job, ".", parts.occurrence, ".", parts.step, "#", order.key.run.value());
+  }
+  if (order.key.task == job.crashing_task) {
+    run.crash_after = job.crash_after;
+  }
+  worker->runs.push_back(run);
+  CheckStart(*worker, run);
+  return OrderAnswer::kAccepted;
+}
+
+void PoolSimulation::CheckStart(const Worker& worker, const TaskRun& started) {
+  Resources used;
+  for (const TaskRun& run : worker.runs) {
+    used += run.demand;
+  }
+  const std::string& task = started.key.task;
+  if (!used.FitsInto(CapacityThatCounts(worker))) {
+    Violation(absl::StrCat(task, " exceeds the capacity of ", worker.description.id.value(), ": ",
+                           used.cpu.value(), " of ", CapacityThatCounts(worker).cpu.value()));
+  }
+  int places = 0;
+  for (const auto& [id, other] : workers_) {
+    places += static_cast<int>(
+        std::count_if(other.runs.begin(), other.runs.end(),
+                      [&task](const TaskRun& run) { return run.key.task == task; }));
+  }
+  if (places > 1) {
+    Violation(absl::StrCat(task, " runs twice"));
+  }
+  if (acknowledged_successes_.count(task) > 0) {
+    Violation(absl::StrCat(task, " is started after it succeeded"));
+  }
+  if (crashes_[task] >= 3 && ++starts_after_third_crash_[task] > kMaxStartsAfterThirdCrash) {
+    Violation(absl::StrCat(task, " is started after ", crashes_[task], " crashes"));
+  }
+}
+
+void PoolSimulation::AdvanceRuns(Worker* worker) {
+  if (!worker->up) {
+    return;
+  }
+  for (size_t i = 0; i < worker->runs.size();) {
+    const TaskRun run = worker->runs[i];
+    if (run.started + run.crash_after <= Now()) {
+      CrashWorker(worker, run.key.task);
+      return;
+    }
+    if (worker->lease_end <= Now()) {
+      EndRun(worker, i, AttemptEnd::kLeaseExpired);
+    } else if (run.stopping && run.stopped_at <= Now()) {
+      EndRun(worker, i, AttemptEnd::kStopped);
+    } else if (!run.stopping && !run.long_running && run.gang.empty() &&
+               run.started + run.duration <= Now()) {
+      EndRun(worker, i, AttemptEnd::kSucceeded);
+    } else {
+      ++i;
+    }
+  }
+}
+
+void PoolSimulation::EndRun(Worker* worker, size_t index, AttemptEnd end) {
+  const AttemptKey key = worker->runs[index].key;
+  if (end != AttemptEnd::kSucceeded) {
+    broken_gangs_.insert(worker->runs[index].gang);
+  }
+  worker->runs.erase(worker->runs.begin() + static_cast<int64_t>(index));
+  worker->last_end = EndNumber(worker->last_end.value() + 1);
+  worker->ends.push_back(EndedAttempt{worker->last_end, key, end, ""});
+  worker->refused[key.task] = std::max(worker->refused[key.task], key.run);
+}
+
+void PoolSimulation::AdvanceGangs() {
+  std::map<std::string, int> members;
+  for (const auto& [id, worker] : workers_) {
+    for (const TaskRun& run : worker.runs) {
+      ++members[run.gang];
+    }
+  }
+  for (auto& [id, worker] : workers_) {
+    for (size_t i = 0; i < worker.runs.size();) {
+      const TaskRun run = worker.runs[i];
+      if (run.gang.empty() || run.stopping) {
+        ++i;
+        continue;
+      }
+      TaskNameParts parts;
+      ParseTaskName(run.key.task, &parts);
+      const int size = jobs_.at(parts.job).intake.spec.steps[parts.step].task_count;
+      if (members[run.gang] == size) {
+        complete_gangs_.emplace(run.gang, Now());
+      }
+      const auto complete = complete_gangs_.find(run.gang);
+      if (complete != complete_gangs_.end() && complete->second + run.duration <= Now() &&
+          broken_gangs_.count(run.gang) == 0) {
+        EndRun(&worker, i, AttemptEnd::kSucceeded);
+      } else if (broken_gangs_.count(run.gang) > 0) {
+        EndRun(&worker, i, AttemptEnd::kGangBroken);
+      } else if (complete == complete_gangs_.end() && Now() - run.started > kGangTimeout) {
+        EndRun(&worker, i, AttemptEnd::kGangIncomplete);
+      } else {
+        ++i;
+      }
+    }
+  }
+}
+
+}  // namespace pomelotray
