--- a/packages/cell/cell_ports.h
+++ b/packages/cell/cell_ports.h
@@ -37,8 +37,8 @@
   std::vector<std::string> labels;
   // The worker accepts no new attempts and will shut down.
   bool draining = false;
-  // Start time of the worker process that the entry describes, or the infinite past if the entry does
-  // not say. A worker may restart under the same id.
+  // Start time of the worker process that the entry describes, or the infinite past if the entry
+  // does not say. A worker may restart under the same id.
   absl::Time started_at = absl::InfinitePast();
 };
 
--- a/tests/cell/pool_simulation.cc
+++ b/tests/cell/pool_simulation.cc
@@ -57,9 +57,8 @@
   workers_.emplace(id, std::move(worker));
 }
 
-void PoolSimulation::Violation(std::string text) {
-  violations_.push_back(
-      absl::StrCat("at ", absl::ToDoubleSeconds(Now() - begin_), " s: ", std::move(text)));
+void PoolSimulation::Violation(const std::string& text) {
+  violations_.push_back(absl::StrCat("at ", absl::ToDoubleSeconds(Now() - begin_), " s: ", text));
 }
 
 void PoolSimulation::After(absl::Duration delay, std::function<void()> action) {
@@ -172,7 +171,8 @@
 void PoolSimulation::InjectFaults() {
   const double steps = absl::FDivDuration(kFaultTime, kStep);
   const auto happens = [this, steps](double mean) {
-    return random_() % 1'000'000 < mean / steps * 1e6;
+    constexpr int kPrecision = 1'000'000;
+    return Below(kPrecision) < mean / steps * kPrecision;
   };
   if (happens(faults_.worker_crashes)) {
     CrashRandomWorker();
@@ -467,7 +467,8 @@
                                                              : CellJobState::kCompleted;
     if (state != expected) {
       const std::string shown(state.has_value() ? CellJobStateName(*state) : "unknown");
-      Violation(id + " is " + shown + ", not " + std::string(CellJobStateName(expected)));
+      const std::string wanted(CellJobStateName(expected));
+      Violation(absl::StrCat(id, " is ", shown, ", not ", wanted));
     }
   }
 }
--- a/tests/cell/pool_simulation.h
+++ b/tests/cell/pool_simulation.h
@@ -120,7 +120,7 @@
   // Reports a hold that the worker did not answer, or that its next process answered.
   void FailHold(const WorkerDescription& description);
   void CheckFinalStates();
-  void Violation(std::string text);
+  void Violation(const std::string& text);
 
   WorkerTime ClockOf(const Worker& worker) const;
   Resources CapacityThatCounts(const Worker& worker) const;
