base: Reject JSON that nests too deep and numbers out of range

The depth limit of ParseJson(), which moves here from packages/model, now also applies to DecodeJson(): copying and printing a JSON value recurses, so an entry that nests some hundred thousand levels deep overflows the stack. The limit is checked before parsing, without a callback for each value.

--- a/packages/api/api_types.cc
+++ b/packages/api/api_types.cc
@@ -2,8 +2,8 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "base/json_text.h"
 #include "model/field_reader.h"
-#include "model/json_text.h"
 
 namespace pomelotray {
 
--- a/packages/api/contract_routes.cc
+++ b/packages/api/contract_routes.cc
@@ -3,9 +3,9 @@
 #include <limits>
 
 #include "absl/strings/str_cat.h"
+#include "base/json_text.h"
 #include "model/contract_codec.h"
 #include "model/field_reader.h"
-#include "model/json_text.h"
 
 namespace pomelotray {
 namespace {
--- a/packages/api/job_routes.cc
+++ b/packages/api/job_routes.cc
@@ -4,9 +4,9 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "base/json_text.h"
 #include "model/field_reader.h"
 #include "model/job_codec.h"
-#include "model/json_text.h"
 
 namespace pomelotray {
 namespace {
--- a/packages/base/decode_json.h
+++ b/packages/base/decode_json.h
@@ -7,6 +7,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/error.h"
+#include "base/json_text.h"
 
 namespace pomelotray {
 
@@ -19,10 +20,15 @@
 };
 
 // Parses `text` and returns what `decode` makes of it. Exceptions of the JSON library, which
-// `decode` may throw by reading fields that are missing or of another type, become an Error.
+// `decode` may throw by reading fields that are missing, of another type or out of range, become an
+// Error, and so does a text that nests too deep.
 template <typename F>
 auto DecodeJson(const std::string& text, const DecodeSubject& subject, F decode)
     -> Result<decltype(decode(std::declval<const nlohmann::json&>()))> {
+  if (NestsTooDeep(text)) {
+    return Fail(subject.error_kind, absl::StrCat("The ", subject.what, " nests JSON deeper than ",
+                                                 kMaxJsonDepth, " levels; ", subject.remedy, "."));
+  }
   try {
     return decode(nlohmann::json::parse(text));
   } catch (const nlohmann::json::exception& error) {
--- a/packages/cli/api_client.cc
+++ b/packages/cli/api_client.cc
@@ -6,7 +6,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
-#include "model/json_text.h"
+#include "base/json_text.h"
 
 namespace pomelotray {
 namespace {
--- a/packages/cli/command.cc
+++ b/packages/cli/command.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "base/json_text.h"
 #include "cli/cancel_command.h"
 #include "cli/contract_command.h"
 #include "cli/drain_command.h"
@@ -19,7 +20,6 @@
 #include "cli/timeline_command.h"
 #include "cli/wait_command.h"
 #include "cli/workers_command.h"
-#include "model/json_text.h"
 
 namespace pomelotray {
 namespace {
--- a/packages/cli/contract_command.cc
+++ b/packages/cli/contract_command.cc
@@ -4,10 +4,10 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
+#include "base/json_text.h"
 #include "cli/json_view.h"
 #include "cli/table.h"
 #include "model/contract_codec.h"
-#include "model/json_text.h"
 
 namespace pomelotray {
 namespace {
--- a/packages/cli/json_view.cc
+++ b/packages/cli/json_view.cc
@@ -1,7 +1,7 @@
 #include "cli/json_view.h"
 
 #include "absl/strings/ascii.h"
-#include "model/json_text.h"
+#include "base/json_text.h"
 
 namespace pomelotray {
 namespace {
--- a/packages/cli/submit_command.cc
+++ b/packages/cli/submit_command.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "base/json_text.h"
 #include "model/field_reader.h"
-#include "model/json_text.h"
 
 namespace pomelotray {
 namespace {
--- a/packages/model/field_reader.cc
+++ b/packages/model/field_reader.cc
@@ -4,8 +4,8 @@
 #include <limits>
 
 #include "absl/strings/str_cat.h"
+#include "base/json_text.h"
 #include "model/identifier.h"
-#include "model/json_text.h"
 
 namespace pomelotray {
 namespace {
--- a/packages/state/configuration_cache.cc
+++ b/packages/state/configuration_cache.cc
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "base/json_text.h"
 #include "model/contract_codec.h"
-#include "model/json_text.h"
 #include "state/compare_and_swap.h"
 #include "state/nonce.h"
 
--- a/packages/state/shard_claims.cc
+++ b/packages/state/shard_claims.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "model/json_text.h"
+#include "base/json_text.h"
 #include "state/compare_and_swap.h"
 #include "state/nonce.h"
 
--- a/packages/state/slice_allocation.cc
+++ b/packages/state/slice_allocation.cc
@@ -5,7 +5,7 @@
 #include <optional>
 #include <tuple>
 
-#include "model/json_text.h"
+#include "base/json_text.h"
 
 namespace pomelotray {
 namespace {
--- a/tests/api/routes_test.cc
+++ b/tests/api/routes_test.cc
@@ -1,9 +1,9 @@
 #include <string>
 
 #include "absl/strings/str_cat.h"
+#include "base/json_text.h"
 #include "boost/test/unit_test.hpp"
 #include "model/contract_codec.h"
-#include "model/json_text.h"
 #include "model/sha256.h"
 #include "tests/api/api_fixture.h"
 
--- a/tests/cli/commands_test.cc
+++ b/tests/cli/commands_test.cc
@@ -1,9 +1,9 @@
 #include <string>
 
 #include "absl/strings/match.h"
+#include "base/json_text.h"
 #include "boost/test/unit_test.hpp"
 #include "model/contract_codec.h"
-#include "model/json_text.h"
 #include "tests/cli/cli_fixture.h"
 
 namespace pomelotray {
--- a/tests/model/codec_test.cc
+++ b/tests/model/codec_test.cc
@@ -4,10 +4,10 @@
 #include <sstream>
 #include <string>
 
+#include "base/json_text.h"
 #include "boost/test/unit_test.hpp"
 #include "model/contract_codec.h"
 #include "model/job_codec.h"
-#include "model/json_text.h"
 #include "tests/model/model_generators.h"
 
 namespace pomelotray {
--- a/tests/state/configuration_cache_test.cc
+++ b/tests/state/configuration_cache_test.cc
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
+#include "base/json_text.h"
 #include "boost/test/unit_test.hpp"
 #include "model/contract_codec.h"
-#include "model/json_text.h"
 #include "tests/model/model_generators.h"
 #include "tests/state/state_fixture.h"
 
