cell: Log what keeps a long-running task waiting

Starts are withheld for many reasons, each of them right alone: capacity, labels, tickets, reservations, the limit per worker, isolation, headroom, unreported workers after a takeover. Once a second, the owner examines its waiting long-running steps; event 418 (task_waiting) names the main reason, since when it holds, and the number of workers for each reason. A step is logged again after 5 s or when its main reason changes, at most 20 lines a second.

The decisions are unchanged: the examination reads the state that the step finds, and only in that one round a second.

--- a/packages/base/event_catalog.cc
+++ b/packages/base/event_catalog.cc
@@ -74,6 +74,8 @@
       {Code::kJobStateTold, kInfo, "job_state_told", "A caller was told the state of a job."},
       {Code::kTaskWorkerLost, kWarning, "task_worker_lost",
        "A task was on a worker that was lost."},
+      {Code::kTaskWaiting, kInfo, "task_waiting",
+       "A long-running task waits; the reason and the workers that it cannot use."},
       {Code::kRequestReceived, kInfo, "request_received", "A caller's request arrived."},
       {Code::kRequestSent, kInfo, "request_sent", "A request was sent to an executor."},
       {Code::kRequestAnswered, kInfo, "request_answered", "A request was answered."},
--- a/packages/base/event_catalog.h
+++ b/packages/base/event_catalog.h
@@ -64,6 +64,7 @@
   kAdviceFailed = 415,
   kJobStateTold = 416,
   kTaskWorkerLost = 417,
+  kTaskWaiting = 418,
 
   kRequestReceived = 500,
   kRequestSent = 501,
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -419,8 +419,12 @@
   ScheduledOrders result;
   RoundResult round;
   if (may_start) {
-    round =
-        ScheduleRound(open_jobs_, workers_, advice_shares_, now).Run(CanStartInheritedTasks(now));
+    const bool explain_waits = IsWaitReportDue(now);
+    round = ScheduleRound(open_jobs_, workers_, advice_shares_, now)
+                .Run(CanStartInheritedTasks(now), explain_waits);
+    if (explain_waits) {
+      RecordWaits(round.waits, now);
+    }
   }
   result.workers_examined = round.workers_examined;
   RecordPoolState(round, now);
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -187,6 +187,10 @@
   void ClearSurvivors(CellWorker* worker);
   static void MarkUnreachable(CellWorker* worker, absl::Time now);
   void DropExpiredWorkers(absl::Time now);
+  // Whether the next round has to explain why long-running steps wait.
+  bool IsWaitReportDue(absl::Time now) const;
+  // Logs the long-running steps that have waited since the last report.
+  void RecordWaits(const std::vector<StepWait>& waits, absl::Time now);
   // Logs a summary of the part, at most once every few seconds.
   void RecordPoolState(const RoundResult& round, absl::Time now);
   // Restarts the measurement of how long each running attempt of the worker has made no progress.
@@ -225,6 +229,15 @@
   std::map<JobId, const CellJob*> open_jobs_;
   std::map<WorkerId, CellWorker> workers_;
   absl::Time pool_state_recorded_at_ = absl::InfinitePast();
+  // A waiting long-running step, identified by its job and its index in CellJob::runs.
+  struct WaitingStep {
+    absl::Time since;
+    WaitReason reason = WaitReason::kCapacity;
+    absl::Time reason_since;
+    absl::Time recorded_at = absl::InfinitePast();
+  };
+  std::map<std::pair<JobId, int>, WaitingStep> waiting_steps_;
+  absl::Time waits_recorded_at_ = absl::InfinitePast();
   AdviceShares advice_shares_;
   absl::flat_hash_set<JobId> changed_;
   // Workers of the inherited roster that have not reported yet.
--- a/packages/cell/pool_scheduler_records.cc
+++ b/packages/cell/pool_scheduler_records.cc
@@ -11,6 +11,12 @@
 namespace {
 
 constexpr absl::Duration kPoolStateInterval = absl::Seconds(5);
+// Interval at which waiting long-running steps are examined.
+constexpr absl::Duration kWaitReportInterval = absl::Seconds(1);
+// A step that waits for the same reason is logged again after this time.
+constexpr absl::Duration kSameWaitInterval = absl::Seconds(5);
+// Bounds the number of log lines of one report.
+constexpr int kMaxWaitLines = 20;
 
 }  // namespace
 
@@ -125,6 +131,45 @@
   return expired;
 }
 
+bool PoolScheduler::IsWaitReportDue(absl::Time now) const {
+  return now - waits_recorded_at_ >= kWaitReportInterval;
+}
+
+void PoolScheduler::RecordWaits(const std::vector<StepWait>& waits, absl::Time now) {
+  waits_recorded_at_ = now;
+  std::map<std::pair<JobId, int>, WaitingStep> still_waiting;
+  int lines = 0;
+  for (const StepWait& wait : waits) {
+    const WaitReason reason = wait.MainReason();
+    const std::pair<JobId, int> key(wait.task.job, wait.task.run);
+    const auto known = waiting_steps_.find(key);
+    WaitingStep step =
+        known == waiting_steps_.end() ? WaitingStep{now, reason, now} : known->second;
+    if (step.reason != reason) {
+      step.reason = reason;
+      step.reason_since = now;
+      step.recorded_at = absl::InfinitePast();
+    }
+    if (known != waiting_steps_.end() && now - step.recorded_at >= kSameWaitInterval &&
+        lines < kMaxWaitLines) {
+      ++lines;
+      step.recorded_at = now;
+      const CellJob& job = *FindJob(wait.task.job);
+      events_->Record(EventCode::kTaskWaiting)
+          .Job(wait.task.job)
+          .Task(TaskId(TaskName(job, job.runs[wait.task.run], wait.task.task)))
+          .With(event_field::kReason, WaitReasonName(reason))
+          .With("reason_ms", absl::ToInt64Milliseconds(now - step.reason_since))
+          .With("waits_ms", absl::ToInt64Milliseconds(now - step.since))
+          .With("waiting", static_cast<int64_t>(wait.waiting))
+          .With("workers", wait.Summary())
+          .Emit();
+    }
+    still_waiting.emplace(key, step);
+  }
+  waiting_steps_ = std::move(still_waiting);
+}
+
 void PoolScheduler::RecordPoolState(const RoundResult& round, absl::Time now) {
   if (now - pool_state_recorded_at_ < kPoolStateInterval) {
     return;
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -148,7 +148,11 @@
   highest_priority_ = std::numeric_limits<int>::max();
   for (const auto& [id, job] : jobs_) {
     highest_priority_ = std::min(highest_priority_, job->intake.policy.priority);
-    if (job->cancel_requested || (job->inherited && !inherited_allowed)) {
+    if (job->cancel_requested) {
+      continue;
+    }
+    if (job->inherited && !inherited_allowed) {
+      ExplainInheritedWaits(*job);
       continue;
     }
     for (size_t i = 0; i < job->runs.size(); ++i) {
@@ -171,10 +175,15 @@
             [&key](const Candidate& a, const Candidate& b) { return key(a) < key(b); });
 }
 
-RoundResult ScheduleRound::Run(bool inherited_allowed) {
+RoundResult ScheduleRound::Run(bool inherited_allowed, bool explain_waits) {
+  explain_waits_ = explain_waits;
   CollectCandidates(inherited_allowed);
   for (const Candidate& candidate : candidates_) {
-    PlaceStep(candidate);
+    if (explain_waits_ && candidate.job->Step(candidate.job->runs[candidate.run]).long_running) {
+      PlaceAndExplain(candidate);
+    } else {
+      PlaceStep(candidate);
+    }
   }
   for (const Candidate& candidate : upcoming_) {
     RequestAdviceAhead(candidate);
@@ -286,14 +295,7 @@
 void ScheduleRound::PlaceTasks(const Candidate& candidate, const std::vector<int>& waiting) {
   const StepRun& run = candidate.job->runs[candidate.run];
   const StepSpec& step = candidate.job->Step(run);
-  TaskCounts per_worker;
-  if (step.max_per_worker > 0) {
-    for (const CellTask& task : run.tasks) {
-      if (task.phase == TaskPhase::kActive) {
-        ++per_worker[task.worker.value()];
-      }
-    }
-  }
+  TaskCounts per_worker = CountActiveTasks(step, run);
   const std::vector<EligibleWorker> eligible_workers = FindEligibleWorkers(candidate);
   bool require_valid_ticket = true;
   const CellTask* unplaced_task = nullptr;
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -2,6 +2,7 @@
 #define POMELOTRAY_CELL_SCHEDULE_ROUND_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -13,6 +14,7 @@
 #include "cell/advice_shares.h"
 #include "cell/cell_job.h"
 #include "cell/cell_worker.h"
+#include "cell/step_wait.h"
 
 namespace pomelotray {
 
@@ -44,6 +46,8 @@
   // Number of tasks that could start when the round began, and of workers that the round reserved.
   int64_t waiting_tasks = 0;
   int64_t reserved_workers = 0;
+  // Long-running steps that have tasks left to start; only if requested.
+  std::vector<StepWait> waits;
 };
 
 // One scheduling round over all waiting tasks of a pool part: decides which tasks start on which
@@ -68,8 +72,8 @@
                 absl::Time now);
 
   // Runs the round once. `inherited_allowed` permits starting tasks of inherited jobs that have no
-  // known attempt.
-  RoundResult Run(bool inherited_allowed);
+  // known attempt. `explain_waits` requests RoundResult::waits.
+  RoundResult Run(bool inherited_allowed, bool explain_waits = false);
 
  private:
   // A step run, given by its job and its index in CellJob::runs.
@@ -109,7 +113,19 @@
   using TaskCounts = absl::flat_hash_map<std::string, int>;
 
   void CollectCandidates(bool inherited_allowed);
+  // Adds the long-running steps of a job that may not start any task yet to the result's waits.
+  void ExplainInheritedWaits(const CellJob& job);
+  // Returns what keeps the step's task from starting now.
+  StepWait ExplainWait(const Candidate& candidate, int task) const;
+  // Returns what keeps the task from starting on the worker, or no value.
+  std::optional<WaitReason> FindObstacle(const Candidate& candidate, const CellTask& task,
+                                         const AvailableWorker& available,
+                                         const TaskCounts& per_worker) const;
+  // Returns the numbers of active tasks of the step by worker if the step limits them.
+  static TaskCounts CountActiveTasks(const StepSpec& step, const StepRun& run);
   void PlaceStep(const Candidate& candidate);
+  // Calls PlaceStep() and adds what is left waiting to the result's waits.
+  void PlaceAndExplain(const Candidate& candidate);
   void PlaceTasks(const Candidate& candidate, const std::vector<int>& waiting);
   void PlaceGang(const Candidate& candidate, const std::vector<int>& waiting);
   // Whether the pool still has its headroom for more urgent work after one more task of the step
@@ -188,6 +204,7 @@
   Resources headroom_;
   // Highest priority of all open jobs; the lowest number is the most urgent.
   int highest_priority_ = 0;
+  bool explain_waits_ = false;
   RoundResult result_;
 };
 
