cell: Keep long-running jobs in order for as long as they run

What callers saw: a long-running task that lost its worker waited behind all other work, although workers had capacity.

Cause: a job has no value three times its objective after its acceptance, and its steps then go behind all others and reserve no worker. Likewise, steps past their latest start go behind those that can still meet their objective. Both rules are about work that ends. A long-running job earns for as long as its tasks run, and each of its tasks that has to be restarted is past both times.

Now a job with a long-running step always has value, and such a step is never late.

LostTaskStartsBeforeNewerJobsOfItsPriority failed before: after five ends of other tasks, the lost one still waited behind a backlog of its own priority.

So the simulation now checks 20 s after the last fault that each long-running task is at work or that fewer than two workers have capacity for it, then cancels these jobs and checks, as before, that all others end as they must.

--- a/packages/cell/cell_job.cc
+++ b/packages/cell/cell_job.cc
@@ -45,7 +45,10 @@
   }
   const absl::Time start = spec.occurrences > 0 ? spec.first_due : intake.accepted;
   job.objective = start + objective;
-  job.no_value_after = start + objective * kNoValueFactor;
+  // A long-running job has value for as long as its tasks run.
+  const bool long_running = std::any_of(spec.steps.begin(), spec.steps.end(),
+                                        [](const StepSpec& step) { return step.long_running; });
+  job.no_value_after = long_running ? absl::InfiniteFuture() : start + objective * kNoValueFactor;
   job.intake = std::move(intake);
   return job;
 }
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -168,13 +168,18 @@
   // sorting.
   const auto key = [this](const Candidate& c) {
     return std::tuple<bool, int, bool, absl::Time, const JobId&, int>(
-        c.job->no_value_after < now_, c.job->intake.policy.priority,
-        c.job->runs[c.run].latest_start < now_, c.job->objective, c.job->intake.id, c.run);
+        c.job->no_value_after < now_, c.job->intake.policy.priority, IsLate(c), c.job->objective,
+        c.job->intake.id, c.run);
   };
   std::sort(candidates_.begin(), candidates_.end(),
             [&key](const Candidate& a, const Candidate& b) { return key(a) < key(b); });
 }
 
+bool ScheduleRound::IsLate(const Candidate& candidate) const {
+  const StepRun& run = candidate.job->runs[candidate.run];
+  return run.latest_start < now_ && !candidate.job->Step(run).long_running;
+}
+
 RoundResult ScheduleRound::Run(bool inherited_allowed, bool explain_waits) {
   explain_waits_ = explain_waits;
   CollectCandidates(inherited_allowed);
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -123,6 +123,9 @@
                                          const TaskCounts& per_worker) const;
   // Returns the numbers of active tasks of the step by worker if the step limits them.
   static TaskCounts CountActiveTasks(const StepSpec& step, const StepRun& run);
+  // Whether the step can hardly meet the objective of its job any more. Long-running steps have no
+  // end to be late for.
+  bool IsLate(const Candidate& candidate) const;
   void PlaceStep(const Candidate& candidate);
   // Calls PlaceStep() and adds what is left waiting to the result's waits.
   void PlaceAndExplain(const Candidate& candidate);
--- a/tests/cell/pool_simulation.cc
+++ b/tests/cell/pool_simulation.cc
@@ -15,6 +15,11 @@
 constexpr absl::Duration kFaultTime = absl::Seconds(30);
 // Covers the end of all leases, a takeover and the work that is left.
 constexpr absl::Duration kQuietTime = absl::Seconds(40);
+// Covers the longest cut-off and the end of the leases after it, so that each long-running task can
+// be at work.
+constexpr absl::Duration kRestartTime = absl::Seconds(20);
+// A long-running task whose worker is lost may wait for the end of the lease and 3 s more.
+constexpr absl::Duration kRestartLimit = absl::Seconds(9);
 constexpr absl::Duration kBeatInterval = absl::Milliseconds(1500);
 constexpr absl::Duration kHoldRetryInterval = absl::Milliseconds(250);
 constexpr absl::Duration kRoundInterval = absl::Milliseconds(20);
@@ -80,6 +85,16 @@
   for (auto& [id, worker] : workers_) {
     SetCapacity(&worker, kCpu);
   }
+  while (Now() < begin_ + kFaultTime + kRestartTime) {
+    Step();
+  }
+  CheckLongRunningTasks();
+  // Long-running tasks may leave too little capacity for the other jobs.
+  for (const auto& [id, job] : jobs_) {
+    if (job.intake.spec.steps[0].long_running && !job.cancelled) {
+      Cancel(JobId(id));
+    }
+  }
   while (Now() < begin_ + kFaultTime + kQuietTime) {
     Step();
   }
@@ -455,16 +470,51 @@
   scheduler_->ApplyReport(worker_id, report, Now(), Now());
 }
 
+bool PoolSimulation::IsRunning(const std::string& task) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&task](const auto& entry) {
+    return std::any_of(entry.second.runs.begin(), entry.second.runs.end(),
+                       [&task](const TaskRun& run) { return run.key.task == task; });
+  });
+}
+
+void PoolSimulation::CheckLongRunningTasks() {
+  for (const auto& [id, job] : jobs_) {
+    const StepSpec& step = job.intake.spec.steps[0];
+    if (!step.long_running || job.cancelled || !job.crashing_task.empty()) {
+      continue;
+    }
+    for (int i = 0; i < step.task_count; ++i) {
+      const std::string task = absl::StrCat(id, ".0.0.", i);
+      const auto last_ran = last_ran_.find(task);
+      const bool lost_lately =
+          last_ran != last_ran_.end() && Now() - last_ran->second < kRestartLimit;
+      if (!IsRunning(task) && !lost_lately && CountWorkersWithCapacity(step.demand) >= 2) {
+        Violation(absl::StrCat(task, " does not run although workers have capacity for it"));
+      }
+    }
+  }
+}
+
+int PoolSimulation::CountWorkersWithCapacity(const Resources& demand) const {
+  return static_cast<int>(
+      std::count_if(workers_.begin(), workers_.end(), [&demand](const auto& entry) {
+        const Worker& worker = entry.second;
+        Resources used = demand;
+        for (const TaskRun& run : worker.runs) {
+          used += run.demand;
+        }
+        return worker.up && used.FitsInto(worker.description.capacity);
+      }));
+}
+
 void PoolSimulation::CheckFinalStates() {
   for (const auto& [id, job] : jobs_) {
     const std::optional<CellJobState> state = scheduler_->VisibleState(JobId(id));
     if (job.cancelled && state.has_value() && IsFinal(*state)) {
       continue;
     }
-    const bool lasting = job.intake.spec.steps[0].long_running;
-    const CellJobState expected = !job.crashing_task.empty() ? CellJobState::kFailed
-                                  : lasting                  ? CellJobState::kRunning
-                                                             : CellJobState::kCompleted;
+    const CellJobState expected =
+        job.crashing_task.empty() ? CellJobState::kCompleted : CellJobState::kFailed;
     if (state != expected) {
       const std::string shown(state.has_value() ? CellJobStateName(*state) : "unknown");
       const std::string wanted(CellJobStateName(expected));
--- a/tests/cell/pool_simulation.h
+++ b/tests/cell/pool_simulation.h
@@ -119,6 +119,11 @@
   void Hold(const WorkerDescription& description, Worker* worker);
   // Reports a hold that the worker did not answer, or that its next process answered.
   void FailHold(const WorkerDescription& description);
+  bool IsRunning(const std::string& task) const;
+  // Checks that each long-running task runs unless the workers have too little capacity.
+  void CheckLongRunningTasks();
+  // Returns the number of workers on which a task could start now.
+  int CountWorkersWithCapacity(const Resources& demand) const;
   void CheckFinalStates();
   void Violation(const std::string& text);
 
@@ -153,6 +158,8 @@
   std::map<std::string, absl::Time> complete_gangs_;
   std::set<std::string> broken_gangs_;
   int bystander_losses_ = 0;
+  // When each long-running task was last at work.
+  std::map<std::string, absl::Time> last_ran_;
   std::vector<std::string> violations_;
 };
 
--- a/tests/cell/pool_simulation_workers.cc
+++ b/tests/cell/pool_simulation_workers.cc
@@ -97,6 +97,9 @@
   }
   for (size_t i = 0; i < worker->runs.size();) {
     const TaskRun run = worker->runs[i];
+    if (run.long_running) {
+      last_ran_[run.key.task] = Now();
+    }
     if (run.started + run.crash_after <= Now()) {
       CrashWorker(worker, run.key.task);
       return;
