cell: Restart long-running tasks on reserved workers as a last resort

What callers saw: a long-running task waited although workers had capacity for it: all of that capacity was on workers that were reserved for large tasks, which still waited for more.

Cause: a task may start on a reserved worker only if it should end before the reservation takes effect. A long-running task never ends, so it was excluded, for as long as large tasks kept arriving. In a full pool, the reserved workers are those that have free capacity. With smaller capacities more steps count as large, and up to a third of the workers is reserved.

Now a long-running task that may have run before may start on a worker that is reserved for a large task or a gang if no other worker can take it. First starts still wait, so that a stream of new long-running jobs does not starve large tasks of a higher priority.

LostTaskStartsOnAReservedWorkerIfNoOtherHasCapacity failed before: the task did not run within 3 s, while 4 of the 8 cores of the reserved worker were free.

--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -225,7 +225,8 @@
 }
 
 bool ScheduleRound::IsEligible(const StepSpec& step, const AvailableWorker& available) const {
-  return (!available.reserved || EndsBeforeReservation(step, available)) &&
+  return (!available.reserved || EndsBeforeReservation(step, available) ||
+          (step.long_running && available.reserved_for_large)) &&
          !(available.has_serving && step.best_effort) &&
          !(available.has_best_effort && IsServing(step)) &&
          available.worker->HasLabel(step.required_label);
@@ -261,6 +262,12 @@
          now_ + step.estimate * kBackfillFactor <= available.reserved_until;
 }
 
+bool ScheduleRound::MayUseReservation(const Candidate& candidate, const CellTask& task,
+                                      const AvailableWorker& available) {
+  const bool may_have_run = task.last_run > RunNumber(0) || candidate.job->inherited;
+  return available.reserved_for_large && may_have_run;
+}
+
 bool ScheduleRound::HasReachedWorkerLimit(const StepSpec& step, const WorkerId& worker,
                                           const TaskCounts& per_worker) {
   const auto used = per_worker.find(worker.value());
@@ -274,7 +281,7 @@
   const StepSpec& step = candidate.job->Step(candidate.job->runs[candidate.run]);
   const Resources needed = ReservedFor(step);
   AvailableWorker* best = nullptr;
-  std::tuple<bool, bool, bool, double> best_score;
+  std::tuple<bool, bool, bool, bool, double> best_score;
   const bool suspected = task.losses.IsSuspected();
   result_.workers_examined += static_cast<int64_t>(eligible_workers.size());
   for (const EligibleWorker& eligible : eligible_workers) {
@@ -282,12 +289,14 @@
     const WorkerDescription& worker = available->worker->description;
     if ((require_valid_ticket && !eligible.has_valid_ticket) || !needed.FitsInto(available->free) ||
         HasReachedWorkerLimit(step, worker.id, per_worker) ||
+        (step.long_running && available->reserved &&
+         !MayUseReservation(candidate, task, *available)) ||
         !MayShareWorker(candidate, task, *available)) {
       continue;
     }
-    const std::tuple<bool, bool, bool, double> score(
-        suspected && !available->empty, worker.id == task.avoided_worker,
-        !available->worker->HasLabel(step.preferred_rack),
+    const std::tuple<bool, bool, bool, bool, double> score(
+        step.long_running && available->reserved, suspected && !available->empty,
+        worker.id == task.avoided_worker, !available->worker->HasLabel(step.preferred_rack),
         LeftoverScore(available->free - needed, worker.capacity));
     if (best == nullptr || score < best_score) {
       best = available;
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -89,6 +89,8 @@
     // tasks that should end by `reserved_until`, when that capacity is expected to be free
     // (backfilling).
     bool reserved = false;
+    // The reservation is for a large task or a gang.
+    bool reserved_for_large = false;
     absl::Time reserved_until = absl::InfinitePast();
     // Best-effort tasks slow down serving tasks on the same worker, so a worker never runs both.
     bool has_serving = false;
@@ -166,8 +168,14 @@
   // Whether the step already has the maximum number of tasks on this worker.
   static bool HasReachedWorkerLimit(const StepSpec& step, const WorkerId& worker,
                                     const TaskCounts& per_worker);
-  // Whether a task that starts now should end before the reservation of the worker takes effect.
+  // Whether a task of the step that starts now should end before the reservation of the worker
+  // takes effect.
   bool EndsBeforeReservation(const StepSpec& step, const AvailableWorker& available) const;
+  // Whether the task may start on a worker that is reserved for a large task although it will not
+  // end before. A long-running task that has to be restarted is out of service while it waits, and
+  // it would wait for as long as large tasks keep arriving.
+  static bool MayUseReservation(const Candidate& candidate, const CellTask& task,
+                                const AvailableWorker& available);
   // Whether a task of the step needs a large share of at least one worker.
   bool IsLarge(const StepSpec& step) const;
   // Whether the step may run on the worker, apart from tickets and free capacity.
--- a/packages/cell/schedule_round_reservations.cc
+++ b/packages/cell/schedule_round_reservations.cc
@@ -64,6 +64,7 @@
   result_.reserved_workers = static_cast<int64_t>(reserved_workers_);
   for (AvailableWorker* available : reserved) {
     available->reserved = true;
+    available->reserved_for_large = true;
     available->reserved_until = available->worker->ExpectedFree(needed, now_);
   }
 }
--- a/packages/cell/schedule_round_waits.cc
+++ b/packages/cell/schedule_round_waits.cc
@@ -97,7 +97,8 @@
   if (needs_ticket && !HasTicket(run, id, /*valid=*/false)) {
     return WaitReason::kNoTicket;
   }
-  if (!IsEligible(step, available)) {
+  if (available.reserved && !EndsBeforeReservation(step, available) &&
+      !(step.long_running && MayUseReservation(candidate, task, available))) {
     return WaitReason::kReservation;
   }
   if (HasReachedWorkerLimit(step, id, per_worker)) {
--- a/tests/cell/long_running_tasks_test.cc
+++ b/tests/cell/long_running_tasks_test.cc
@@ -144,6 +144,148 @@
   BOOST_TEST(pool.CountRunning("watch") == 1);
 }
 
+// Guards against a long-running task that waits although there is capacity for it, because all of
+// that capacity is reserved for a large task that still waits for more.
+BOOST_AUTO_TEST_CASE(LostTaskStartsOnAReservedWorkerIfNoOtherHasCapacity) {
+  RunningPool pool;
+  pool.AddWorkers(3, 8000);
+  pool.Add(LongRunningJob("watch", 1, 1000));
+  pool.Run(absl::Seconds(20));
+  const std::string first = pool.WorkerOf("watch");
+  pool.Add(Fixture::Job("fill", {Fixture::Step(23, 1000)}, 2, /*priority=*/0));
+  pool.Step();
+  BOOST_REQUIRE_EQUAL(pool.CountRunning("fill"), 23);
+  // The least loaded worker is reserved for a task that needs all of it.
+  const std::string reserved = first == "w1" ? "w2" : "w1";
+  for (int i = 0; i < 4; ++i) {
+    pool.End(reserved, "fill", AttemptEnd::kSucceeded);
+  }
+  pool.Add(Fixture::Job("large", {Fixture::Step(1, 8000)}, 2, /*priority=*/0));
+  pool.Step();
+  // Another task takes the capacity that the failed long-running one leaves.
+  pool.Add(Fixture::Job("next", {Fixture::Step(1, 1000)}, 2, /*priority=*/0));
+  pool.End(first, "watch", AttemptEnd::kFailed);
+  pool.Run(kMaxRestartDelay);
+  BOOST_TEST(pool.CountRunning("next") == 1);
+  BOOST_TEST(pool.CountRunning("large") == 0);
+  BOOST_TEST(pool.WorkerOf("watch") == reserved);
+}
+
+// Guards against long-running tasks that wait for a worker of their own after a wave of crashes:
+// more of them are suspected than workers may be isolated, while the other workers have capacity.
+BOOST_AUTO_TEST_CASE(ManySuspectedTasksStartWhileWorkersHaveCapacity) {
+  constexpr int kJobs = 12;
+  RunningPool pool;
+  pool.AddWorkers(6, 8000);
+  for (int i = 0; i < kJobs; ++i) {
+    pool.Add(LongRunningJob("watch" + std::to_string(i), 1, 1000));
+  }
+  pool.Run(absl::Milliseconds(500));
+  std::vector<std::string> crashed;
+  for (const auto& [worker, keys] : pool.running()) {
+    if (!keys.empty()) {
+      crashed.push_back(worker);
+    }
+  }
+  for (const std::string& worker : crashed) {
+    pool.Crash(worker);
+  }
+  pool.Run(kMaxRestartDelay);
+  for (int i = 0; i < kJobs; ++i) {
+    BOOST_TEST(pool.CountRunning("watch" + std::to_string(i)) == 1);
+  }
+}
+
+// Guards against questions to the adviser about a worker that it does not allow any more: the step
+// would ask about it again instead of using another worker.
+BOOST_AUTO_TEST_CASE(WorkerWithoutRenewedTicketIsNotNamedAgain) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("removed", 1000), Fixture::Worker("usable", 4000)});
+  JobIntake job = LongRunningJob("watch", 1, 1000);
+  // The questions are so short that they renew only the ticket that is needed.
+  job.policy.advice = AdvicePolicy{absl::Milliseconds(1), absl::Milliseconds(1), absl::Seconds(2)};
+  fixture.AddJob(std::move(job));
+  // Runs a round, answers its question and returns the workers on which it starts tasks.
+  const auto run_round = [&fixture](const std::vector<std::string>& allowed) {
+    const ScheduledOrders round = fixture.scheduler().Schedule(fixture.Now());
+    for (const AdviceRequest& asked : round.advice) {
+      Advice advice;
+      advice.validity = absl::Seconds(2);
+      for (const WorkerId& worker : asked.question.workers) {
+        if (std::find(allowed.begin(), allowed.end(), worker.value()) != allowed.end()) {
+          advice.tickets[worker] = "ticket";
+        }
+      }
+      fixture.scheduler().AdviceFinished(asked, advice, fixture.Now());
+    }
+    std::vector<std::string> started;
+    for (const auto& [worker, order] : round.orders) {
+      started.push_back(worker.value());
+    }
+    return started;
+  };
+  BOOST_TEST(run_round({"removed", "usable"}).empty());
+  fixture.Advance(absl::Seconds(3));
+  fixture.Report("removed", {});
+  fixture.Report("usable", {});
+  std::vector<std::string> started;
+  for (int round = 0; round < 5 && started.empty(); ++round) {
+    started = run_round({"usable"});
+  }
+  BOOST_TEST(started == std::vector<std::string>{"usable"}, boost::test_tools::per_element());
+}
+
+// Guards against the quarantine of a sound worker on which long-running tasks fail once in a while:
+// they never succeed, so nothing else would reset its count of failures.
+BOOST_AUTO_TEST_CASE(FailuresOfTasksThatWereAtWorkDoNotAddUp) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w", 4000)});
+  const std::vector<std::string> jobs = {"a", "b", "c", "d"};
+  for (const std::string& id : jobs) {
+    fixture.AddJob(LongRunningJob(id, 1, 1000));
+  }
+  std::vector<AttemptKey> running;
+  for (const SentOrder& sent : Starts(fixture.Round())) {
+    running.push_back(sent.order.key);
+  }
+  BOOST_REQUIRE_EQUAL(running.size(), jobs.size());
+  const auto report = [&](const std::vector<std::pair<AttemptKey, AttemptEnd>>& ended) {
+    std::vector<RunningAttempt> attempts;
+    for (const AttemptKey& key : running) {
+      attempts.push_back(Fixture::Running(key, 100));
+    }
+    fixture.Report("w", attempts, ended);
+  };
+  report({});
+  for (size_t failures = 0; failures < jobs.size(); ++failures) {
+    const AttemptKey failed = running.front();
+    running.erase(running.begin());
+    report({{failed, AttemptEnd::kFailed}});
+    const std::vector<SentOrder> restarted = Starts(fixture.Round());
+    BOOST_REQUIRE_EQUAL(restarted.size(), 1U);
+    running.push_back(restarted[0].order.key);
+    report({});
+  }
+  BOOST_TEST(fixture.Events(EventCode::kWorkerQuarantined).empty());
+}
+
+// Guards against new long-running tasks that take the capacity reserved for a large task of a
+// higher priority, one after the other.
+BOOST_AUTO_TEST_CASE(NewTasksLeaveReservedWorkersToLargeTasks) {
+  RunningPool pool;
+  pool.AddWorkers(1, 4000);
+  pool.Add(Fixture::Job("fill", {Fixture::Step(4, 1000)}, 2, /*priority=*/0));
+  pool.Step();
+  pool.Add(Fixture::Job("large", {Fixture::Step(1, 4000)}, 2, /*priority=*/0));
+  for (int i = 0; i < 4; ++i) {
+    pool.Add(LongRunningJob("watch" + std::to_string(i), 1, 1000));
+    pool.Step();
+    pool.End("w0", "fill", AttemptEnd::kSucceeded);
+    pool.Step();
+  }
+  BOOST_TEST(pool.CountRunning("large") == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
