cell: Suspect a task only for losses that a crash of its own explains

What callers saw: long-running tasks, and all others, wait beside idle capacity after waves of ordinary crashes.

Cause: each task that was started within about a second before the loss of its worker, and each that lost two workers at any time, was suspected of the crash. Nearly every ordinary crash makes such suspects. They run one job a worker, on up to a third of the workers, and everything else waits. The crashes that were seen follow the start order by 10 to 70 ms.

Now a task is suspected after one loss within 100 ms of its start, the time that also counts for giving it up, after two losses that may have happened after the same run time, or after three. A task that crashes its workers later in its run takes one more bystander than before until it is alone, and is still given up at its third or fourth loss.

FurtherLossesDoNotEndASuspicion guards against the opposite.

--- a/packages/cell/worker_loss.cc
+++ b/packages/cell/worker_loss.cc
@@ -15,8 +15,9 @@
 constexpr int kLossesToGiveUp = 3;
 constexpr int kLossesAtStartToGiveUp = 2;
 constexpr absl::Duration kStartTime = absl::Milliseconds(100);
-// A task that did not start last is suspected after this many losses.
-constexpr size_t kLossesToSuspect = 2;
+// A task is suspected after this many losses, even if none happened at its start and no two are
+// similar.
+constexpr size_t kLossesToSuspect = 3;
 // A clearing attempt must run longer than the lost ones by this factor and time.
 constexpr double kProbationFactor = 2;
 constexpr absl::Duration kProbationMargin = absl::Milliseconds(500);
@@ -26,6 +27,11 @@
   return longer < absl::InfiniteDuration() && longer <= shorter * kSimilarFactor + kNoticeDelay;
 }
 
+// Whether the losses are similar as far as is known.
+bool MayBeSimilar(const LostAttempt& a, const LostAttempt& b) {
+  return AreSimilar(a, b) || std::max(a.ran_for, b.ran_for) == absl::InfiniteDuration();
+}
+
 bool IsAtStart(const LostAttempt& attempt) {
   return attempt.started_last && attempt.ran_for <= kStartTime;
 }
@@ -73,24 +79,27 @@
                      [run](const LostAttempt& attempt) { return attempt.run == run; });
 }
 
+int WorkerLossHistory::CountSimilarToLast() const {
+  return static_cast<int>(std::count_if(
+      attempts_.begin(), attempts_.end(),
+      [this](const LostAttempt& attempt) { return AreSimilar(attempt, attempts_.back()); }));
+}
+
+int WorkerLossHistory::CountAtStart() const {
+  return static_cast<int>(std::count_if(attempts_.begin(), attempts_.end(), IsAtStart));
+}
+
 bool WorkerLossHistory::IsSuspected() const {
-  return attempts_.size() >= kLossesToSuspect ||
-         std::any_of(attempts_.begin(), attempts_.end(),
-                     [](const LostAttempt& attempt) { return attempt.started_last; });
+  return CountAtStart() > 0 || attempts_.size() >= kLossesToSuspect ||
+         (attempts_.size() > 1 && MayBeSimilar(attempts_.front(), attempts_.back()));
 }
 
 bool WorkerLossHistory::CrashesWorkers() const {
   if (attempts_.empty() || !attempts_.back().alone) {
     return false;
   }
-  const LostAttempt& last = attempts_.back();
-  int similar = 0;
-  int at_start = 0;
-  for (const LostAttempt& attempt : attempts_) {
-    similar += AreSimilar(attempt, last) ? 1 : 0;
-    at_start += IsAtStart(attempt) ? 1 : 0;
-  }
-  return similar >= kLossesToGiveUp || (IsAtStart(last) && at_start >= kLossesAtStartToGiveUp);
+  return CountSimilarToLast() >= kLossesToGiveUp ||
+         (IsAtStart(attempts_.back()) && CountAtStart() >= kLossesAtStartToGiveUp);
 }
 
 absl::Duration WorkerLossHistory::Probation() const {
--- a/packages/cell/worker_loss.h
+++ b/packages/cell/worker_loss.h
@@ -63,6 +63,11 @@
   absl::Duration Probation() const;
 
  private:
+  // Number of losses after about the same run time as the last one, which is among them.
+  int CountSimilarToLast() const;
+  // Number of losses that happened at the start of an attempt.
+  int CountAtStart() const;
+
   // In the order in which they were added.
   std::vector<LostAttempt> attempts_;
 };
--- a/tests/cell/worker_loss_test.cc
+++ b/tests/cell/worker_loss_test.cc
@@ -62,6 +62,31 @@
   BOOST_TEST(losses.CrashesWorkers());
 }
 
+// Guards against the isolation of tasks that lost their workers with many others: more of them
+// would be isolated than workers may be.
+BOOST_AUTO_TEST_CASE(OneLossDuringTheRunIsNoSuspicion) {
+  WorkerLossHistory losses;
+  losses.Add(Lost(1, absl::Milliseconds(500), false, true));
+  BOOST_TEST(!losses.IsSuspected());
+  losses.Add(Lost(2, absl::Milliseconds(4000), false, true));
+  BOOST_TEST(!losses.IsSuspected());
+}
+
+// Guards against a suspicion that ends with one more loss at another time, for example by an
+// ordinary crash or of an attempt that an earlier owner started.
+BOOST_AUTO_TEST_CASE(FurtherLossesDoNotEndASuspicion) {
+  WorkerLossHistory losses;
+  losses.Add(Lost(1, absl::Seconds(1), false, false));
+  losses.Add(Lost(2, absl::Seconds(1), false, false));
+  BOOST_TEST(losses.IsSuspected());
+  losses.Add(Lost(3, absl::Milliseconds(300), false, false));
+  BOOST_TEST(losses.IsSuspected());
+  WorkerLossHistory unknown;
+  unknown.Add(Lost(1, absl::Seconds(3), false, false));
+  unknown.Add(Lost(2, absl::InfiniteDuration(), false, false));
+  BOOST_TEST(unknown.IsSuspected());
+}
+
 // Guards against counting one attempt twice after a takeover.
 BOOST_AUTO_TEST_CASE(AttemptCountsOnce) {
   WorkerLossHistory losses;
