cell: Forget workers for which the adviser renews no ticket

What callers would see: a task that waits for ever although workers have capacity for it.

Cause: an answer of the adviser added its tickets to the allowed workers of the step, but removed none. A worker that was asked about again and got no ticket stayed among the allowed ones with its expired ticket. If it was the best fit, each round asked about it again and reserved its capacity, instead of using another worker. It takes an adviser that changes its mind, for example about a worker that was restarted as another kind under the same id, and questions that are too short to renew other tickets along with the wanted one.

Now a worker that was named in a question and got no ticket is no longer allowed.

WorkerWithoutRenewedTicketIsNotNamedAgain failed before: five rounds asked about the same worker.

--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -314,7 +314,10 @@
   size_t newly_allowed = 0;
   for (const WorkerId& id : request.question.workers) {
     // A renewal names workers that are known to be allowed.
-    if (run->advice.asked.insert(id).second) {
+    if (advice->tickets.count(id) == 0 && run->advice.allowed.erase(id) > 0) {
+      // The step may ask about the worker once more, in case the refusal was temporary.
+      run->advice.asked.erase(id);
+    } else if (run->advice.asked.insert(id).second) {
       ++newly_asked;
       newly_allowed += advice->tickets.count(id);
     }
