cell: Reset a worker's failures once a long-running task is at work on it

What callers would see: long-running tasks that fail once in a while, each after a long time at work, drive their sound workers into quarantine, so that nothing starts there for 4 s each time.

Cause: a worker is quarantined after attempts of three jobs have failed on it without a success in between.

Now a long-running attempt that reports to be at work resets the failures, like a success does. An attempt on a worker that fails all that it starts does not get that far.

--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -21,6 +21,8 @@
 // Twice the interval of holds. A longer time between two reports means that the worker was
 // unreachable or paused.
 constexpr absl::Duration kMaxReportGap = absl::Seconds(2);
+// Reported progress of a long-running attempt that is at work.
+constexpr int kAtWorkPercent = 100;
 // Longer than a worker needs to stop an attempt (at most 0.9 s). The attempt occupies its capacity
 // until then, whether the worker still lists it or not.
 constexpr absl::Duration kMaxStopDuration = absl::Milliseconds(1500);
@@ -164,6 +166,10 @@
   attempt.listed = true;
   attempt.confirmed_at = std::min(attempt.confirmed_at, now);
   if (running.percent != attempt.percent) {
+    // A long-running attempt never succeeds, but it shows that the worker can run tasks.
+    if (attempt.estimate == absl::InfiniteDuration() && running.percent >= kAtWorkPercent) {
+      worker->failed_jobs.clear();
+    }
     attempt.percent = running.percent;
     attempt.progress_at = now;
   }
@@ -378,8 +384,9 @@
 
 void PoolScheduler::StopStalledAttempts(CellWorker* worker, absl::Time now) {
   for (auto& [key, attempt] : worker->attempts) {
-    if (attempt.phase != AttemptPhase::kRunning || attempt.stop_wanted || attempt.percent >= 100 ||
-        now - attempt.progress_at < kStallTimeout || !IsCurrent(*worker, attempt)) {
+    if (attempt.phase != AttemptPhase::kRunning || attempt.stop_wanted ||
+        attempt.percent >= kAtWorkPercent || now - attempt.progress_at < kStallTimeout ||
+        !IsCurrent(*worker, attempt)) {
       continue;
     }
     attempt.stop_wanted = true;
