cell: Let long-running steps leave no headroom

What callers would see: a long-running task that loses its worker early waits until five seconds before the objective of its job, while less than 15% of the pool is free.

Cause: a step that has more than five seconds until its latest start counts as patient and leaves headroom while there are more urgent jobs, even those that have nothing to start. A restart is not patient: the task is out of service meanwhile.

Now long-running steps are never patient.

LostTaskLeavesNoHeadroom failed before: with an objective of 60 s the task did not run within 3 s.

--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -374,7 +374,8 @@
 bool ScheduleRound::LeavesHeadroom(const Candidate& candidate) const {
   const StepRun& run = candidate.job->runs[candidate.run];
   const bool patient = candidate.job->intake.policy.priority > highest_priority_ &&
-                       run.latest_start > now_ + kPatientSlack;
+                       run.latest_start > now_ + kPatientSlack &&
+                       !candidate.job->Step(run).long_running;
   // A step that has no answer of the adviser yet is not held back here, so that it sends its
   // question.
   const bool asked = !candidate.job->intake.policy.advice.has_value() || !run.advice.asked.empty();
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -61,9 +61,10 @@
 // take it. A gang or a large task that does not fit reserves workers that it could use, since small
 // tasks would otherwise take all capacity that becomes free (starvation of large jobs).
 //
-// A step with enough slack before its latest start is patient. Patient steps leave headroom in the
-// pool while there are jobs of higher priority: a full pool frees capacity only as fast as its long
-// tasks end, and a burst of short urgent tasks would have to wait for them (priority inversion).
+// A step with enough slack before its latest start is patient unless it is long-running. Patient
+// steps leave headroom in the pool while there are jobs of higher priority: a full pool frees
+// capacity only as fast as its long tasks end, and a burst of short urgent tasks would have to wait
+// for them (priority inversion).
 class ScheduleRound {
  public:
   // `jobs` are the jobs that are not in a final state. The arguments must outlive the round.
--- a/tests/cell/long_running_tasks_test.cc
+++ b/tests/cell/long_running_tasks_test.cc
@@ -286,6 +286,22 @@
   BOOST_TEST(pool.CountRunning("large") == 1);
 }
 
+// Guards against a restart that waits for as long as the objective of its job allows, because the
+// step leaves headroom for more urgent jobs.
+BOOST_AUTO_TEST_CASE(LostTaskLeavesNoHeadroom) {
+  RunningPool pool;
+  pool.AddWorkers(10, 1000);
+  JobIntake watch = LongRunningJob("watch", 1, 1000);
+  watch.policy.target_latency = absl::Seconds(60);
+  pool.Add(std::move(watch));
+  pool.Run(absl::Seconds(1));
+  pool.Add(Fixture::Job("urgent", {Fixture::Step(8, 1000)}, 2, /*priority=*/0));
+  pool.Step();
+  pool.Crash(pool.WorkerOf("watch"));
+  pool.Run(kMaxRestartDelay);
+  BOOST_TEST(pool.CountRunning("watch") == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
