cell: Keep suspected tasks off open workers only by the number of isolated ones

What callers would see: a suspected task waits beside an empty worker for as long as large tasks keep a third of the workers reserved.

Cause: a suspected task starts on an open worker only while fewer than a third of the workers are reserved or isolated. The limit is there so that too much of the pool is not kept idle, but an open worker that the task could use at once is idle without it.

Now only isolated workers count for a start; reservations count both, as before.

--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -153,8 +153,9 @@
   // Reserves a worker that is to run a suspected task of the step alone, unless too many workers
   // are reserved or isolated already.
   void ReserveWorkerForSuspect(const Candidate& candidate);
-  // Whether further workers may be reserved or isolated.
+  // Whether further workers may be reserved.
   bool MayReserve(size_t workers) const;
+  size_t MaxReservedWorkers() const;
   PlacedTask MakePlacement(const Candidate& candidate, int task,
                            const AvailableWorker& available) const;
   // Returns the workers on which the step may run, whether or not they have free capacity. If the
--- a/packages/cell/schedule_round_reservations.cc
+++ b/packages/cell/schedule_round_reservations.cc
@@ -9,8 +9,9 @@
 namespace pomelotray {
 namespace {
 
-// Share of the available workers that may be reserved or isolated; a larger share
-// would leave too much of the pool idle.
+// Share of the available workers that may be isolated, and of those that may be isolated or
+// reserved; a larger share would leave too much of the pool idle. Reservations do not keep a
+// suspected task from a worker that is open to it already.
 constexpr double kMaxReservedShare = 0.34;
 
 }  // namespace
@@ -22,7 +23,12 @@
   if (!task.losses.IsSuspected()) {
     return !available.isolated || own_job;
   }
-  return own_job || (available.open_to_suspects && MayReserve(1));
+  return own_job || (available.open_to_suspects && isolated_workers_ < MaxReservedWorkers());
+}
+
+size_t ScheduleRound::MaxReservedWorkers() const {
+  return std::max<size_t>(
+      static_cast<size_t>(kMaxReservedShare * static_cast<double>(available_workers_.size())), 1);
 }
 
 void ScheduleRound::ReserveWorkers(const Candidate& candidate, size_t tasks) {
@@ -70,9 +76,7 @@
 }
 
 bool ScheduleRound::MayReserve(size_t workers) const {
-  const size_t limit =
-      static_cast<size_t>(kMaxReservedShare * static_cast<double>(available_workers_.size()));
-  return reserved_workers_ + isolated_workers_ + workers <= std::max<size_t>(limit, 1);
+  return reserved_workers_ + isolated_workers_ + workers <= MaxReservedWorkers();
 }
 
 void ScheduleRound::ReserveWorkerForSuspect(const Candidate& candidate) {
--- a/tests/cell/long_running_tasks_test.cc
+++ b/tests/cell/long_running_tasks_test.cc
@@ -30,11 +30,15 @@
 // A pool whose attempts run until the test ends them or crashes their worker.
 class RunningPool {
  public:
-  void AddWorkers(int count, int64_t cpu) {
+  // Only the first worker has the label.
+  void AddWorkers(int count, int64_t cpu, const std::string& label = "") {
     std::vector<WorkerDescription> descriptions;
     for (int i = 0; i < count; ++i) {
       const std::string id = "w" + std::to_string(next_worker_++);
       descriptions.push_back(Fixture::Worker(id, cpu));
+      if (i == 0) {
+        descriptions.back().labels = {label};
+      }
       running_[id];
     }
     fixture_.AddWorkers(descriptions);
@@ -302,6 +306,26 @@
   BOOST_TEST(pool.CountRunning("watch") == 1);
 }
 
+// Guards against a suspected task that waits beside an empty worker because other workers are
+// reserved for large tasks.
+BOOST_AUTO_TEST_CASE(SuspectStartsOnAnEmptyWorkerWhileOthersAreReserved) {
+  RunningPool pool;
+  pool.AddWorkers(4, 4000, /*label=*/"x");
+  pool.Add(LongRunningJob("watch", 1, 1000));
+  pool.Step();
+  // A crash right after the start makes the task suspected.
+  pool.Crash(pool.WorkerOf("watch"));
+  for (const int64_t cpu : {3000, 4000}) {
+    JobIntake job =
+        Fixture::Job("job" + std::to_string(cpu), {Fixture::Step(1, cpu)}, 2, /*priority=*/0);
+    job.spec.steps[0].required_label = "x";
+    pool.Add(std::move(job));
+  }
+  pool.Run(kMaxRestartDelay);
+  BOOST_TEST(pool.CountRunning("job4000") == 0);
+  BOOST_TEST(pool.CountRunning("watch") == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
