--- a/packages/cell/cell_worker.cc
+++ b/packages/cell/cell_worker.cc
@@ -61,7 +61,10 @@
   absl::Time open = now;
   for (const auto& [key, attempt] : attempts) {
     if (!attempt.IsSettled(now)) {
-      open = std::max(open, attempt.ExpectedEnd(now));
+      const absl::Time settled =
+          attempt.isolated ? absl::InfiniteFuture() : attempt.known_since + kSettleTime;
+      const absl::Time end = attempt.ExpectedEnd(now);
+      open = std::max(open, end < absl::InfiniteFuture() ? end : settled);
     }
   }
   return open;
