cell: Send a confirmed stop again while the attempt runs on

What callers would see: an attempt that was to be stopped runs on for ever. If its demand is not known, nothing else starts on the worker.

Cause: a stop order that the worker confirmed was not sent again, and nothing else ends a long-running attempt.

Now the order is sent again 5 s after it was last sent, for as long as the attempt is not over.

ConfirmedStopIsSentAgainWhileTheAttemptRuns failed before: no further order in 7 s.

--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -14,6 +14,9 @@
 // A stop order that was not answered is sent again after this time, which covers several
 // inter-region round trips.
 constexpr absl::Duration kStopResendInterval = absl::Seconds(1);
+// A stop order that was confirmed is sent again after this time if the attempt is still not over,
+// by far longer than a stop takes. Nothing else would end a long-running attempt.
+constexpr absl::Duration kConfirmedStopResendInterval = absl::Seconds(5);
 // A worker that has not reported for this long (two intervals of holds) is recorded as
 // unreachable in the roster.
 constexpr absl::Duration kUnreachableAfter = absl::Seconds(2);
@@ -404,8 +407,10 @@
 
 void PoolScheduler::StopAttempts(CellWorker* worker, absl::Time now, ScheduledOrders* result) {
   for (auto& [key, attempt] : worker->attempts) {
-    if (!attempt.stop_wanted || attempt.stop_confirmed_at < absl::InfiniteFuture() ||
-        now - attempt.stop_sent_at < kStopResendInterval) {
+    const bool confirmed = attempt.stop_confirmed_at < absl::InfiniteFuture();
+    if (!attempt.stop_wanted ||
+        now - attempt.stop_sent_at <
+            (confirmed ? kConfirmedStopResendInterval : kStopResendInterval)) {
       continue;
     }
     attempt.stop_sent_at = now;
--- a/tests/cell/long_running_tasks_test.cc
+++ b/tests/cell/long_running_tasks_test.cc
@@ -326,6 +326,26 @@
   BOOST_TEST(pool.CountRunning("watch") == 1);
 }
 
+// Guards against an attempt that runs on, and occupies its worker, because the worker confirmed the
+// stop order but did not carry it out.
+BOOST_AUTO_TEST_CASE(ConfirmedStopIsSentAgainWhileTheAttemptRuns) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w", 1000)});
+  fixture.AddJob(LongRunningJob("watch", 1, 1000));
+  const std::vector<SentOrder> started = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(started.size(), 1U);
+  fixture.Report("w", {Fixture::Running(started[0].order.key, 100)});
+  fixture.scheduler().CancelJob(JobId("watch"), fixture.Now());
+  BOOST_REQUIRE_EQUAL(Stops(fixture.Round()).size(), 1U);
+  size_t stops = 0;
+  for (int i = 0; i < 70; ++i) {
+    fixture.Advance(absl::Milliseconds(100));
+    fixture.Report("w", {Fixture::Running(started[0].order.key, 100)});
+    stops += Stops(fixture.Round()).size();
+  }
+  BOOST_TEST(stops == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
