--- a/tests/model/codec_test.cc
+++ b/tests/model/codec_test.cc
@@ -1,12 +1,14 @@
 #include <rapidcheck.h>
 
 #include <fstream>
+#include <limits>
 #include <sstream>
 #include <string>
 
 #include "base/json_text.h"
 #include "boost/test/unit_test.hpp"
 #include "model/contract_codec.h"
+#include "model/field_reader.h"
 #include "model/job_codec.h"
 #include "tests/model/model_generators.h"
 
@@ -189,6 +191,35 @@
   BOOST_TEST(ContractError(json::parse(text.str().substr(begin, end - begin))) == "");
 }
 
+// Guards against numbers that overflow when they are converted, multiplied by the number of tasks
+// or added to a time.
+BOOST_AUTO_TEST_CASE(NumbersOutOfRangeAreRefused) {
+  static_assert(kMaxAmount <= std::numeric_limits<int64_t>::max() / kMaxTasksPerJob);
+  const json job = JobSpecToJson(ExampleJob());
+  const json contract = ContractToJson(ExampleContract());
+  BOOST_TEST(JobError(job) == "");
+  BOOST_TEST(ContractError(contract) == "");
+  for (const json& number :
+       {json(std::numeric_limits<int64_t>::max()), json(std::numeric_limits<int64_t>::min()),
+        json(std::numeric_limits<uint64_t>::max()), json(1e300), json(-1), json("7"), json({7}),
+        json(std::numeric_limits<double>::quiet_NaN()),
+        json(std::numeric_limits<double>::infinity())}) {
+    BOOST_TEST_CONTEXT(number) {
+      for (const char* pointer : {"/task_count", "/demand/cpu_millicores", "/demand/memory_mib",
+                                  "/demand/accelerators", "/expected_run_ms", "/deadline"}) {
+        BOOST_TEST_CONTEXT(pointer) { BOOST_TEST(JobError(With(job, pointer, number)) != ""); }
+      }
+      for (const char* pointer :
+           {"/hold/cpu_millicores", "/hold/slots", "/rate_per_second", "/burst", "/weight",
+            "/max_jobs", "/default_deadline_ms", "/max_deadline_ms"}) {
+        BOOST_TEST_CONTEXT(pointer) {
+          BOOST_TEST(ContractError(With(contract, pointer, number)) != "");
+        }
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
