base: Tell integers within limits from other numbers

IsIntegerBetween() is for fields where a fraction is an error and not truncated. Unsigned numbers above 2^63 - 1 are integers to the JSON library, and become negative when they are converted.

--- a/packages/base/json_number.cc
+++ b/packages/base/json_number.cc
@@ -12,6 +12,15 @@
 
 }  // namespace
 
+bool IsIntegerBetween(const nlohmann::json& value, int64_t min, int64_t max) {
+  if (value.is_number_unsigned()) {
+    const uint64_t number = value.get<uint64_t>();
+    return max >= 0 && number <= static_cast<uint64_t>(max) &&
+           (min <= 0 || number >= static_cast<uint64_t>(min));
+  }
+  return value.is_number_integer() && value.get<int64_t>() >= min && value.get<int64_t>() <= max;
+}
+
 int64_t IntegerFromJson(const nlohmann::json& value, int64_t min, int64_t max) {
   bool in_range = false;
   if (value.is_number_unsigned()) {
--- a/packages/base/json_number.h
+++ b/packages/base/json_number.h
@@ -19,6 +19,10 @@
 // Largest integer up to which doubles represent all integers exactly.
 inline constexpr int64_t kMaxExactInteger = int64_t{1} << 53;
 
+// Whether `value` is an integer, without a fraction, between `min` and `max`. Other numbers must
+// not be converted: unsigned ones above 2^63 - 1 become negative.
+bool IsIntegerBetween(const nlohmann::json& value, int64_t min, int64_t max);
+
 // The functions below throw nlohmann::json::other_error if `value` is not a number or is out of
 // range, so that DecodeJson() returns an Error.
 
--- a/tests/base/json_number_test.cc
+++ b/tests/base/json_number_test.cc
@@ -1,6 +1,7 @@
 #include "base/json_number.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 #include <string>
 
 #include "base/decode_json.h"
@@ -31,6 +32,24 @@
   }
 }
 
+// Guards against unsigned numbers that count as negative ones, and against fractions.
+BOOST_AUTO_TEST_CASE(IntegersBetweenLimitsAreRecognized) {
+  const auto is_between = [](const char* text, int64_t min, int64_t max) {
+    return IsIntegerBetween(nlohmann::json::parse(text), min, max);
+  };
+  constexpr int64_t kMax = std::numeric_limits<int64_t>::max();
+  BOOST_TEST(is_between("9223372036854775807", 0, kMax));
+  BOOST_TEST(!is_between("9223372036854775808", -1, kMax));
+  BOOST_TEST(!is_between("18446744073709551615", -1, kMax));
+  BOOST_TEST(is_between("-1", -1, 1));
+  BOOST_TEST(!is_between("-2", -1, 1));
+  BOOST_TEST(!is_between("3", -2, -1));
+  BOOST_TEST(!is_between("4", 5, 6));
+  BOOST_TEST(is_between("5", 5, 6));
+  BOOST_TEST(!is_between("5.0", 5, 6));
+  BOOST_TEST(!is_between("\"5\"", 5, 6));
+}
+
 BOOST_AUTO_TEST_CASE(NumbersInRangeAreTruncated) {
   BOOST_TEST(Decode("0").value() == 0);
   BOOST_TEST(Decode("1000").value() == 1000);
