--- a/packages/peer/message_codec.cc
+++ b/packages/peer/message_codec.cc
@@ -9,6 +9,8 @@
 #include <array>
 #include <vector>
 
+#include "base/message_pack.h"
+
 namespace pomelotray {
 namespace {
 
@@ -72,33 +74,6 @@
   return Hmac(key, prefix, reply.payload);
 }
 
-// Checks the structure of a MessagePack value without building it.
-class DepthChecker : public nlohmann::json::json_sax_t {
- public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t&) override { return true; }
-  bool string(string_t&) override { return true; }
-  bool binary(binary_t&) override { return true; }
-  bool start_object(std::size_t) override { return ++depth_ <= kMaxBodyDepth; }
-  bool key(string_t&) override { return true; }
-  bool end_object() override { return Leave(); }
-  bool start_array(std::size_t) override { return ++depth_ <= kMaxBodyDepth; }
-  bool end_array() override { return Leave(); }
-  bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
-    return false;
-  }
-
- private:
-  bool Leave() {
-    --depth_;
-    return true;
-  }
-  int depth_ = 0;
-};
-
 }  // namespace
 
 std::string EncodeCall(const std::string& key, const CallEnvelope& call) {
@@ -169,16 +144,7 @@
 }
 
 std::optional<nlohmann::json> DecodeBody(std::string_view data) {
-  DepthChecker checker;
-  if (!nlohmann::json::sax_parse(data.begin(), data.end(), &checker,
-                                 nlohmann::json::input_format_t::msgpack)) {
-    return std::nullopt;
-  }
-  nlohmann::json body = nlohmann::json::from_msgpack(data.begin(), data.end(), true, false);
-  if (body.is_discarded()) {
-    return std::nullopt;
-  }
-  return body;
+  return ParseMessagePack(data, kMaxBodyDepth);
 }
 
 std::string EncodeError(const Error& error) {
--- a/packages/state/packed_reader.cc
+++ b/packages/state/packed_reader.cc
@@ -3,6 +3,9 @@
 #include <cstdlib>
 #include <vector>
 
+#include "base/json_text.h"
+#include "base/message_pack.h"
+
 namespace pomelotray {
 namespace {
 
@@ -141,7 +144,8 @@
 }
 
 nlohmann::json FromPackedBytes(const std::string& bytes) {
-  return nlohmann::json::from_msgpack(bytes, true, false);
+  return ParseMessagePack(bytes, kMaxJsonDepth)
+      .value_or(nlohmann::json(nlohmann::json::value_t::discarded));
 }
 
 }  // namespace pomelotray
--- a/packages/state/packed_reader.h
+++ b/packages/state/packed_reader.h
@@ -59,8 +59,8 @@
 nlohmann::json PackDuration(absl::Duration duration);
 nlohmann::json PackBytes(const std::string& bytes);
 
-// Convert between a JSON value and its MessagePack encoding. Malformed input yields a value for
-// which is_discarded() is true.
+// Convert between a JSON value and its MessagePack encoding. Malformed input, and input that
+// nests deeper than kMaxJsonDepth, yields a value for which is_discarded() is true.
 std::string ToPackedBytes(const nlohmann::json& json);
 nlohmann::json FromPackedBytes(const std::string& bytes);
 
--- a/tests/state/hostile_entries_test.cc
+++ b/tests/state/hostile_entries_test.cc
@@ -56,6 +56,23 @@
 
 BOOST_AUTO_TEST_SUITE(HostileEntriesTest)
 
+// Guards against a stack overflow: the parser of MessagePack recurses for each level.
+BOOST_AUTO_TEST_CASE(JournalValuesThatNestDeeplyAreErrors) {
+  const std::string batch =
+      EncodeBatch(JournalBatch{1, InstanceId("a"), 1, 5, {std::string("record")}});
+  const std::vector<std::string> values = {
+      std::string(kDeep, '\x91') + "\xc0", std::string(kDeep, '\x91'),
+      // Maps with an empty key, and a valid batch with a further element.
+      std::string(kDeep, '\x81'), "\x97" + batch.substr(1) + std::string(kDeep, '\x91') + "\xc0"};
+  for (const std::string& value : values) {
+    BOOST_TEST(!Capture([&] { return DecodeBatch(value); }).ok());
+    BOOST_TEST(!Capture([&] { return DecodeManifest(value); }).ok());
+    BOOST_TEST(!Capture([&] { return DecodePart(value); }).ok());
+    BOOST_TEST(!Capture([&] { return DecodeRecord(kShard, value); }).ok());
+  }
+  BOOST_TEST(Capture([&] { return DecodeBatch(batch); }).ok());
+}
+
 // Guards against an instance whose odd record hides live instances: whoever is missing loses its
 // shards, so each key counts as a live instance whatever its value is.
 BOOST_AUTO_TEST_CASE(HostileInstanceRecordHidesNoInstance) {
