--- a/packages/base/log_sink.cc
+++ b/packages/base/log_sink.cc
@@ -9,6 +9,8 @@
 #include <memory>
 #include <utility>
 
+#include "base/json_text.h"
+
 namespace pomelotray {
 namespace {
 
@@ -46,7 +48,7 @@
   logger.addAppender(appender);
   return [logger](const Event& event) {
     nlohmann::json line = event;
-    logger.log(ToLogLevel(DescribeEvent(event.code).level), line.dump());
+    logger.log(ToLogLevel(DescribeEvent(event.code).level), DumpJson(line));
   };
 }
 
