--- a/packages/state/journal_codec.cc
+++ b/packages/state/journal_codec.cc
@@ -5,6 +5,8 @@
 #include "absl/strings/escaping.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "base/json_number.h"
+#include "model/field_reader.h"
 #include "state/packed_reader.h"
 
 namespace pomelotray {
@@ -14,6 +16,11 @@
 constexpr int64_t kFormatVersion = 1;
 enum class RecordKind { kJobUpsert, kTaskUpdate, kJobRemoval };
 constexpr size_t kHexDigitsOfJob = 32;
+// Limits of decoded numbers. They are far beyond any meaningful value, and counting up from them
+// does not overflow.
+constexpr int64_t kMaxTerm = kMaxExactInteger;
+constexpr int64_t kMaxBatchNumber = kMaxExactInteger;
+constexpr int64_t kMaxParts = 1'000'000;
 
 boost::leaf::error_id MalformedValueError(const char* what) {
   return Fail(
@@ -84,7 +91,7 @@
     status.task = MakeTaskId(job, reader.Integer());
   }
   status.state = reader.Enumerator(TaskState::kUnknown);
-  status.attempt_number = reader.Integer();
+  status.attempt_number = reader.Integer(0, kMaxJsonCount);
   if (reader.ok() && !reader.Complete()) {
     status.worker = WorkerId(reader.Text());
     status.boot = BootId(reader.Text());
@@ -118,15 +125,15 @@
   spec.key = IdempotencyKey(reader.Text());
   spec.kind = reader.Enumerator(JobKind::kService);
   spec.pool = PoolName(reader.Text());
-  spec.task_count = reader.Integer();
-  spec.demand.cpu = MilliCores(reader.Integer());
-  spec.demand.memory = MebiBytes(reader.Integer());
-  spec.demand.accelerators = AcceleratorCount(reader.Integer());
-  spec.demand.slots = SlotCount(reader.Integer());
+  spec.task_count = reader.Integer(0, kMaxTasksPerJob);
+  spec.demand.cpu = MilliCores(reader.Integer(0, kMaxAmount));
+  spec.demand.memory = MebiBytes(reader.Integer(0, kMaxAmount));
+  spec.demand.accelerators = AcceleratorCount(reader.Integer(0, kMaxAmount));
+  spec.demand.slots = SlotCount(reader.Integer(0, kMaxAmount));
   spec.priority = reader.Enumerator(Priority::kUrgent);
   spec.repeatable = reader.Bool();
   spec.deadline = reader.OptionalTime();
-  spec.expected_run = reader.Duration();
+  spec.expected_run = reader.Duration(kMaxDuration);
   spec.payload = reader.Bytes();
   *ok = *ok && reader.Complete();
   return spec;
@@ -246,9 +253,9 @@
   PackedReader reader(packed);
   const bool known = ReadVersion(&reader);
   JournalBatch batch;
-  batch.term = reader.Integer();
+  batch.term = reader.Integer(0, kMaxTerm);
   batch.owner = InstanceId(reader.Text());
-  batch.number = reader.Integer();
+  batch.number = reader.Integer(0, kMaxBatchNumber);
   batch.nonce = reader.Unsigned();
   batch.records = ReadRecords(&reader);
   if (!known || !reader.Complete()) {
@@ -268,11 +275,11 @@
   PackedReader reader(packed);
   const bool known = ReadVersion(&reader);
   SnapshotManifest manifest;
-  manifest.term = reader.Integer();
+  manifest.term = reader.Integer(0, kMaxTerm);
   manifest.owner = InstanceId(reader.Text());
-  manifest.covered = reader.Integer();
-  manifest.generation = reader.Integer();
-  manifest.part_count = reader.Integer();
+  manifest.covered = reader.Integer(0, kMaxBatchNumber);
+  manifest.generation = reader.Integer(0, 1);
+  manifest.part_count = reader.Integer(0, kMaxParts);
   manifest.snapshot_nonce = reader.Unsigned();
   manifest.write_nonce = reader.Unsigned();
   if (!known || !reader.Complete()) {
@@ -290,7 +297,7 @@
   PackedReader reader(packed);
   const bool known = ReadVersion(&reader);
   SnapshotPart part;
-  part.term = reader.Integer();
+  part.term = reader.Integer(0, kMaxTerm);
   part.snapshot_nonce = reader.Unsigned();
   part.records = ReadRecords(&reader);
   if (!known || !reader.Complete()) {
--- a/packages/state/packed_reader.cc
+++ b/packages/state/packed_reader.cc
@@ -1,6 +1,7 @@
 #include "state/packed_reader.h"
 
 #include <cstdlib>
+#include <limits>
 #include <vector>
 
 #include "base/json_text.h"
@@ -12,6 +13,9 @@
 // Times further from the Unix epoch may not fit into 64 bits as nanoseconds, and are encoded as
 // seconds and nanoseconds.
 constexpr int64_t kMaxSecondsInNanoseconds = 9'000'000'000;
+// Year 10000, as in the API.
+constexpr int64_t kMaxSeconds = 253'402'300'800;
+constexpr int64_t kNanosecondsPerSecond = 1'000'000'000;
 
 const nlohmann::json& NullJson() {
   static const nlohmann::json* const kNull = new nlohmann::json();
@@ -44,9 +48,24 @@
     ok_ = false;
     return 0;
   }
+  // The conversion of a larger number would return a negative one.
+  if (element.is_number_unsigned() &&
+      element.get<uint64_t>() > static_cast<uint64_t>(std::numeric_limits<int64_t>::max())) {
+    ok_ = false;
+    return 0;
+  }
   return element.get<int64_t>();
 }
 
+int64_t PackedReader::Integer(int64_t min, int64_t max) {
+  const int64_t number = Integer();
+  if (!ok_ || number < min || number > max) {
+    ok_ = false;
+    return min;
+  }
+  return number;
+}
+
 uint64_t PackedReader::Unsigned() {
   const nlohmann::json& element = Next();
   if (!element.is_number_integer()) {
@@ -97,13 +116,12 @@
 }
 
 absl::Time PackedReader::Time() {
-  const nlohmann::json& element = Next();
-  if (element.is_number_integer()) {
-    return absl::FromUnixNanos(element.get<int64_t>());
+  if (ok_ && next_ < size_ && array_[next_].is_number_integer()) {
+    return absl::FromUnixNanos(Integer());
   }
-  PackedReader parts(element);
-  const int64_t seconds = parts.Integer();
-  const int64_t nanoseconds = parts.Integer();
+  PackedReader parts(Next());
+  const int64_t seconds = parts.Integer(-kMaxSeconds, kMaxSeconds);
+  const int64_t nanoseconds = parts.Integer(0, kNanosecondsPerSecond - 1);
   ok_ = ok_ && parts.Complete();
   return absl::FromUnixSeconds(seconds) + absl::Nanoseconds(nanoseconds);
 }
@@ -116,7 +134,9 @@
   return Time();
 }
 
-absl::Duration PackedReader::Duration() { return absl::Milliseconds(Integer()); }
+absl::Duration PackedReader::Duration(absl::Duration max) {
+  return absl::Milliseconds(Integer(0, absl::ToInt64Milliseconds(max)));
+}
 
 nlohmann::json PackTime(absl::Time time) {
   const int64_t seconds = absl::ToUnixSeconds(time);
--- a/packages/state/packed_reader.h
+++ b/packages/state/packed_reader.h
@@ -17,15 +17,19 @@
   explicit PackedReader(const nlohmann::json& array);
 
   int64_t Integer();
+  // Returns `min` and fails if the integer is not between `min` and `max`.
+  int64_t Integer(int64_t min, int64_t max);
   uint64_t Unsigned();
   bool Bool();
   std::string Text();
   // Accepts binary data or a string.
   std::string Bytes();
   const nlohmann::json& Array();
+  // A time up to the year 10000.
   absl::Time Time();
   std::optional<absl::Time> OptionalTime();
-  absl::Duration Duration();
+  // A duration between zero and `max`.
+  absl::Duration Duration(absl::Duration max);
   // Reads an integer from 0 to `last` as an enumerator.
   template <typename Enum>
   Enum Enumerator(Enum last) {
--- a/tests/state/hostile_entries_test.cc
+++ b/tests/state/hostile_entries_test.cc
@@ -73,6 +73,84 @@
   BOOST_TEST(Capture([&] { return DecodeBatch(batch); }).ok());
 }
 
+// Guards against numbers that become negative when they are converted, select a slot outside of
+// the ring or overflow when the next number is computed.
+BOOST_AUTO_TEST_CASE(BatchesAndManifestsWithNumbersOutOfRangeAreErrors) {
+  const std::vector<nlohmann::json> numbers = {
+      -1, kMin, kMax, std::numeric_limits<uint64_t>::max(), 1e300, 1.5, "7", nullptr};
+  for (const nlohmann::json& number : numbers) {
+    BOOST_TEST_CONTEXT(number) {
+      const nlohmann::json none = nlohmann::json::array();
+      for (const nlohmann::json& batch :
+           {nlohmann::json{1, number, "a", 1, 5, none}, nlohmann::json{1, 1, "a", number, 5, none},
+            nlohmann::json{number, 1, "a", 1, 5, none}}) {
+        BOOST_TEST(!Capture([&] { return DecodeBatch(ToPackedBytes(batch)); }).ok());
+      }
+      for (size_t field = 0; field < 6; ++field) {
+        // Version, term, owner, covered batches, generation and parts; nonces may have any value.
+        nlohmann::json manifest = {1, 1, "a", 64, 0, 2, 5, 6};
+        BOOST_TEST_REQUIRE(Capture([&] { return DecodeManifest(ToPackedBytes(manifest)); }).ok());
+        if (field != 2) {
+          manifest[field] = number;
+          BOOST_TEST(!Capture([&] { return DecodeManifest(ToPackedBytes(manifest)); }).ok());
+        }
+      }
+    }
+  }
+}
+
+// Guards against jobs in the journal whose demand, task count or times overflow in the scheduler.
+BOOST_AUTO_TEST_CASE(RecordsWithNumbersOutOfRangeAreErrors) {
+  const std::vector<std::pair<const char*, std::function<void(JobRecord*)>>> changes = {
+      {"task count", [](JobRecord* job) { job->spec.task_count = kMax; }},
+      {"negative task count", [](JobRecord* job) { job->spec.task_count = -1; }},
+      {"cpu", [](JobRecord* job) { job->spec.demand.cpu = MilliCores(kMax); }},
+      {"negative cpu", [](JobRecord* job) { job->spec.demand.cpu = MilliCores(-1); }},
+      {"memory", [](JobRecord* job) { job->spec.demand.memory = MebiBytes(kMax); }},
+      {"accelerators",
+       [](JobRecord* job) { job->spec.demand.accelerators = AcceleratorCount(kMin); }},
+      {"slots", [](JobRecord* job) { job->spec.demand.slots = SlotCount(kMax); }},
+      {"run time", [](JobRecord* job) { job->spec.expected_run = absl::InfiniteDuration(); }},
+      {"negative run time", [](JobRecord* job) { job->spec.expected_run = -absl::Seconds(1); }},
+      {"deadline", [](JobRecord* job) { job->spec.deadline = absl::InfiniteFuture(); }},
+      {"accepted", [](JobRecord* job) { job->accepted_at = absl::FromUnixSeconds(kMax); }},
+      {"attempts", [](JobRecord* job) { job->tasks[0].attempt_number = kMax; }},
+      {"negative attempts", [](JobRecord* job) { job->tasks[0].attempt_number = -1; }}};
+  JobRecord valid;
+  valid.id = MakeJobId(kShard, CustomerId("c"), IdempotencyKey("k"));
+  valid.spec.task_count = kMaxTasksPerJob;
+  valid.spec.demand = Resources{MilliCores(1'000'000), MebiBytes(1), {}, {}};
+  valid.accepted_at = absl::FromUnixSeconds(1'800'000'000);
+  valid.tasks.resize(1);
+  valid.tasks[0].task = MakeTaskId(valid.id, 0);
+  const auto decodes = [](const JobRecord& job) {
+    return Capture([&] { return DecodeRecord(kShard, EncodeRecord(kShard, JobUpsert{job})); }).ok();
+  };
+  BOOST_TEST(decodes(valid));
+  for (const auto& [name, change] : changes) {
+    JobRecord job = valid;
+    change(&job);
+    BOOST_TEST_CONTEXT(name) { BOOST_TEST(!decodes(job)); }
+  }
+}
+
+// Guards against a process that ends, or an array that is read out of bounds, because of the
+// journal of one shard. Work must not be lost, so the journal is not used with a value left out.
+BOOST_AUTO_TEST_CASE(JournalWithHostileValueIsNotRecovered) {
+  for (const char* key : {"journal/cuenca/rendering/03", "journal/cuenca/rendering/snapshot"}) {
+    for (const std::string& value :
+         {std::string(), std::string(kDeep, '\x91') + "\xc0", std::string("\xc1"),
+          ToPackedBytes({1, 1, "a", -3, 5, nlohmann::json::array()}),
+          ToPackedBytes({1, 1, "a", -3, 0, 0, 5, 6}),
+          ToPackedBytes({1, 1, "a", kMax, 0, 0, 5, 6})}) {
+      StateFixture fixture;
+      fixture.store.Put(key, value);
+      JournalStorage storage(fixture.Context(), kShard, InstanceId("a"), 1);
+      BOOST_TEST(!Capture([&] { return storage.Recover(); }).ok());
+    }
+  }
+}
+
 // Guards against an instance whose odd record hides live instances: whoever is missing loses its
 // shards, so each key counts as a live instance whatever its value is.
 BOOST_AUTO_TEST_CASE(HostileInstanceRecordHidesNoInstance) {
