state: Refuse terms out of range, and log a malformed claim once

A claim with the term 2^63 - 1 made the next owner's term overflow, so that workers refused its epoch; 2^64 - 1 became -1. A malformed claim was logged with each read of the claims. Terms are now limited to 2^53, and a fault is logged again only after it has changed or was gone. Other claims stay in use, and the malformed value is not overwritten, because its term is not known.

--- a/packages/state/shard_claims.cc
+++ b/packages/state/shard_claims.cc
@@ -1,10 +1,12 @@
 #include "state/shard_claims.h"
 
+#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "base/json_number.h"
 #include "base/json_text.h"
 #include "state/compare_and_swap.h"
 #include "state/nonce.h"
@@ -13,6 +15,9 @@
 namespace {
 
 constexpr char kPrefix[] = "shards/";
+// Far beyond any meaningful term. The next owner adds 1; a sum that overflows would be an epoch
+// that all workers refuse.
+constexpr int64_t kMaxTerm = kMaxExactInteger;
 
 std::string ClaimKey(const ShardId& shard) { return kPrefix + shard.ToString(); }
 
@@ -25,11 +30,12 @@
 
 Result<ShardClaim> ParseClaim(const StoreEntry& entry) {
   const std::optional<ShardId> shard = ShardId::Parse(entry.key.substr(sizeof(kPrefix) - 1));
-  const nlohmann::json json = nlohmann::json::parse(entry.value, nullptr, false);
+  const Outcome<nlohmann::json> parsed = Capture([&] { return ParseJson(entry.value, "claim"); });
+  const nlohmann::json json = parsed.ok() ? parsed.value() : nlohmann::json();
   const bool valid = shard.has_value() && json.is_object() && json.contains("owner") &&
                      json["owner"].is_string() && json.contains("address") &&
                      json["address"].is_string() && json.contains("term") &&
-                     json["term"].is_number_integer();
+                     IsIntegerBetween(json["term"], 0, kMaxTerm);
   if (!valid) {
     return Fail(ErrorKind::kInternal,
                 absl::StrCat("The store key ", entry.key,
@@ -53,21 +59,28 @@
 }  // namespace
 
 ShardClaims::ShardClaims(const StateContext& context, InstanceId self, std::string address)
-    : context_(context), self_(std::move(self)), address_(std::move(address)) {}
+    : context_(context),
+      self_(std::move(self)),
+      address_(std::move(address)),
+      faults_(std::make_unique<ReportedFaults>()) {}
 
 Result<std::vector<ShardClaim>> ShardClaims::List(const FailureDomainId& domain) {
   BOOST_LEAF_AUTO(entries, context_.store->List(absl::StrCat(kPrefix, domain.value(), "/")));
   std::vector<ShardClaim> claims;
+  std::map<std::string, std::string> faults;
   for (const StoreEntry& entry : entries) {
     const Outcome<ShardClaim> claim = Capture([&] { return ParseClaim(entry); });
     if (claim.ok()) {
       claims.push_back(claim.value());
     } else {
-      context_.events->Record(EventCode::kInvalidInputRefused)
-          .With(event_field::kReason, claim.error().message)
-          .Emit();
+      faults[entry.key] = claim.error().message;
     }
   }
+  for (const std::string& fault : faults_->Update(std::move(faults))) {
+    context_.events->Record(EventCode::kInvalidInputRefused)
+        .With(event_field::kReason, fault)
+        .Emit();
+  }
   return claims;
 }
 
--- a/packages/state/shard_claims.h
+++ b/packages/state/shard_claims.h
@@ -1,9 +1,12 @@
 #ifndef POMELOTRAY_STATE_SHARD_CLAIMS_H_
 #define POMELOTRAY_STATE_SHARD_CLAIMS_H_
 
+#include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
+#include "base/reported_faults.h"
 #include "base/shard_id.h"
 #include "state/state_context.h"
 
@@ -26,8 +29,8 @@
   // `address` is the peer address that other instances use to reach `self`.
   ShardClaims(const StateContext& context, InstanceId self, std::string address);
 
-  // Lists the claims in one failure domain. Listing all domains would cost about 2 KB/s of traffic
-  // for each of 57 instances.
+  // Lists the claims in one failure domain. A claim that cannot be read is left out and logged
+  // once. Listing all domains would cost about 2 KB/s of traffic for each of 57 instances.
   Result<std::vector<ShardClaim>> List(const FailureDomainId& domain);
   Result<std::optional<ShardClaim>> Find(const ShardId& shard);
   // Claims the shard with the next term if the shard has no owner, or if its owner holds no
@@ -45,6 +48,8 @@
   const StateContext context_;
   const InstanceId self_;
   const std::string address_;
+  // On the heap, so that a ShardClaims can be moved.
+  std::unique_ptr<ReportedFaults> faults_;
 };
 
 }  // namespace pomelotray
--- a/tests/state/hostile_entries_test.cc
+++ b/tests/state/hostile_entries_test.cc
@@ -54,6 +54,13 @@
   return count;
 }
 
+std::vector<ShardClaim> ListClaims(ShardClaims* claims) {
+  const Outcome<std::vector<ShardClaim>> listed =
+      Capture([&] { return claims->List(kShard.domain); });
+  BOOST_TEST_REQUIRE(listed.ok());
+  return listed.value();
+}
+
 BOOST_AUTO_TEST_SUITE(HostileEntriesTest)
 
 // Guards against a stack overflow: the parser of MessagePack recurses for each level.
@@ -151,6 +158,39 @@
   }
 }
 
+// Guards against a hostile claim that hides other claims, ends the process, or is logged on each
+// read, and against a term that is negative or overflows when the shard is claimed.
+BOOST_AUTO_TEST_CASE(HostileClaimIsSkippedAndLoggedOnce) {
+  std::vector<std::string> values = HostileObjects();
+  for (const char* term : {"9223372036854775807", "9223372036854775808", "18446744073709551615",
+                           "1e300", "-1", "1.5", "\"1\""}) {
+    values.push_back(std::string(R"({"owner":"x","address":"127.0.0.1:1","term":)") + term + "}");
+  }
+  for (const std::string& value : values) {
+    BOOST_TEST_CONTEXT(value.substr(0, 80)) {
+      StateFixture fixture;
+      ShardClaims claims(fixture.Context(), InstanceId("a"), "127.0.0.1:1");
+      BOOST_TEST_REQUIRE(Capture([&] { return claims.TryClaim(kShard); }).ok());
+      const ShardId hostile{kShard.domain, PoolName("hostile")};
+      fixture.store.Put("shards/cuenca/hostile", value);
+      for (int read = 0; read < 3; ++read) {
+        const std::vector<ShardClaim> listed = ListClaims(&claims);
+        BOOST_TEST(listed.size() == 1U);
+        BOOST_TEST(listed[0].shard == kShard);
+      }
+      BOOST_TEST(CountRefused(fixture) == 1);
+      BOOST_TEST(!Capture([&] { return claims.TryClaim(hostile); }).ok());
+      BOOST_TEST(fixture.store.Peek("shards/cuenca/hostile")->value == value);
+      // A corrected value that is damaged again is a new fault.
+      fixture.store.Put("shards/cuenca/hostile", R"({"owner":"x","address":"","term":4})");
+      BOOST_TEST(ListClaims(&claims).size() == 2U);
+      fixture.store.Put("shards/cuenca/hostile", value);
+      ListClaims(&claims);
+      BOOST_TEST(CountRefused(fixture) == 2);
+    }
+  }
+}
+
 // Guards against an instance whose odd record hides live instances: whoever is missing loses its
 // shards, so each key counts as a live instance whatever its value is.
 BOOST_AUTO_TEST_CASE(HostileInstanceRecordHidesNoInstance) {
