state: Limit the amounts of slices, and report unreadable slices once

Amounts now have the limit of contracts.

Nothing is written now while the stored slices are unreadable, because those of other shards are not known; the limits of the customer stay, and other customers are served.

--- a/packages/state/slice_allocation.cc
+++ b/packages/state/slice_allocation.cc
@@ -5,7 +5,9 @@
 #include <optional>
 #include <tuple>
 
+#include "base/json_number.h"
 #include "base/json_text.h"
+#include "model/field_reader.h"
 
 namespace pomelotray {
 namespace {
@@ -15,7 +17,7 @@
     return false;
   }
   for (size_t i = 0; i < vector->size(); ++i) {
-    if (!json[i].is_number_integer() || json[i].get<int64_t>() < 0) {
+    if (!IsIntegerBetween(json[i], 0, kMaxAmount)) {
       return false;
     }
     (*vector)[i] = json[i].get<int64_t>();
@@ -24,7 +26,7 @@
 }
 
 bool ParseEntry(const nlohmann::json& json, SliceEntry* entry) {
-  if (!json.is_array() || json.size() != 3 || !json[0].is_number_integer()) {
+  if (!json.is_array() || json.size() != 3 || !IsIntegerBetween(json[0], 0, kMaxExactInteger)) {
     return false;
   }
   entry->term = json[0].get<int64_t>();
@@ -32,9 +34,10 @@
 }
 
 bool ParseAllocation(const nlohmann::json& json, SliceAllocation* allocation) {
-  if (!json.is_object() || !json.contains("revision") || !json["revision"].is_number_integer() ||
-      !json.contains("cap") || !ParseVector(json["cap"], &allocation->cap) ||
-      !json.contains("slices") || !json["slices"].is_object()) {
+  if (!json.is_object() || !json.contains("revision") ||
+      !IsIntegerBetween(json["revision"], 0, kMaxExactInteger) || !json.contains("cap") ||
+      !ParseVector(json["cap"], &allocation->cap) || !json.contains("slices") ||
+      !json["slices"].is_object()) {
     return false;
   }
   allocation->contract_revision = Revision(json["revision"].get<int64_t>());
@@ -87,8 +90,9 @@
 }
 
 Result<SliceAllocation> DecodeSliceAllocation(const std::string& value) {
+  BOOST_LEAF_AUTO(json, ParseJson(value, "slice allocation"));
   SliceAllocation allocation;
-  if (!ParseAllocation(nlohmann::json::parse(value, nullptr, false), &allocation)) {
+  if (!ParseAllocation(json, &allocation)) {
     return Fail(ErrorKind::kInternal,
                 "A stored slice allocation is malformed; run the same release on all instances.");
   }
--- a/packages/state/slice_manager.cc
+++ b/packages/state/slice_manager.cc
@@ -152,6 +152,11 @@
   }
   const Outcome<SliceAllocation> allocation = Capture([&] { return DecodeSliceAllocation(value); });
   if (!allocation.ok()) {
+    Revision& reported = unreadable_[customer];
+    if (revision <= reported) {
+      return;
+    }
+    reported = revision;
     context_.events->Record(EventCode::kInvalidInputRefused)
         .Customer(customer)
         .With(event_field::kReason, allocation.error().message)
@@ -159,6 +164,7 @@
     return;
   }
   known = VersionedAllocation{revision, allocation.value()};
+  unreadable_.erase(customer);
 }
 
 Result<void> SliceManager::RereadAllocation(const CustomerId& customer) {
@@ -193,6 +199,10 @@
 
 Result<void> SliceManager::Negotiate(const Contract& contract) {
   for (int attempt = 0; attempt < kMaxWriteAttempts; ++attempt) {
+    if (unreadable_.count(contract.customer) > 0) {
+      // The slices of other shards are not known, so nothing may be written. The limits stay.
+      return {};
+    }
     const VersionedAllocation known = allocations_[contract.customer];
     const bool newer = contract.revision > known.allocation.contract_revision;
     const SliceVector cap = newer ? CapFromContract(contract) : known.allocation.cap;
--- a/packages/state/slice_manager.h
+++ b/packages/state/slice_manager.h
@@ -93,9 +93,11 @@
 
   const StateContext context_;
   const ContractSource contracts_;
-  // The next three members are used by only one round at a time and are not guarded by `mutex_`,
+  // The next four members are used by only one round at a time and are not guarded by `mutex_`,
   // which would otherwise be held during store calls.
   Revision watched_revision_;
+  // Newest revision of each customer's key that could not be read.
+  std::map<CustomerId, Revision> unreadable_;
   // Customer at which the next round starts after a failed call, so that all customers get their
   // turn also when the write budget is too small for one round.
   CustomerId first_customer_;
--- a/tests/state/hostile_entries_test.cc
+++ b/tests/state/hostile_entries_test.cc
@@ -234,6 +234,51 @@
   }
 }
 
+// Guards against slices whose sums overflow, and against terms and revisions out of range.
+BOOST_AUTO_TEST_CASE(SlicesWithNumbersOutOfRangeAreErrors) {
+  const nlohmann::json amounts = {1, 1, 1, 1, 1, 1, 1};
+  const nlohmann::json valid = {
+      {"revision", 3}, {"cap", amounts}, {"slices", {{"cuenca/rendering", {1, amounts, amounts}}}}};
+  const auto decodes = [](const nlohmann::json& json) {
+    return Capture([&] { return DecodeSliceAllocation(json.dump()); }).ok();
+  };
+  BOOST_TEST(decodes(valid));
+  for (const nlohmann::json& number :
+       {nlohmann::json(kMax), nlohmann::json(kMin), nlohmann::json(-1), nlohmann::json(1e300),
+        nlohmann::json(std::numeric_limits<uint64_t>::max()), nlohmann::json("1")}) {
+    for (const char* pointer : {"/revision", "/cap/0", "/cap/6", "/slices/cuenca~1rendering/0",
+                                "/slices/cuenca~1rendering/1/0", "/slices/cuenca~1rendering/2/4"}) {
+      nlohmann::json json = valid;
+      json[nlohmann::json::json_pointer(pointer)] = number;
+      BOOST_TEST_CONTEXT(pointer << " = " << number) { BOOST_TEST(!decodes(json)); }
+    }
+  }
+  for (const std::string& value : HostileObjects()) {
+    BOOST_TEST(!Capture([&] { return DecodeSliceAllocation(value); }).ok());
+  }
+}
+
+// Guards against a hostile slice allocation that is logged several times per second, and that keeps
+// other customers from their slices.
+BOOST_AUTO_TEST_CASE(HostileSlicesAreSkippedAndLoggedOnce) {
+  StateFixture fixture;
+  Contract contract = ExampleContract();
+  contract.revision = Revision(1);
+  Contract hostile = contract;
+  hostile.customer = CustomerId("a-hostile");
+  SliceManager manager(fixture.Context(), [&] { return std::vector<Contract>{hostile, contract}; });
+  const ShardId shard{contract.home_domains.front(), *contract.pools.begin()};
+  manager.SetOwnedShards({{shard, 1}});
+  fixture.store.Put("slices/a-hostile", "{\"cap\":" + Nested(kDeep) + "}");
+  for (int round = 0; round < 5; ++round) {
+    manager.NegotiateOnce(absl::ZeroDuration());
+    fixture.clock.Advance(absl::Seconds(1));
+  }
+  BOOST_TEST(manager.Limit(contract.customer, shard).max_jobs > 0);
+  BOOST_TEST(manager.Limit(hostile.customer, shard).max_jobs == 0);
+  BOOST_TEST(CountRefused(fixture) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
