state: Use the other entries when one of a peer is malformed

Unsigned revisions above 2^63 - 1 became negative. The entry is now left out and logged once, and the cache becomes usable. Its revision stays, so that it goes on to ask for the entry.

--- a/packages/state/configuration_cache.cc
+++ b/packages/state/configuration_cache.cc
@@ -5,8 +5,10 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "base/json_number.h"
 #include "base/json_text.h"
 #include "model/contract_codec.h"
+#include "model/field_reader.h"
 #include "state/compare_and_swap.h"
 #include "state/nonce.h"
 
@@ -15,6 +17,8 @@
 
 constexpr char kKeyPrefix[] = "contracts/";
 constexpr char kNonceField[] = "nonce";
+// Far beyond any meaningful revision.
+constexpr int64_t kMaxRevision = kMaxExactInteger;
 // Maximum duration of a watch call, and so of the time for which Stop() waits for one.
 constexpr absl::Duration kWatchWait = absl::Seconds(3);
 constexpr absl::Duration kRetryInterval = absl::Milliseconds(500);
@@ -29,7 +33,7 @@
 
 Result<Contract> ParseValue(const CustomerId& customer, Revision revision,
                             const std::string& value) {
-  nlohmann::json json = nlohmann::json::parse(value, nullptr, false);
+  BOOST_LEAF_AUTO(json, ParseJson(value, "stored contract"));
   if (!json.is_object()) {
     return Fail(ErrorKind::kInvalidArgument,
                 "The stored contract is not a JSON object; apply the contract again.");
@@ -47,17 +51,24 @@
 
 bool IsValidEntry(const nlohmann::json& json) {
   return json.is_object() && json.contains("customer") && json["customer"].is_string() &&
-         json.contains("revision") && json["revision"].is_number_integer() &&
+         json.contains("revision") && IsIntegerBetween(json["revision"], 1, kMaxRevision) &&
          json.contains("deleted") && json["deleted"].is_boolean() && json.contains("value") &&
          json["value"].is_string();
 }
 
 bool IsValidEntryList(const nlohmann::json& json) {
-  return json.is_object() && json.contains("after") && json["after"].is_number_integer() &&
-         json.contains("revision") && json["revision"].is_number_integer() &&
-         json.contains("ready") && json["ready"].is_boolean() && json.contains("entries") &&
-         json["entries"].is_array() &&
-         std::all_of(json["entries"].begin(), json["entries"].end(), IsValidEntry);
+  return json.is_object() && json.contains("after") &&
+         IsIntegerBetween(json["after"], 0, kMaxRevision) && json.contains("revision") &&
+         IsIntegerBetween(json["revision"], 0, kMaxRevision) && json.contains("ready") &&
+         json["ready"].is_boolean() && json.contains("entries") && json["entries"].is_array();
+}
+
+std::string DescribeFault(const nlohmann::json& entry) {
+  const bool named =
+      entry.is_object() && entry.contains("customer") && entry["customer"].is_string();
+  return absl::StrCat("A peer sent a malformed configuration entry for ",
+                      named ? FieldReader::Show(entry["customer"]) : "no customer",
+                      "; run the same release on all instances.");
 }
 
 }  // namespace
@@ -133,16 +144,31 @@
         ErrorKind::kInvalidArgument,
         "A peer sent malformed configuration entries; run the same release on all instances.");
   }
+  std::map<std::string, std::string> faults;
   for (const nlohmann::json& entry : entries["entries"]) {
+    if (!IsValidEntry(entry)) {
+      const std::string fault = DescribeFault(entry);
+      faults[fault] = fault;
+      continue;
+    }
     AcceptVersion(CustomerId(entry["customer"].get<std::string>()),
                   Revision(entry["revision"].get<int64_t>()), entry["deleted"].get<bool>(),
                   entry["value"].get<std::string>());
   }
+  const bool complete = faults.empty();
+  for (const std::string& fault : peer_faults_.Update(std::move(faults))) {
+    context_.events->Record(EventCode::kInvalidInputRefused)
+        .With(event_field::kReason, fault)
+        .Emit();
+  }
   absl::MutexLock lock(&mutex_);
   // This cache is complete up to the peer's revision only if the peer's cache is complete itself
   // and the peer was asked for all entries after a revision up to which this cache is complete.
   if (entries["ready"].get<bool>() && Revision(entries["after"].get<int64_t>()) <= revision_) {
-    revision_ = std::max(revision_, Revision(entries["revision"].get<int64_t>()));
+    // Without an entry that could not be read, this cache is usable, but it keeps asking for it.
+    if (complete) {
+      revision_ = std::max(revision_, Revision(entries["revision"].get<int64_t>()));
+    }
     ready_ = true;
   }
   return {};
--- a/packages/state/configuration_cache.h
+++ b/packages/state/configuration_cache.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "absl/base/thread_annotations.h"
+#include "base/reported_faults.h"
 #include "model/contract.h"
 #include "state/state_context.h"
 
@@ -44,6 +45,7 @@
   // them.
   nlohmann::json EntriesAfter(Revision revision) const;
   // Merges the result of a peer's EntriesAfter(). Entries older than the cached ones are ignored.
+  // Malformed ones are left out and logged once.
   Result<void> MergeEntries(const nlohmann::json& entries);
 
   // Reads all contracts from the store.
@@ -82,6 +84,7 @@
   // Serializes the calls of `on_change_`, so that the revisions of each key arrive in ascending
   // order.
   absl::Mutex change_callback_mutex_;
+  ReportedFaults peer_faults_;
   std::map<CustomerId, Entry> entries_ ABSL_GUARDED_BY(mutex_);
   Revision revision_ ABSL_GUARDED_BY(mutex_);
   bool ready_ ABSL_GUARDED_BY(mutex_) = false;
--- a/tests/state/hostile_entries_test.cc
+++ b/tests/state/hostile_entries_test.cc
@@ -234,6 +234,44 @@
   }
 }
 
+// Guards against one hostile entry in a peer's answer that keeps an instance from all contracts in
+// it, and against a revision that is negative after conversion.
+BOOST_AUTO_TEST_CASE(HostileEntryOfPeerIsSkippedAndLoggedOnce) {
+  const std::string value = ContractToJson(ExampleContract()).dump();
+  const nlohmann::json valid = {{"customer", ExampleContract().customer.value()},
+                                {"revision", 5},
+                                {"deleted", false},
+                                {"value", value}};
+  std::vector<nlohmann::json> entries = {nullptr, 7, nlohmann::json::array(),
+                                         nlohmann::json::object()};
+  for (const nlohmann::json& revision :
+       {nlohmann::json(kMax), nlohmann::json(std::numeric_limits<uint64_t>::max()),
+        nlohmann::json(-1), nlohmann::json(0), nlohmann::json(1e300), nlohmann::json("5")}) {
+    entries.push_back(valid);
+    entries.back()["customer"] = "hostile";
+    entries.back()["revision"] = revision;
+  }
+  for (const nlohmann::json& entry : entries) {
+    BOOST_TEST_CONTEXT(entry) {
+      StateFixture fixture;
+      ConfigurationCache cache(
+          fixture.Context(), [] { return false; }, nullptr);
+      const nlohmann::json answer = {{"after", 0},
+                                     {"revision", 9},
+                                     {"ready", true},
+                                     {"entries", nlohmann::json::array({entry, valid})}};
+      for (int read = 0; read < 3; ++read) {
+        BOOST_TEST(Capture([&] { return cache.MergeEntries(answer); }).ok());
+      }
+      BOOST_TEST(cache.All().size() == 1U);
+      BOOST_TEST(cache.Ready());
+      // The entry is asked for again.
+      BOOST_TEST((cache.revision() == Revision(0)));
+      BOOST_TEST(CountRefused(fixture) == 1);
+    }
+  }
+}
+
 // Guards against slices whose sums overflow, and against terms and revisions out of range.
 BOOST_AUTO_TEST_CASE(SlicesWithNumbersOutOfRangeAreErrors) {
   const nlohmann::json amounts = {1, 1, 1, 1, 1, 1, 1};
