peer: Refuse incarnations out of range, and skip malformed news

An instance that was said to be dead in incarnation 2^63 - 1 overflowed when it refuted the claim, and the others refused its heartbeats from then on: IncarnationOutOfRangeIsNotRefuted failed. Such a claim is now ignored.

One malformed item of news made the whole heartbeat useless, so that its sender counted as silent: HostileNewsIsSkippedAndLoggedOnce failed. The item is now left out and logged once per sender.

--- a/packages/peer/heartbeat_codec.cc
+++ b/packages/peer/heartbeat_codec.cc
@@ -1,11 +1,13 @@
 #include "peer/heartbeat_codec.h"
 
 #include <array>
+#include <limits>
 #include <string>
 #include <utility>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "base/json_number.h"
 #include "model/sha256.h"
 
 namespace pomelotray {
@@ -26,8 +28,9 @@
   return json.get<std::string>();
 }
 
-std::optional<int64_t> ReadNumber(const nlohmann::json& json) {
-  if (!json.is_number_integer() || json.get<int64_t>() < 0) {
+std::optional<int64_t> ReadNumber(const nlohmann::json& json,
+                                  int64_t max = std::numeric_limits<int64_t>::max()) {
+  if (!IsIntegerBetween(json, 0, max)) {
     return std::nullopt;
   }
   return json.get<int64_t>();
@@ -83,8 +86,8 @@
     return std::nullopt;
   }
   const std::optional<std::string> id = ReadName(json[0]);
-  const std::optional<int64_t> incarnation = ReadNumber(json[1]);
-  const std::optional<int64_t> version = ReadNumber(json[2]);
+  const std::optional<int64_t> incarnation = ReadNumber(json[1], kMaxIncarnation);
+  const std::optional<int64_t> version = ReadNumber(json[2], kMaxIncarnation);
   const std::optional<int64_t> state = ReadNumber(json[3]);
   if (!id.has_value() || id->empty() || !incarnation.has_value() || !version.has_value() ||
       !state.has_value() || *state > static_cast<int64_t>(MemberState::kDead)) {
@@ -145,7 +148,7 @@
   const std::optional<std::string> sender = ReadName(json[0]);
   std::array<int64_t, 4> numbers{};
   for (size_t i = 0; i < numbers.size(); ++i) {
-    const std::optional<int64_t> number = ReadNumber(json[1 + i]);
+    const std::optional<int64_t> number = ReadNumber(json[1 + i], kMaxIncarnation);
     if (!number.has_value()) {
       return std::nullopt;
     }
@@ -173,10 +176,11 @@
   heartbeat.table_digest = hashes[2];
   for (const nlohmann::json& item : json[8]) {
     std::optional<News> news = DecodeNews(item);
-    if (!news.has_value()) {
-      return std::nullopt;
+    if (news.has_value()) {
+      heartbeat.news.push_back(*std::move(news));
+    } else {
+      ++heartbeat.malformed_news;
     }
-    heartbeat.news.push_back(*std::move(news));
   }
   return heartbeat;
 }
--- a/packages/peer/heartbeat_codec.h
+++ b/packages/peer/heartbeat_codec.h
@@ -13,6 +13,11 @@
 // Bytes of news, encoded as MessagePack, that one heartbeat may carry.
 inline constexpr size_t kMaxNewsBytes = 512;
 
+// Largest incarnation, version, sequence and revision in a heartbeat. Incarnations are times in
+// Unix microseconds, so this is far in the future. An instance refutes a claim by counting up,
+// which must not overflow.
+inline constexpr int64_t kMaxIncarnation = int64_t{1} << 62;
+
 // Shards that one description may name.
 inline constexpr size_t kMaxShards = 64;
 
@@ -38,10 +43,13 @@
   // Combined hash of the sender's table. While both sides' are equal no known entries are repeated.
   uint32_t table_digest = 0;
   std::vector<News> news;
+  // Items of news that were left out because they are malformed.
+  int malformed_news = 0;
 };
 
 nlohmann::json EncodeHeartbeat(const Heartbeat& heartbeat);
-// Empty when `json` is not a heartbeat.
+// Empty when `json` is not a heartbeat. Malformed items of news are left out and counted: a faulty
+// item must not make its sender count as silent.
 std::optional<Heartbeat> DecodeHeartbeat(const nlohmann::json& json);
 
 nlohmann::json EncodeNews(const News& news);
--- a/packages/peer/member_table.cc
+++ b/packages/peer/member_table.cc
@@ -152,6 +152,9 @@
   if (heartbeat.sender == self_.id) {
     return std::nullopt;
   }
+  if (heartbeat.malformed_news > 0) {
+    ReportMalformedNews(heartbeat.sender);
+  }
   for (const News& news : heartbeat.news) {
     ApplyNews(news, now);
   }
@@ -162,6 +165,17 @@
   return it->second.member;
 }
 
+void MemberTable::ReportMalformedNews(const InstanceId& sender) {
+  if (faulty_senders_.size() < kMaxMembers && faulty_senders_.insert(sender).second) {
+    events_->Record(EventCode::kInvalidInputRefused)
+        .Peer(sender)
+        .With(event_field::kReason,
+              "A heartbeat has malformed items of news, which were left out; check that both "
+              "instances run compatible versions.")
+        .Emit();
+  }
+}
+
 bool MemberTable::ApplySender(Record* record, const Heartbeat& heartbeat, absl::Time now) {
   Member& member = record->member;
   if (heartbeat.incarnation < member.incarnation) {
@@ -260,6 +274,10 @@
 
 void MemberTable::ApplyNewsOfSelf(const Member& claim) {
   const bool doubted = claim.state == MemberState::kSuspect || claim.state == MemberState::kDead;
+  if (claim.incarnation >= kMaxIncarnation) {
+    // No instance has such an incarnation, and the next one could not be sent.
+    return;
+  }
   if (claim.incarnation > self_.incarnation ||
       (claim.incarnation == self_.incarnation && doubted)) {
     self_.incarnation = claim.incarnation + 1;
--- a/packages/peer/member_table.h
+++ b/packages/peer/member_table.h
@@ -79,6 +79,8 @@
   void ApplyNewsOfSelf(const Member& claim);
   void AddMember(const Member& member, absl::Time now);
   void AdoptDescription(Record* record, const News& news, absl::Time now);
+  // Logs once that the sender's heartbeats have malformed items of news.
+  void ReportMalformedNews(const InstanceId& sender);
   bool ApplySender(Record* record, const Heartbeat& heartbeat, absl::Time now);
   void ChooseNews(const InstanceId& receiver, const Record* record, Heartbeat* heartbeat);
   int SendsPerChange() const;
@@ -90,6 +92,7 @@
   EventLog* const events_;
   std::map<InstanceId, Record> records_;
   std::set<InstanceId> to_verify_;
+  std::set<InstanceId> faulty_senders_;
   uint64_t changes_ = 0;
   // The last member that was repeated; the next message goes on behind it.
   InstanceId rotation_;
--- a/tests/peer/member_table_test.cc
+++ b/tests/peer/member_table_test.cc
@@ -1,5 +1,9 @@
 #include "peer/member_table.h"
 
+#include <limits>
+#include <optional>
+#include <vector>
+
 #include "base/manual_clock.h"
 #include "boost/test/unit_test.hpp"
 #include "peer/message_codec.h"
@@ -129,6 +133,58 @@
                           [](const News& news) { return news.member.id.value() == "a"; }));
 }
 
+// Guards against an incarnation that overflows when an instance refutes what is said of it: every
+// other instance would refuse its heartbeats from then on.
+BOOST_AUTO_TEST_CASE(IncarnationOutOfRangeIsNotRefuted) {
+  for (const int64_t claimed :
+       {std::numeric_limits<int64_t>::max(), kMaxIncarnation, kMaxIncarnation - 1}) {
+    Heartbeat heartbeat = a.Compose(InstanceId("b"));
+    Member claim = Describe("b", "d", claimed);
+    claim.state = MemberState::kDead;
+    heartbeat.news.push_back(News{claim, false});
+    b.Apply(heartbeat, clock.Now());
+    BOOST_TEST(DecodeHeartbeat(EncodeHeartbeat(b.Compose(InstanceId("a")))).has_value());
+  }
+  BOOST_TEST(b.self().incarnation == kMaxIncarnation);
+}
+
+// Guards against one hostile item of news that makes a whole heartbeat useless, so that its sender
+// counts as silent and the other members in it stay unknown.
+BOOST_AUTO_TEST_CASE(HostileNewsIsSkippedAndLoggedOnce) {
+  const nlohmann::json good = EncodeNews(News{Describe("c", "d", 5), true});
+  std::vector<nlohmann::json> items = {nullptr, 7, nlohmann::json::array(),
+                                       nlohmann::json::object(), std::string(100'000, 'x')};
+  for (const nlohmann::json& number :
+       {nlohmann::json(std::numeric_limits<int64_t>::max()), nlohmann::json(-1),
+        nlohmann::json(std::numeric_limits<uint64_t>::max()), nlohmann::json(1e300),
+        nlohmann::json(std::numeric_limits<double>::quiet_NaN()), nlohmann::json("5")}) {
+    for (const size_t field : {1, 2, 3}) {
+      items.push_back(EncodeNews(News{Describe("h", "d", 5), true}));
+      items.back()[field] = number;
+    }
+  }
+  for (const nlohmann::json& item : items) {
+    EventLog log("test", &hybrid);
+    MemberTable table{Describe("b", "d", 5), &log};
+    for (int beat = 0; beat < 3; ++beat) {
+      nlohmann::json json = EncodeHeartbeat(a.Compose(InstanceId("b")));
+      json[8] = nlohmann::json::array({item, good});
+      json[8].push_back(EncodeNews(News{a.self(), true}));
+      const std::optional<Heartbeat> heartbeat = DecodeHeartbeat(json);
+      BOOST_TEST_CONTEXT(item) {
+        BOOST_TEST_REQUIRE(heartbeat.has_value());
+        BOOST_TEST(table.Apply(*heartbeat, clock.Now()).has_value());
+        BOOST_TEST(table.Others().size() == 2U);
+      }
+    }
+    int refused = 0;
+    for (const Event& event : log.Select({})) {
+      refused += event.code == EventCode::kInvalidInputRefused ? 1 : 0;
+    }
+    BOOST_TEST(refused == 1);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
