peer: Ignore retry times out of range

A negative time in a peer's error made the caller repeat without a pause, and a time of years made it wait that long.

--- a/packages/peer/message_codec.cc
+++ b/packages/peer/message_codec.cc
@@ -9,12 +9,15 @@
 #include <array>
 #include <vector>
 
+#include "base/json_number.h"
 #include "base/message_pack.h"
 
 namespace pomelotray {
 namespace {
 
 constexpr size_t kProofSize = 16;
+// One day. Callers wait this long, so a larger or negative number is ignored.
+constexpr int64_t kMaxRetryMicros = int64_t{24} * 3600 * 1'000'000;
 constexpr size_t kCallHeaderSize = 8 + 4 + kNonceSize + kProofSize;
 constexpr size_t kReplyHeaderSize = 1 + 8 + kProofSize;
 // Distinct first bytes keep a call's proof from being valid as a reply's.
@@ -173,7 +176,7 @@
   }
   Error error{*parsed, message->get<std::string>(), std::nullopt};
   const auto retry = json->find("retry_after_us");
-  if (retry != json->end() && retry->is_number_integer()) {
+  if (retry != json->end() && IsIntegerBetween(*retry, 0, kMaxRetryMicros)) {
     error.retry_after = absl::Microseconds(retry->get<int64_t>());
   }
   return error;
--- a/tests/peer/hostile_input_test.cc
+++ b/tests/peer/hostile_input_test.cc
@@ -2,11 +2,14 @@
 #include <sys/socket.h>
 
 #include <atomic>
+#include <limits>
+#include <optional>
 #include <thread>
 #include <vector>
 
 #include "boost/test/unit_test.hpp"
 #include "peer/heartbeat_codec.h"
+#include "peer/message_codec.h"
 #include "tests/peer/peer_fixture.h"
 
 namespace pomelotray {
@@ -276,6 +279,24 @@
   BOOST_TEST((window.Check(now, now, "nonce-1") == ReplayWindow::Verdict::kStale));
 }
 
+// Guards against a caller that repeats without a pause, or waits for years, because of a peer's
+// error.
+BOOST_AUTO_TEST_CASE(RetryTimesOutOfRangeAreIgnored) {
+  const auto decode = [](const nlohmann::json& micros) {
+    return DecodeError(
+        EncodeBody({{"kind", "overloaded"}, {"message", "m"}, {"retry_after_us", micros}}));
+  };
+  BOOST_TEST((decode(5'000'000).value().retry_after == absl::Seconds(5)));
+  for (const nlohmann::json& micros :
+       {nlohmann::json(-1), nlohmann::json(std::numeric_limits<int64_t>::min()),
+        nlohmann::json(std::numeric_limits<int64_t>::max()),
+        nlohmann::json(std::numeric_limits<uint64_t>::max()), nlohmann::json(1e300)}) {
+    const std::optional<Error> error = decode(micros);
+    BOOST_TEST_REQUIRE(error.has_value());
+    BOOST_TEST(!error->retry_after.has_value());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
