adapters: Send no call to a port out of range

An address with a port out of range, or without a numeric port, was not refused before the call: it went to the resolver, which may use the lower 16 bits of the number (by reading; no call was traced) or look the address up as a host name. CallsToInvalidPortsAreNotSent failed for all 7 addresses. Such a call now fails before it is sent, and the message names the cause.

--- a/packages/adapters/http_channel.cc
+++ b/packages/adapters/http_channel.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
+#include "adapters/host_port.h"
 #include "adapters/wire_json.h"
 #include "base/system_clock.h"
 
@@ -23,24 +24,6 @@
 // A list of all keys at the largest size; a longer answer is refused instead of exhausting memory.
 constexpr uint64_t kMaxAnswerBytes = 256'000'000;
 
-struct HostPort {
-  std::string host;
-  int port = 0;
-};
-
-HostPort SplitAddress(const std::string& address) {
-  const size_t colon = address.rfind(':');
-  HostPort result;
-  if (colon == std::string::npos || !absl::SimpleAtoi(address.substr(colon + 1), &result.port)) {
-    return HostPort{address, 0};
-  }
-  result.host = address.substr(0, colon);
-  if (result.host.size() > 2 && result.host.front() == '[' && result.host.back() == ']') {
-    result.host = result.host.substr(1, result.host.size() - 2);
-  }
-  return result;
-}
-
 // Whether the other side may have seen a call that failed with `error`.
 bool NeverSent(httplib::Error error) {
   return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout ||
@@ -105,7 +88,8 @@
 
 HttpChannel::~HttpChannel() = default;
 
-std::unique_ptr<HttpChannel::Connection> HttpChannel::Acquire(const std::string& address) {
+std::unique_ptr<HttpChannel::Connection> HttpChannel::Acquire(const std::string& address,
+                                                              const HostPort& target) {
   {
     absl::MutexLock lock(&mutex_);
     DropStale(clock_->Now());
@@ -118,7 +102,7 @@
       }
     }
   }
-  std::unique_ptr<Connection> connection = std::make_unique<Connection>(SplitAddress(address));
+  std::unique_ptr<Connection> connection = std::make_unique<Connection>(target);
   connection->client.set_keep_alive(true);
   connection->client.set_tcp_nodelay(true);
   connection->client.set_follow_location(false);
@@ -160,9 +144,9 @@
   return count;
 }
 
-HttpChannel::Answer HttpChannel::Exchange(const std::string& address, const HttpCall& call,
-                                          std::string body) {
-  std::unique_ptr<Connection> connection = Acquire(address);
+HttpChannel::Answer HttpChannel::Exchange(const std::string& address, const HostPort& target,
+                                          const HttpCall& call, std::string body) {
+  std::unique_ptr<Connection> connection = Acquire(address, target);
   const absl::Time deadline = clock_->Now() + call.timeout;
   connection->client.set_read_timeout(absl::ToChronoMicroseconds(call.timeout));
   connection->client.set_write_timeout(absl::ToChronoMicroseconds(call.timeout));
@@ -217,7 +201,13 @@
     return Fail(ErrorKind::kInvalidArgument,
                 Describe(address, call) + " has a name that is not UTF-8; use valid text.");
   }
-  const Answer answer = Exchange(address, call, std::move(body));
+  const std::optional<HostPort> target = HostPort::Parse(address);
+  if (!target.has_value()) {
+    return Fail(call.no_effect, Describe(address, call) +
+                                    " was not sent, because the address has no valid port; "
+                                    "correct the address.");
+  }
+  const Answer answer = Exchange(address, *target, call, std::move(body));
   if (answer.error != httplib::Error::Success) {
     const bool never_sent = NeverSent(answer.error);
     return Fail(
--- a/packages/adapters/http_channel.h
+++ b/packages/adapters/http_channel.h
@@ -12,6 +12,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
+#include "adapters/host_port.h"
 #include "adapters/http_options.h"
 #include "base/error.h"
 
@@ -58,10 +59,11 @@
   struct Answer;
   using Idle = std::vector<std::unique_ptr<Connection>>;
 
-  std::unique_ptr<Connection> Acquire(const std::string& address);
+  std::unique_ptr<Connection> Acquire(const std::string& address, const HostPort& target);
   void Release(const std::string& address, std::unique_ptr<Connection> connection);
   void DropStale(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  Answer Exchange(const std::string& address, const HttpCall& call, std::string body);
+  Answer Exchange(const std::string& address, const HostPort& target, const HttpCall& call,
+                  std::string body);
 
   bool BelongsTo(const HttpCall& call, const nlohmann::json& answer);
 
