adapters: Skip malformed VMs, and refuse numbers out of range

One malformed entry hid the whole VM list, so that no instance followed it any longer. The entry is now left out and logged once, also if its address has no valid port. A worker that is left out but answers stays in use. A list without any valid entry is still refused, because it would retire all workers.

Amounts have the limit of contracts, and fractions of them are cut off.

Inventories of workers and answers of the store still count as a whole: an attempt that is left out would be started once more, and an instance that is left out would lose its shards.

The decoder test's valid VM had an address without a port; it now has one, and the test checks that the entry is used.

--- a/packages/adapters/http_executor.cc
+++ b/packages/adapters/http_executor.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "adapters/wire_json.h"
+#include "base/json_number.h"
 
 namespace pomelotray {
 
@@ -21,8 +22,8 @@
 std::optional<ExecutorLoad> DecodeExecutorLoad(const nlohmann::json& json) {
   const std::optional<std::string> boot = wire::ReadString(json, "boot");
   const std::optional<bool> leaving = wire::ReadBool(json, "leaving");
-  const std::optional<int64_t> busy = wire::ReadInt(json, "busy_slots");
-  if (!boot || boot->empty() || !leaving || !busy || *busy < 0) {
+  const std::optional<int64_t> busy = wire::ReadInt(json, "busy_slots", 0, kMaxJsonCount);
+  if (!boot || boot->empty() || !leaving || !busy) {
     return std::nullopt;
   }
   return ExecutorLoad{BootId(*boot), *leaving, *busy};
--- a/packages/adapters/store_codec.cc
+++ b/packages/adapters/store_codec.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "adapters/wire_json.h"
+#include "base/json_number.h"
 
 namespace pomelotray {
 namespace {
@@ -10,13 +11,16 @@
 std::optional<StoreEntry> DecodeEntry(const nlohmann::json& json) {
   const std::optional<std::string> key = wire::ReadString(json, "key");
   std::optional<std::string> value = wire::ReadBytes(json, "value");
-  const std::optional<int64_t> revision = wire::ReadInt(json, "revision");
-  if (!key || !value || !revision || *revision <= 0) {
+  const std::optional<int64_t> revision = wire::ReadInt(json, "revision", 1, kMaxExactInteger);
+  if (!key || !value || !revision) {
     return std::nullopt;
   }
   return StoreEntry{*key, std::move(*value), Revision(*revision)};
 }
 
+// Values are opaque here, so a malformed entry is a fault of the store's interface and not of a
+// writer. It makes the whole answer unusable: an entry that is left out would look deleted, and the
+// shards of an instance whose record is missing are claimed.
 std::optional<std::vector<StoreEntry>> DecodeEntries(const nlohmann::json& json,
                                                      const char* field) {
   const nlohmann::json* array = wire::FindArray(json, field);
@@ -57,8 +61,8 @@
 std::optional<WatchBatch> DecodeStoreWatch(const nlohmann::json& json) {
   std::optional<std::vector<StoreEntry>> changed = DecodeEntries(json, "changed");
   const nlohmann::json* deleted = wire::FindArray(json, "deleted");
-  const std::optional<int64_t> next = wire::ReadInt(json, "next");
-  if (!changed || deleted == nullptr || !next || *next < 0) {
+  const std::optional<int64_t> next = wire::ReadInt(json, "next", 0, kMaxExactInteger);
+  if (!changed || deleted == nullptr || !next) {
     return std::nullopt;
   }
   WatchBatch batch{std::move(*changed), {}, Revision(*next)};
@@ -72,8 +76,8 @@
 }
 
 std::optional<Revision> DecodeStoreRevision(const nlohmann::json& json) {
-  const std::optional<int64_t> revision = wire::ReadInt(json, "revision");
-  if (!revision || *revision <= 0) {
+  const std::optional<int64_t> revision = wire::ReadInt(json, "revision", 1, kMaxExactInteger);
+  if (!revision) {
     return std::nullopt;
   }
   return Revision(*revision);
--- a/packages/adapters/wire_json.cc
+++ b/packages/adapters/wire_json.cc
@@ -3,6 +3,8 @@
 #include <limits>
 
 #include "absl/strings/escaping.h"
+#include "base/json_number.h"
+#include "model/field_reader.h"
 
 namespace pomelotray::wire {
 namespace {
@@ -18,6 +20,19 @@
   return it == json.end() ? nullptr : &*it;
 }
 
+std::optional<int64_t> ReadAmount(const nlohmann::json& json, const char* field) {
+  const nlohmann::json* value = Find(json, field);
+  if (value != nullptr && value->is_number_float()) {
+    // The conversion of a number out of range, or of NaN, is undefined.
+    const double number = value->get<double>();
+    if (!(number >= 0 && number <= static_cast<double>(kMaxAmount))) {
+      return std::nullopt;
+    }
+    return static_cast<int64_t>(number);
+  }
+  return ReadInt(json, field, 0, kMaxAmount);
+}
+
 }  // namespace
 
 std::optional<std::string> ReadString(const nlohmann::json& json, const char* field) {
@@ -29,12 +44,14 @@
 }
 
 std::optional<int64_t> ReadInt(const nlohmann::json& json, const char* field) {
+  return ReadInt(json, field, std::numeric_limits<int64_t>::min(),
+                 std::numeric_limits<int64_t>::max());
+}
+
+std::optional<int64_t> ReadInt(const nlohmann::json& json, const char* field, int64_t min,
+                               int64_t max) {
   const nlohmann::json* value = Find(json, field);
-  if (value == nullptr || !value->is_number_integer()) {
-    return std::nullopt;
-  }
-  if (value->is_number_unsigned() &&
-      value->get<uint64_t>() > static_cast<uint64_t>(std::numeric_limits<int64_t>::max())) {
+  if (value == nullptr || !IsIntegerBetween(*value, min, max)) {
     return std::nullopt;
   }
   return value->get<int64_t>();
@@ -70,10 +87,10 @@
   if (value == nullptr) {
     return std::nullopt;
   }
-  const std::optional<int64_t> cpu = ReadInt(*value, "cpu_milli");
-  const std::optional<int64_t> memory = ReadInt(*value, "memory_mib");
-  const std::optional<int64_t> accelerators = ReadInt(*value, "accelerators");
-  const std::optional<int64_t> slots = ReadInt(*value, "slots");
+  const std::optional<int64_t> cpu = ReadAmount(*value, "cpu_milli");
+  const std::optional<int64_t> memory = ReadAmount(*value, "memory_mib");
+  const std::optional<int64_t> accelerators = ReadAmount(*value, "accelerators");
+  const std::optional<int64_t> slots = ReadAmount(*value, "slots");
   if (!cpu || !memory || !accelerators || !slots) {
     return std::nullopt;
   }
@@ -86,8 +103,8 @@
   if (value == nullptr) {
     return std::nullopt;
   }
-  const std::optional<int64_t> term = ReadInt(*value, "term");
-  const std::optional<int64_t> round = ReadInt(*value, "round");
+  const std::optional<int64_t> term = ReadInt(*value, "term", 0, kMaxExactInteger);
+  const std::optional<int64_t> round = ReadInt(*value, "round", 0, kMaxExactInteger);
   if (!term || !round) {
     return std::nullopt;
   }
--- a/packages/adapters/wire_json.h
+++ b/packages/adapters/wire_json.h
@@ -18,11 +18,14 @@
 
 std::optional<std::string> ReadString(const nlohmann::json& json, const char* field);
 std::optional<int64_t> ReadInt(const nlohmann::json& json, const char* field);
+std::optional<int64_t> ReadInt(const nlohmann::json& json, const char* field, int64_t min,
+                               int64_t max);
 std::optional<bool> ReadBool(const nlohmann::json& json, const char* field);
 // A string of base64; any other text is an error.
 std::optional<std::string> ReadBytes(const nlohmann::json& json, const char* field);
 // Whole milliseconds, not negative.
 std::optional<absl::Duration> ReadMillis(const nlohmann::json& json, const char* field);
+// Amounts between 0 and kMaxAmount; fractions are cut off.
 std::optional<Resources> ReadResources(const nlohmann::json& json, const char* field);
 std::optional<Epoch> ReadEpoch(const nlohmann::json& json, const char* field);
 // The field itself if it is an array.
--- a/packages/adapters/worker_codec.cc
+++ b/packages/adapters/worker_codec.cc
@@ -77,6 +77,8 @@
   inventory.leaving = *leaving;
   inventory.worker_clock = *worker_clock;
   inventory.capacity = *capacity;
+  // An attempt that is left out would count as not running and be started once more, so a malformed
+  // one makes the whole inventory unusable.
   for (const nlohmann::json& item : *attempts) {
     std::optional<AttemptReport> report = DecodeAttempt(item);
     if (!report) {
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -129,6 +129,7 @@
                  .SetAddress(settings_.vm_list_address)
                  .SetClock(&clock_)
                  .SetHybridClock(&hybrid_clock_)
+                 .SetEvents(&events_)
                  .Build();
   workers_ = HttpWorker::Builder().SetClock(&clock_).SetHybridClock(&hybrid_clock_).Build();
   executors_ = HttpExecutor::Builder().SetClock(&clock_).SetHybridClock(&hybrid_clock_).Build();
--- a/tests/adapters/decoder_test.cc
+++ b/tests/adapters/decoder_test.cc
@@ -35,13 +35,14 @@
   report.attempt = AttemptId("a1");
   report.result = "done";
   inventory.attempts = {report, report};
-  return {EncodeInventory(inventory).dump(),
-          R"({"entry":{"key":"k","value":"aGk=","revision":3}})",
-          R"({"entries":[{"key":"k","value":"aGk=","revision":3}]})",
-          R"({"changed":[{"key":"k","value":"aGk=","revision":3}],"deleted":["x"],"next":9})",
-          R"({"request":"r","attempt":"a","body":"aGk=","service_ms":3})",
-          R"({"boot":"b","leaving":false,"busy_slots":3})",
-          R"({"vms":[{"id":"w","role":"worker","address":"a","region":"r","domain":"d"}]})"};
+  return {
+      EncodeInventory(inventory).dump(),
+      R"({"entry":{"key":"k","value":"aGk=","revision":3}})",
+      R"({"entries":[{"key":"k","value":"aGk=","revision":3}]})",
+      R"({"changed":[{"key":"k","value":"aGk=","revision":3}],"deleted":["x"],"next":9})",
+      R"({"request":"r","attempt":"a","body":"aGk=","service_ms":3})",
+      R"({"boot":"b","leaving":false,"busy_slots":3})",
+      R"({"vms":[{"id":"w","role":"worker","address":"127.0.0.1:1","region":"r","domain":"d"}]})"};
 }
 
 // A value of any type, nested at most `depth` deep.
@@ -90,7 +91,7 @@
   BOOST_TEST(DecodeStoreWatch(nlohmann::json::parse(answers[3])).has_value());
   BOOST_TEST(DecodeExecutorAnswer(nlohmann::json::parse(answers[4])).has_value());
   BOOST_TEST(DecodeExecutorLoad(nlohmann::json::parse(answers[5])).has_value());
-  BOOST_TEST(DecodeVmList(nlohmann::json::parse(answers[6])).has_value());
+  BOOST_TEST(DecodeVmList(nlohmann::json::parse(answers[6])).value().size() == 1U);
 }
 
 // Guards against answers that crash a decoder: bytes replaced, removed or inserted.
--- a/tests/adapters/http_vm_list_test.cc
+++ b/tests/adapters/http_vm_list_test.cc
@@ -69,6 +69,32 @@
   }
 }
 
+// Guards against a faulty entry that hides the others, or is logged with each read of the list.
+BOOST_AUTO_TEST_CASE(FaultyEntryIsLoggedOnce) {
+  HybridClock hybrid(&clock);
+  EventLog events("test", &hybrid);
+  list = HttpVmList::Builder()
+             .SetAddress(standin.address())
+             .SetCallTimeout(kLongTimeout)
+             .SetEvents(&events)
+             .Build();
+  nlohmann::json vms = OneVm();
+  vms["vms"].push_back({{"id", "w2"}, {"role", "worker"}, {"address", "127.0.0.1:70000"}});
+  vms["vms"].push_back(nlohmann::json::parse(std::string(1000, '[') + std::string(1000, ']')));
+  BOOST_TEST_REQUIRE(standin.Load(vms));
+  for (int read = 0; read < 3; ++read) {
+    const Outcome<std::vector<VmEntry>> read_vms = List();
+    BOOST_TEST_REQUIRE((read_vms.ok() && read_vms.value().size() == 1U));
+    BOOST_TEST(read_vms.value()[0].id == VmId("w1"));
+  }
+  const std::vector<Event> logged = events.Select({});
+  BOOST_TEST_REQUIRE(logged.size() == 2U);
+  BOOST_TEST((logged[0].code == EventCode::kInvalidInputRefused));
+  BOOST_TEST(logged[0].fields.at(event_field::kReason) ==
+             "The VM list has a malformed entry \"w2\", which is not used; correct its fields as "
+             "docs/platform_interfaces.md shows.");
+}
+
 // Guards against a list that is cut off and read as a list without VMs.
 BOOST_AUTO_TEST_CASE(BadListsAreErrors) {
   for (const char* mode : {"lose_answers", "truncate", "down"}) {
