model: Replace bytes of results that are not UTF-8

The record of a job whose worker returned such bytes was refused by every instance but the owner: the status could not be read there, and no caller could list jobs. BinaryResultsReachOtherInstances failed. Answers to callers had the bytes replaced already.

--- a/packages/model/job_codec.cc
+++ b/packages/model/job_codec.cc
@@ -1,6 +1,7 @@
 #include "model/job_codec.h"
 
 #include "absl/strings/str_cat.h"
+#include "base/json_text.h"
 #include "model/field_reader.h"
 #include "model/identifier.h"
 
@@ -112,6 +113,12 @@
   }
 }
 
+// Results are bytes from a worker. Bytes that are not UTF-8 are replaced, as in the API's answers,
+// because no reader of the record accepts them.
+nlohmann::json ResultToJson(const std::string& result) {
+  return IsUtf8(result) ? nlohmann::json(result) : nlohmann::json::parse(DumpJson(result));
+}
+
 nlohmann::json OptionalTimeToJson(const std::optional<absl::Time>& time) {
   return time.has_value() ? nlohmann::json(TimeToText(*time)) : nlohmann::json(nullptr);
 }
@@ -138,7 +145,7 @@
           {"attempt_number", task.attempt_number},
           {"worker", task.worker.value()},
           {"boot", task.boot.value()},
-          {"result", task.result}};
+          {"result", ResultToJson(task.result)}};
 }
 
 nlohmann::json JobRecordToJson(const JobRecord& record) {
--- a/tests/model/codec_test.cc
+++ b/tests/model/codec_test.cc
@@ -191,6 +191,22 @@
   BOOST_TEST(ContractError(json::parse(text.str().substr(begin, end - begin))) == "");
 }
 
+// Guards against a job whose worker returned bytes that are not UTF-8: other instances could not
+// read the job's record, and no caller could list jobs.
+BOOST_AUTO_TEST_CASE(BinaryResultsReachOtherInstances) {
+  JobRecord record;
+  record.id = JobId("cuenca.rendering.1");
+  record.spec = ExampleJob();
+  record.accepted_at = absl::UnixEpoch();
+  record.tasks.resize(1);
+  record.tasks[0].task = MakeTaskId(record.id, 0);
+  record.tasks[0].result = "ok\xff";
+  const Outcome<JobRecord> decoded =
+      Capture([&] { return JobRecordFromJson(JobRecordToJson(record)); });
+  BOOST_TEST_REQUIRE(decoded.ok());
+  BOOST_TEST(decoded.value().tasks[0].result == "ok\xef\xbf\xbd");
+}
+
 // Guards against numbers that overflow when they are converted, multiplied by the number of tasks
 // or added to a time.
 BOOST_AUTO_TEST_CASE(NumbersOutOfRangeAreRefused) {
