cell: Keep watching the store after an exception in a callback

A callback of PrefixWatcher that threw ended the process, on its own thread and without a log line. The watched entry stays in the store, so the next process ended in the same way.

An exception of the callback is now logged as an unreadable entry with the prefix and the revision, and the watch goes on with the next batch. The callbacks decode entry by entry, so this is the last resort and not the way in which entries are skipped.

--- a/packages/cell/prefix_watcher.cc
+++ b/packages/cell/prefix_watcher.cc
@@ -67,7 +67,7 @@
   WatchBatch batch;
   batch.changed = std::move(listing.value().entries);
   batch.next = next_;
-  callback_(batch, /*complete=*/true);
+  Deliver(batch, /*complete=*/true);
   return true;
 }
 
@@ -84,11 +84,25 @@
   }
   next_ = batch.value().next;
   if (!batch.value().changed.empty() || !batch.value().deleted.empty()) {
-    callback_(batch.value(), /*complete=*/false);
+    Deliver(batch.value(), /*complete=*/false);
   }
   return true;
 }
 
+void PrefixWatcher::Deliver(const WatchBatch& batch, bool complete) {
+  const Outcome<void> delivered = Capture([&]() -> Result<void> {
+    callback_(batch, complete);
+    return {};
+  });
+  if (!delivered.ok()) {
+    events_->Record(EventCode::kUnreadableEntry)
+        .With("key", prefix_)
+        .With(event_field::kRevision, batch.next.value())
+        .With(event_field::kReason, delivered.error().message)
+        .Emit();
+  }
+}
+
 void PrefixWatcher::RecordAvailability(bool available, const std::string& reason) {
   if (available == store_available_) {
     return;
--- a/packages/cell/prefix_watcher.h
+++ b/packages/cell/prefix_watcher.h
@@ -36,6 +36,8 @@
   bool ListOrWatch();
   bool ListAll();
   bool WatchOnce();
+  // Calls the callback. An exception that it throws is logged, since it would end the process.
+  void Deliver(const WatchBatch& batch, bool complete);
   // Logs the start or the end of a store outage when the availability of the store changes.
   void RecordAvailability(bool available, const std::string& reason);
 
