cell: Skip damaged entries of members, claims, terms and part counts

Another writer's entry below pomelotray/control/ could end every instance or leave a part without an owner for ever:

- A part count of 1e9 made PoolPart::All() allocate all memory.
- A term of 2^63 - 1 or a text was read as it was.
The term overflowed when it was incremented and when attempt numbers were derived from it, and workers refused the owner as an old one.
- A part with a claim that could not be decoded was never claimed again, since the condition of the next claim did not match.
- An entry that named another instance than its key replaced that instance's record.
- An instance whose own entry was damaged was not restored, so instances that started later did not know it.
- Members with a port out of range were used for calls, and numbers out of range were converted.
- An entry was logged with each read.

Numbers and ports are now checked. An unreadable claim belongs to nobody and may be replaced. An unreadable term is replaced by the revision of its entry: each claim takes a revision of its own, so no earlier term is higher. A term never decreases within a process. An instance writes its own entry again under the same lease. UnreadableEntries logs each value of an entry once, shortened and as UTF-8. The decoding moves to a file of its own.

--- a/packages/cell/cell_membership.cc
+++ b/packages/cell/cell_membership.cc
@@ -2,13 +2,8 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <utility>
 
-#include "absl/strings/match.h"
-#include "absl/strings/numbers.h"
-#include "absl/strings/str_cat.h"
-#include "base/decode_json.h"
 #include "cell/cell_keys.h"
 #include "cell/store_failure.h"
 
@@ -41,27 +36,6 @@
 // An instance to which a part is not assigned waits this long for the assigned one to claim it.
 constexpr absl::Duration kFallbackClaimDelay = absl::Milliseconds(600);
 
-constexpr DecodeSubject kStoredMember = {ErrorKind::kInternal, "entry of an instance",
-                                         "check which program wrote it"};
-
-// Decoded member entry or claim. Only claims have an incarnation and a term.
-struct MemberRecord {
-  CellMember member;
-  std::string incarnation;
-  int64_t term = 0;
-};
-
-MemberRecord DecodeMemberRecord(const json& value) {
-  MemberRecord record;
-  record.member = CellMember{InstanceId(value.at("instance").get<std::string>()),
-                             value.at("peer_address").get<std::string>(),
-                             value.value("cpu_milli", int64_t{1000}),
-                             absl::FromUnixMillis(value.value("started_ms", int64_t{0}))};
-  record.incarnation = value.value("incarnation", "");
-  record.term = value.value("term", int64_t{0});
-  return record;
-}
-
 }  // namespace
 
 CellMembership::CellMembership(CellMember self, std::string incarnation, TransactionalStore* store,
@@ -72,7 +46,8 @@
       clock_(clock),
       events_(events),
       callbacks_(std::move(callbacks)),
-      renewer_(store, clock) {}
+      renewer_(store, clock),
+      unreadable_(events) {}
 
 CellMembership::~CellMembership() { Stop(); }
 
@@ -306,6 +281,9 @@
       return;
     }
     answered = renewed.ok() || renewed.error().kind == ErrorKind::kNotFound;
+    if (renewed.ok()) {
+      RestoreMemberEntry(*lease);
+    }
     if (!answered) {
       RecordStoreFailure(events_, "renewal of the instance lease", renewed.error());
     }
@@ -343,23 +321,42 @@
     RecordStoreFailure(events_, "grant of the instance lease", lease.error());
     return false;
   }
+  if (!WriteMemberEntry(lease.value())) {
+    return false;
+  }
+  events_->Record(EventCode::kInstanceLeaseGranted).With("lease", lease.value().value()).Emit();
+  absl::MutexLock lock(&mutex_);
+  lease_ = lease.value();
+  registered_at_ = clock_->Now();
+  return true;
+}
+
+bool CellMembership::WriteMemberEntry(const StoreLeaseId& lease) {
   const json value = {{"instance", self_.id.value()},
                       {"peer_address", self_.peer_address},
                       {"cpu_milli", self_.cpu_milli},
                       {"started_ms", absl::ToUnixMillis(self_.started)}};
   StoreTransaction transaction;
-  transaction.writes.push_back(
-      StoreWrite{cell_keys::Member(self_.id), value.dump(), lease.value()});
+  transaction.writes.push_back(StoreWrite{cell_keys::Member(self_.id), value.dump(), lease});
   const Outcome<Revision> written = Capture([&] { return store_->Commit(transaction); });
   if (!written.ok()) {
     RecordStoreFailure(events_, "registration of the instance", written.error());
-    return false;
   }
-  events_->Record(EventCode::kInstanceLeaseGranted).With("lease", lease.value().value()).Emit();
-  absl::MutexLock lock(&mutex_);
-  lease_ = lease.value();
-  registered_at_ = clock_->Now();
-  return true;
+  return written.ok();
+}
+
+void CellMembership::RestoreMemberEntry(const StoreLeaseId& lease) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (!own_entry_unreadable_) {
+      return;
+    }
+    own_entry_unreadable_ = false;
+  }
+  if (!WriteMemberEntry(lease)) {
+    absl::MutexLock lock(&mutex_);
+    own_entry_unreadable_ = true;
+  }
 }
 
 bool CellMembership::IsClaimOfPreviousProcess(const PartName& part) const {
@@ -409,16 +406,21 @@
   {
     absl::MutexLock lock(&mutex_);
     const auto stale = claims_.find(part);
+    const auto unreadable = unreadable_claims_.find(part);
+    Revision expected;
+    if (stale != claims_.end()) {
+      expected = stale->second.revision;
+    } else if (unreadable != unreadable_claims_.end()) {
+      expected = unreadable->second;
+    }
     const TermEntry term = terms_[part];
     claim = PartClaim{part, self_, incarnation_, term.term + 1, Revision(0)};
     const json value = {{"instance", self_.id.value()},
                         {"peer_address", self_.peer_address},
                         {"incarnation", incarnation_},
                         {"term", claim.term}};
-    transaction.conditions = {
-        StoreCondition{cell_keys::Claim(part),
-                       stale == claims_.end() ? Revision(0) : stale->second.revision},
-        StoreCondition{cell_keys::Term(part), term.revision}};
+    transaction.conditions = {StoreCondition{cell_keys::Claim(part), expected},
+                              StoreCondition{cell_keys::Term(part), term.revision}};
     transaction.writes = {
         StoreWrite{cell_keys::Claim(part), value.dump(), lease_},
         StoreWrite{cell_keys::Term(part), std::to_string(claim.term), std::nullopt}};
@@ -431,6 +433,7 @@
       claim.revision = written.value();
       claims_[part] = claim;
       terms_[part] = TermEntry{claim.term, written.value()};
+      unreadable_claims_.erase(part);
       unowned_since_.erase(part);
     }
     Reconcile();
@@ -440,86 +443,6 @@
   }
 }
 
-void CellMembership::ApplyEntry(const StoreEntry& entry) {
-  if (absl::StartsWith(entry.key, cell_keys::kTermPrefix)) {
-    const PartName part(entry.key.substr(sizeof(cell_keys::kTermPrefix) - 1));
-    TermEntry term;
-    term.term = std::strtoll(entry.value.c_str(), nullptr, 10);
-    term.revision = entry.revision;
-    if (terms_[part].revision < term.revision) {
-      terms_[part] = term;
-    }
-    return;
-  }
-  if (absl::StartsWith(entry.key, cell_keys::kPartCountPrefix)) {
-    int count = 0;
-    if (absl::SimpleAtoi(entry.value, &count) && count > 0) {
-      part_counts_[PoolName(entry.key.substr(sizeof(cell_keys::kPartCountPrefix) - 1))] = count;
-    }
-    return;
-  }
-  const Outcome<void> applied = Capture([&] { return ApplyRecord(entry); });
-  if (!applied.ok()) {
-    events_->Record(EventCode::kUnreadableEntry)
-        .With("key", entry.key)
-        .With(event_field::kReason, applied.error().message)
-        .Emit();
-  }
-}
-
-Result<void> CellMembership::ApplyRecord(const StoreEntry& entry) {
-  BOOST_LEAF_AUTO(record, DecodeJson(entry.value, kStoredMember, DecodeMemberRecord));
-  if (absl::StartsWith(entry.key, cell_keys::kMemberPrefix)) {
-    members_[record.member.id] = record.member;
-  } else if (absl::StartsWith(entry.key, cell_keys::kClaimPrefix)) {
-    const PartName part(entry.key.substr(sizeof(cell_keys::kClaimPrefix) - 1));
-    const auto known = claims_.find(part);
-    if (known == claims_.end() || known->second.revision < entry.revision) {
-      claims_[part] =
-          PartClaim{part, record.member, record.incarnation, record.term, entry.revision};
-      unowned_since_.erase(part);
-    }
-  }
-  return {};
-}
-
-void CellMembership::Apply(const WatchBatch& batch, bool complete) {
-  {
-    absl::MutexLock lock(&mutex_);
-    if (complete) {
-      view_complete_ = true;
-      members_.clear();
-      std::set<std::string> present;
-      for (const StoreEntry& entry : batch.changed) {
-        present.insert(entry.key);
-      }
-      for (auto it = claims_.begin(); it != claims_.end();) {
-        const bool kept =
-            present.count(cell_keys::Claim(it->first)) > 0 || it->second.revision > batch.next;
-        it = kept ? std::next(it) : claims_.erase(it);
-      }
-    }
-    for (const StoreEntry& entry : batch.changed) {
-      ApplyEntry(entry);
-    }
-    for (const std::string& key : batch.deleted) {
-      if (absl::StartsWith(key, cell_keys::kMemberPrefix)) {
-        members_.erase(InstanceId(key.substr(sizeof(cell_keys::kMemberPrefix) - 1)));
-      } else if (absl::StartsWith(key, cell_keys::kClaimPrefix)) {
-        const PartName part(key.substr(sizeof(cell_keys::kClaimPrefix) - 1));
-        const auto claim = claims_.find(part);
-        // A claim newer than this batch was written after the deletion and stays.
-        if (claim != claims_.end() && claim->second.revision <= batch.next) {
-          claims_.erase(claim);
-          unowned_since_[part] = clock_->Now();
-        }
-      }
-    }
-    changed_.SignalAll();
-  }
-  Reconcile();
-}
-
 void CellMembership::Reconcile() {
   absl::MutexLock reconcile(&reconcile_mutex_);
   std::vector<PartClaim> gained;
--- a/packages/cell/cell_membership.h
+++ b/packages/cell/cell_membership.h
@@ -20,6 +20,7 @@
 #include "cell/pool_part.h"
 #include "cell/prefix_watcher.h"
 #include "cell/store_availability.h"
+#include "cell/unreadable_entries.h"
 #include "ports/transactional_store.h"
 
 namespace pomelotray {
@@ -89,13 +90,28 @@
   bool OwnsAnyPart() const;
   void RenewLeaseIfDue();
   bool Register();
+  // Returns whether the entry of this instance was written.
+  bool WriteMemberEntry(const StoreLeaseId& lease);
+  // Writes the entry of this instance again if another writer has made it unreadable.
+  void RestoreMemberEntry(const StoreLeaseId& lease);
   void ClaimEligibleParts();
   void TryClaim(const PartName& part);
   void Apply(const WatchBatch& batch, bool complete);
   std::vector<PartName> Parts() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void PrepareForListing(const WatchBatch& batch) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ApplyEntry(const StoreEntry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  // Applies a member entry or a claim. Fails if the entry cannot be decoded.
-  Result<void> ApplyRecord(const StoreEntry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void ApplyDeletion(const std::string& key, Revision next) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // The functions below fail if the entry cannot be decoded.
+  Result<void> DecodeEntry(const StoreEntry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  Result<void> ApplyMember(const StoreEntry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  Result<void> ApplyClaim(const StoreEntry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  Result<void> ApplyTerm(const StoreEntry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  Result<void> ApplyPartCount(const StoreEntry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Takes note of an entry that cannot be decoded but whose key tells what it replaces.
+  void ApplyUnreadable(const StoreEntry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Sets the term of a part unless a newer entry is known. A term never decreases.
+  void RaiseTerm(const PartName& part, int64_t term, Revision revision)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Calls the callbacks for the claims that were gained or lost since the previous call.
   void Reconcile();
   bool IsOwnClaim(const PartClaim& claim) const;
@@ -112,6 +128,7 @@
   EventLog* const events_;
   const Callbacks callbacks_;
   InstanceLeaseRenewer renewer_;
+  UnreadableEntries unreadable_;
   std::unique_ptr<PrefixWatcher> control_watcher_;
   std::thread lease_thread_;
 
@@ -136,6 +153,10 @@
   std::vector<PoolName> pools_ ABSL_GUARDED_BY(mutex_);
   std::map<InstanceId, CellMember> members_ ABSL_GUARDED_BY(mutex_);
   std::map<PartName, PartClaim> claims_ ABSL_GUARDED_BY(mutex_);
+  // Revisions of claims that cannot be decoded. They have no owner and may be replaced.
+  std::map<PartName, Revision> unreadable_claims_ ABSL_GUARDED_BY(mutex_);
+  // Another writer has replaced this instance's entry by one that cannot be decoded.
+  bool own_entry_unreadable_ ABSL_GUARDED_BY(mutex_) = false;
   std::map<PoolName, int> part_counts_ ABSL_GUARDED_BY(mutex_);
   std::map<PartName, TermEntry> terms_ ABSL_GUARDED_BY(mutex_);
   // Time from which on each part has had no owner.
