cell: Skip damaged jobs, progress records and rosters of a pool part

One odd entry of a job could take the whole pool part down: with a task count of 2e9 the owner allocated all memory, or, where that failed, repeated the loading of the part for ever. Indices in `after` were used unchecked, a cycle was accepted, and numbers such as 1e300 were converted, which is undefined behavior. Progress that named a step or task that does not exist was applied in part, and the finished tasks of the job ran again. A step that was listed twice was never done. A state that is not known counted as queued. A roster with a row out of range, or one that is an object, was used as if it were correct.

- Stored jobs are checked with ValidateWorkflow() and limits above those for callers.
Their ids must be storable: a task name that contains further dots does not lead back to its job.
- ValidateWorkflow() computes no product that overflows.
It refuses demands above 1e9, durations above 100 years and first starts after the year 9999, which could not be read back.
- Progress is decoded completely before it is applied.
A job whose progress cannot be read is skipped, as a job with progress that is no JSON was already: its finished tasks must not run again.
- One unreadable row makes the whole roster unreadable.
Tasks may be running on the worker that it describes, so inherited tasks wait until all leases have expired.
- A finished job whose state is not final counts as completed, like one without a readable state.

The fixture of JobRecordTest described steps without tasks, which no caller can submit and which are now errors; it has one task for each step, and its checks are unchanged. The fixture of PoolOwnerTest moves to a header, unchanged.

--- a/packages/cell/job_record.h
+++ b/packages/cell/job_record.h
@@ -30,7 +30,12 @@
 
 std::string_view CellJobStateName(CellJobState state);
 
-// Converts an accepted job to and from its stored form (JSON).
+// Returns whether the id can be part of a task name and of a key: up to 64 letters, digits, '-' and
+// '_'.
+bool IsStorableJobId(const JobId& id);
+
+// Converts an accepted job to and from its stored form (JSON). Decoding fails for jobs that no
+// version has accepted, for example with a step that depends on itself.
 std::string EncodeIntake(const JobIntake& intake);
 Result<JobIntake> DecodeIntake(const JobId& id, const std::string& text);
 
@@ -40,10 +45,11 @@
 // Decodes the intake `text` of a job that a new owner takes over. `progress` is the job's stored
 // progress, or empty if there is none. The result for a job in a final state contains only the id,
 // since such a job is only listed and purged. A new owner finds hundreds of finished jobs; decoding
-// all of their intakes delayed the first starts by half a second.
+// all of their intakes delayed the first starts by half a second. Fails for an unfinished job whose
+// progress ApplyProgress() would refuse: its finished tasks must not run again.
 Result<JobIntake> DecodeInheritedIntake(const JobId& id, const std::string& text,
                                         const std::string& progress);
-// Applies stored progress to a job created by MakeCellJob().
+// Applies stored progress to a job created by MakeCellJob(). On failure the job is unchanged.
 Result<void> ApplyProgress(const std::string& text, CellJob* job);
 // Decodes only the job state from stored progress.
 Result<CellJobState> DecodeProgressState(const std::string& text);
@@ -65,7 +71,8 @@
   std::vector<AttemptKey> stopping;
 };
 
-// Converts the roster of a pool part to and from its stored form (JSON).
+// Converts the roster of a pool part to and from its stored form (JSON). Decoding fails if any row
+// cannot be read: tasks may be running on the worker that the row describes.
 std::string EncodeRoster(const std::vector<RosterEntry>& roster);
 Result<std::vector<RosterEntry>> DecodeRoster(const std::string& text);
 
--- a/packages/cell/pool_owner.cc
+++ b/packages/cell/pool_owner.cc
@@ -33,6 +33,15 @@
 // Delay before the finished jobs are loaded, so that the new owner's first task starts come first.
 constexpr absl::Duration kFinishedJobsDelay = absl::Seconds(1);
 
+Result<CellJobState> DecodeFinalState(const std::string& text) {
+  BOOST_LEAF_AUTO(state, DecodeProgressState(text));
+  if (!IsFinal(state)) {
+    return Fail(ErrorKind::kInternal,
+                "The state of a finished job is not final; check which program wrote the entry.");
+  }
+  return state;
+}
+
 }  // namespace
 
 PoolOwner::PoolOwner(PartClaim claim, PoolLimits limits, PoolOwnerContext context)
@@ -40,6 +49,7 @@
       part_(PoolPart::Parse(claim_.part).value_or(PoolPart())),
       limits_(limits),
       context_(std::move(context)),
+      unreadable_(context_.events),
       scheduler_(part_, claim_.term, limits_, context_.events) {}
 
 PoolOwner::~PoolOwner() {
@@ -407,10 +417,9 @@
   }
   absl::MutexLock lock(&mutex_);
   for (const StoreEntry& entry : listing.value().entries) {
-    const Outcome<CellJobState> state =
-        Capture([&entry] { return DecodeProgressState(entry.value); });
+    const Outcome<CellJobState> state = Capture([&entry] { return DecodeFinalState(entry.value); });
     if (!state.ok()) {
-      RecordUnreadableEntry(entry.key, state.error());
+      unreadable_.Record(entry, state.error());
     }
     // The key alone shows that the job must not run again, even if its state cannot be decoded.
     scheduler_.AddFinishedJob(JobId(entry.key.substr(prefix.size())),
--- a/packages/cell/pool_owner.h
+++ b/packages/cell/pool_owner.h
@@ -19,6 +19,7 @@
 #include "cell/commit_stream.h"
 #include "cell/pool_scheduler.h"
 #include "cell/prefix_watcher.h"
+#include "cell/unreadable_entries.h"
 #include "cell/worker_session.h"
 #include "ports/transactional_store.h"
 
@@ -104,8 +105,7 @@
   void CreateCommitStreams(const StoreListing& listing);
   Result<void> Load();
   // Returns no value if the entry cannot be decoded.
-  std::optional<std::vector<RosterEntry>> ReadRoster(const StoreEntry& entry) const;
-  void RecordUnreadableEntry(const std::string& key, const Error& error) const;
+  std::optional<std::vector<RosterEntry>> ReadRoster(const StoreEntry& entry);
   // Waits until the membership has contacted the store recently. Returns false if the owner was
   // halted or PrepareHandover() was called.
   bool WaitForPermission();
@@ -141,6 +141,7 @@
   const PoolPart part_;
   const PoolLimits limits_;
   const PoolOwnerContext context_;
+  UnreadableEntries unreadable_;
 
   mutable absl::Mutex mutex_;
   absl::CondVar halted_changed_;
--- a/packages/cell/pool_owner_load.cc
+++ b/packages/cell/pool_owner_load.cc
@@ -90,14 +90,20 @@
     } else if (absl::StartsWith(entry.key, job_prefix)) {
       const JobId id(IdFromKey(entry.key, job_prefix));
       const auto record = progress.find(id);
-      Outcome<JobIntake> job = Capture([&] {
-        return DecodeInheritedIntake(id, entry.value,
-                                     record == progress.end() ? "" : record->second);
+      Outcome<JobIntake> job = Capture([&]() -> Result<JobIntake> {
+        if (record == progress.end()) {
+          return DecodeIntake(id, entry.value);
+        }
+        if (record->second.empty()) {
+          return Fail(ErrorKind::kInternal,
+                      "The stored progress is empty; check which program wrote it.");
+        }
+        return DecodeInheritedIntake(id, entry.value, record->second);
       });
       if (job.ok()) {
         jobs.push_back(std::move(job.value()));
       } else {
-        RecordUnreadableEntry(entry.key, job.error());
+        unreadable_.Record(entry, job.error());
       }
     }
   }
@@ -121,22 +127,15 @@
   return {};
 }
 
-std::optional<std::vector<RosterEntry>> PoolOwner::ReadRoster(const StoreEntry& entry) const {
+std::optional<std::vector<RosterEntry>> PoolOwner::ReadRoster(const StoreEntry& entry) {
   Outcome<std::vector<RosterEntry>> roster = Capture([&] { return DecodeRoster(entry.value); });
   if (!roster.ok()) {
-    RecordUnreadableEntry(entry.key, roster.error());
+    unreadable_.Record(entry, roster.error());
     return std::nullopt;
   }
   return std::move(roster.value());
 }
 
-void PoolOwner::RecordUnreadableEntry(const std::string& key, const Error& error) const {
-  context_.events->Record(EventCode::kUnreadableEntry)
-      .With("key", key)
-      .With(event_field::kReason, error.message)
-      .Emit();
-}
-
 bool PoolOwner::IsKnown(const JobId& id) const {
   absl::MutexLock lock(&mutex_);
   return scheduler_.jobs().count(id) > 0;
@@ -157,7 +156,7 @@
     if (job.ok()) {
       jobs.push_back(std::move(job.value()));
     } else {
-      RecordUnreadableEntry(entry.key, job.error());
+      unreadable_.Record(entry, job.error());
     }
   }
   absl::MutexLock lock(&mutex_);
--- a/packages/cell/workflow.cc
+++ b/packages/cell/workflow.cc
@@ -4,10 +4,17 @@
 #include <functional>
 
 #include "absl/strings/str_cat.h"
+#include "base/json_number.h"
 
 namespace pomelotray {
 namespace {
 
+// Stored jobs with higher values cannot be read, see DecodeIntake().
+constexpr absl::Duration kMaxDuration = absl::Milliseconds(kMaxJsonMillis);
+constexpr absl::Time kLatestDue = absl::FromUnixMillis(kMaxJsonUnixMillis);
+constexpr Resources kMaxDemand = {MilliCores(kMaxJsonCount), MebiBytes(kMaxJsonCount),
+                                  AcceleratorCount(kMaxJsonCount), SlotCount(kMaxJsonCount)};
+
 boost::leaf::error_id Invalid(std::string message) {
   return Fail(ErrorKind::kInvalidArgument, std::move(message));
 }
@@ -22,6 +29,11 @@
       step.estimate < absl::ZeroDuration() || step.latency_target < absl::ZeroDuration()) {
     return Invalid(absl::StrCat("Step ", index, " has a negative value; use values of 0 or more."));
   }
+  if (!(step.demand.FitsInto(kMaxDemand) && step.estimate <= kMaxDuration &&
+        step.latency_target <= kMaxDuration)) {
+    return Invalid(absl::StrCat("Step ", index, " has a demand above ", kMaxJsonCount,
+                                " or a duration above 100 years; use lower values."));
+  }
   for (const int earlier : step.after) {
     if (earlier < 0 || earlier >= static_cast<int>(spec.steps.size())) {
       return Invalid(absl::StrCat("Step ", index, " depends on step ", earlier,
@@ -62,6 +74,11 @@
     return Invalid(
         "The occurrences or the interval of the job are negative; use values of 0 or more.");
   }
+  if (spec.interval > kMaxDuration || spec.first_due > kLatestDue) {
+    return Invalid(
+        "The interval of the job is longer than 100 years, or its first start is after the year "
+        "9999; use lower values.");
+  }
   return {};
 }
 
@@ -82,9 +99,11 @@
     BOOST_LEAF_CHECK(CheckStep(spec, i));
     tasks += spec.steps[i].task_count;
   }
-  tasks *= std::max(spec.occurrences, 1);
-  if (tasks > limits.max_tasks) {
-    return Invalid(absl::StrCat("The job has ", tasks, " tasks; send at most ", limits.max_tasks,
+  const int64_t occurrences = std::max(spec.occurrences, 1);
+  // The product may overflow.
+  if (tasks > limits.max_tasks / occurrences) {
+    return Invalid(absl::StrCat("The job has ", tasks, " tasks in each of ", occurrences,
+                                " occurrences; send at most ", limits.max_tasks,
                                 " over all steps and occurrences."));
   }
   if (!IsAcyclic(spec)) {
--- a/tests/cell/job_record_test.cc
+++ b/tests/cell/job_record_test.cc
@@ -12,6 +12,9 @@
   intake.id = kJob;
   intake.policy.name = "queue";
   intake.spec.steps.resize(3);
+  for (StepSpec& step : intake.spec.steps) {
+    step.task_count = 1;
+  }
   return EncodeIntake(intake);
 }
 
--- a/tests/cell/pool_owner_test.cc
+++ b/tests/cell/pool_owner_test.cc
@@ -2,114 +2,17 @@
 
 #include <boost/test/unit_test.hpp>
 #include <fstream>
-#include <functional>
-#include <map>
-#include <memory>
-#include <set>
 #include <string>
 
 #include "absl/strings/str_cat.h"
-#include "base/system_clock.h"
 #include "cell/cell_keys.h"
-#include "tests/cell/eventually.h"
-#include "tests/cell/scheduler_fixture.h"
-#include "tests/fakes/fake_store.h"
+#include "tests/cell/pool_owner_fixture.h"
 
 namespace pomelotray {
 namespace {
 
-// How long a simulated worker waits before it answers a hold.
-constexpr absl::Duration kHoldWait = absl::Milliseconds(500);
-
-// Shorter than in production, since one test waits until it expires.
-constexpr absl::Duration kTaskLease = absl::Seconds(2);
-
 const PartName kPart("rendering.0.1");
 
-// Simulates all workers of a pool on one thread. Each worker accepts every start, and the task
-// succeeds at once.
-class SimulatedWorkers : public WorkerConnector, public WorkerDirectory {
- public:
-  explicit SimulatedWorkers(int count) {
-    for (int i = 0; i < count; ++i) {
-      listed_.push_back(SchedulerFixture::Worker(absl::StrCat("w", i), 1000));
-    }
-  }
-
-  std::unique_ptr<WorkerChannel> Connect(const WorkerDescription& worker) override {
-    return std::make_unique<Channel>(this, worker.id);
-  }
-  void Post(std::function<void()> task) override { loop_.RunAfter(absl::ZeroDuration(), task); }
-  Result<std::vector<WorkerDescription>> List() override { return listed_; }
-
-  // Number of different tasks that were started.
-  size_t StartedTasks() const {
-    absl::MutexLock lock(&mutex_);
-    return tasks_.size();
-  }
-  // Number of starts, including repeated starts of a task.
-  int Starts() const {
-    absl::MutexLock lock(&mutex_);
-    return starts_;
-  }
-
- private:
-  class Channel : public WorkerChannel {
-   public:
-    Channel(SimulatedWorkers* workers, WorkerId id) : workers_(workers), id_(std::move(id)) {}
-    void Start(const StartOrder& order, Done<OrderAnswer> done) override {
-      workers_->Start(id_, order.key);
-      workers_->Post([done] { done(OrderAnswer::kAccepted); });
-    }
-    void Stop(const AttemptKey&, FencingToken, Done<OrderAnswer> done) override {
-      workers_->Post([done] { done(OrderAnswer::kAccepted); });
-    }
-    void Throttle(const AttemptKey&, int, FencingToken, Done<OrderAnswer> done) override {
-      workers_->Post([done] { done(OrderAnswer::kAccepted); });
-    }
-    void Hold(const HoldOrder& order, Done<HoldAnswer> done) override {
-      SimulatedWorkers* const workers = workers_;
-      workers->loop_.RunAfter(std::min(order.wait, kHoldWait),
-                              [workers, id = id_, acknowledged = order.acknowledged, done] {
-                                done(workers->Report(id, acknowledged));
-                              });
-    }
-
-   private:
-    SimulatedWorkers* const workers_;
-    const WorkerId id_;
-  };
-
-  void Start(const WorkerId& id, const AttemptKey& key) {
-    absl::MutexLock lock(&mutex_);
-    ++starts_;
-    tasks_.insert(key.task);
-    std::vector<EndedAttempt>& ends = ended_[id];
-    ends.push_back(EndedAttempt{EndNumber(static_cast<int64_t>(ends.size()) + 1), key,
-                                AttemptEnd::kSucceeded, ""});
-  }
-  HoldAnswer Report(const WorkerId& id, EndNumber acknowledged) {
-    absl::MutexLock lock(&mutex_);
-    HoldAnswer answer;
-    answer.report.clock = WorkerTime(1000);
-    answer.report.started_at = absl::UnixEpoch();
-    for (const EndedAttempt& ended : ended_[id]) {
-      if (ended.number > acknowledged) {
-        answer.report.ended.push_back(ended);
-      }
-    }
-    return answer;
-  }
-
-  std::vector<WorkerDescription> listed_;
-  mutable absl::Mutex mutex_;
-  std::set<std::string> tasks_ ABSL_GUARDED_BY(mutex_);
-  int starts_ ABSL_GUARDED_BY(mutex_) = 0;
-  std::map<WorkerId, std::vector<EndedAttempt>> ended_ ABSL_GUARDED_BY(mutex_);
-  SystemClock clock_;
-  TimerQueue loop_{&clock_};
-};
-
 int ThreadsOfThisProcess() {
   std::ifstream status("/proc/self/status");
   std::string word;
@@ -122,65 +25,6 @@
   return threads;
 }
 
-// A pool owner with a fake store and simulated workers.
-class PoolFixture {
- public:
-  explicit PoolFixture(int workers)
-      : workers_(workers),
-        membership_({InstanceId("a"), "a:1"}, "1", &store_, &clock_, &events_,
-                    {[](const PartClaim&) {}, [](const PartName&) {}, [] { return false; }}),
-        advice_(InstanceId("a"), nullptr, nullptr, &events_) {
-    store_.Put(cell_keys::PartCount(PoolName("rendering")), "1");
-  }
-
-  FakeStore& store() { return store_; }
-  SimulatedWorkers& workers() { return workers_; }
-  PoolOwner& owner() { return *owner_; }
-
-  void Submit(const std::string& id, int tasks) {
-    store_.Put(cell_keys::Job(kPart, JobId(id)),
-               EncodeIntake(SchedulerFixture::Job(id, {SchedulerFixture::Step(tasks, 1000)})));
-  }
-  // Claims the pool and starts an owner for it, which replaces an earlier one.
-  void Start() {
-    membership_.SetPools({PoolName("rendering")});
-    membership_.Start();
-    BOOST_REQUIRE(Eventually([this] { return membership_.ClaimOf(kPart).has_value(); }));
-    PoolLimits limits;
-    limits.task_lease = kTaskLease;
-    owner_ = std::make_shared<PoolOwner>(*membership_.ClaimOf(kPart), limits, MakeContext());
-    owner_->Start();
-  }
-  bool Completes(const std::string& id) {
-    return Eventually([&] { return owner_->StateOf(JobId(id)) == CellJobState::kCompleted; });
-  }
-
- private:
-  PoolOwnerContext MakeContext() {
-    PoolOwnerContext context;
-    context.store = &store_;
-    context.directory = &workers_;
-    context.connector = &workers_;
-    context.advice = &advice_;
-    context.timers = &timers_;
-    context.membership = &membership_;
-    context.clock = &clock_;
-    context.events = &events_;
-    context.claim_lost = [](const PartName&) {};
-    return context;
-  }
-
-  SystemClock clock_;
-  HybridClock hybrid_clock_{&clock_};
-  EventLog events_{"test", &hybrid_clock_};
-  FakeStore store_{&clock_};
-  SimulatedWorkers workers_;
-  TimerQueue timers_{&clock_};
-  CellMembership membership_;
-  AdviceDispatcher advice_;
-  std::shared_ptr<PoolOwner> owner_;
-};
-
 BOOST_AUTO_TEST_SUITE(PoolOwnerTest)
 
 // Guards against a number of threads that grows with the number of workers: with thousands of
@@ -188,7 +32,7 @@
 BOOST_AUTO_TEST_CASE(ThreadsDoNotGrowWithTheWorkers) {
   constexpr int kWorkers = 3000;
   constexpr int kThreadLimit = 32;
-  PoolFixture pool(kWorkers);
+  PoolOwnerFixture pool(kWorkers);
   pool.Submit("wide", kWorkers);
   const int before = ThreadsOfThisProcess();
   pool.Start();
@@ -200,7 +44,7 @@
 
 // Guards against a single unreadable entry that prevents the scheduling of the whole pool.
 BOOST_AUTO_TEST_CASE(DamagedEntriesDoNotStopThePool) {
-  PoolFixture pool(2);
+  PoolOwnerFixture pool(2);
   for (const char* damaged : {"", "{}", "[[", "null"}) {
     pool.store().Put(cell_keys::Job(kPart, JobId(absl::StrCat("bad", damaged))), damaged);
   }
@@ -212,7 +56,7 @@
 // Guards against a second run of a finished job: the notification about the job is delayed by
 // seconds and reaches an owner that has just taken over.
 BOOST_AUTO_TEST_CASE(LateNoticeOfAFinishedJobStartsNothing) {
-  PoolFixture pool(2);
+  PoolOwnerFixture pool(2);
   const JobId job("done");
   pool.store().Put(cell_keys::Finished(kPart, job), R"({"state":"completed"})");
   pool.Start();
@@ -230,7 +74,7 @@
 // Guards against an unreadable roster that prevents the owner from starting, or that is treated as
 // if no task were running: inherited tasks must wait until all leases have expired.
 BOOST_AUTO_TEST_CASE(UnreadableRosterDelaysOnlyInheritedJobs) {
-  PoolFixture pool(2);
+  PoolOwnerFixture pool(2);
   pool.store().Put(cell_keys::Roster(kPart), "damaged");
   pool.Submit("inherited", 1);
   pool.Start();
