cell: Check the form of peers' answers and questions

IsStoreDownForAllMembers() read a peer's answer with json::value(), which throws if the answer is no object or the field has another type. It runs on the thread that renews the instance lease, outside of Capture(), so the process ended. Numbers of other answers and questions were converted without a check of their range: the number of waiting jobs, the validity of advice and the timeout of a question, which may also be negative or last for ever.

Only {"answers": false} now counts as a report that the store is down, and the numbers are read with the functions of base/json_number.h.

--- a/packages/cell/advice_dispatcher.cc
+++ b/packages/cell/advice_dispatcher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/json_number.h"
 #include "base/start_thread.h"
 
 namespace pomelotray {
@@ -42,7 +43,7 @@
     for (auto it = tickets.begin(); it != tickets.end(); ++it) {
       advice.tickets[WorkerId(it.key())] = it.value().get<std::string>();
     }
-    advice.validity = absl::Milliseconds(value.at("validity_ms").get<int64_t>());
+    advice.validity = MillisFromJson(value.at("validity_ms"));
     return advice;
   } catch (const json::exception& error) {
     return Fail(ErrorKind::kInternal,
@@ -210,7 +211,7 @@
     for (const json& id : body.at("workers")) {
       question.workers.push_back(WorkerId(id.get<std::string>()));
     }
-    timeout = absl::Milliseconds(body.at("timeout_ms").get<int64_t>());
+    timeout = MillisFromJson(body.at("timeout_ms"));
   } catch (const json::exception& error) {
     return Fail(ErrorKind::kInvalidArgument,
                 std::string("The body of an \"advise\" call cannot be decoded: ") + error.what() +
--- a/packages/cell/cell_node.cc
+++ b/packages/cell/cell_node.cc
@@ -257,7 +257,7 @@
       return peer_client_->Call(member.peer_address, "store_health", nlohmann::json::object(),
                                 kStoreHealthTimeout);
     });
-    if (!answer.ok() || answer.value().value("answers", true)) {
+    if (!answer.ok() || !ReportsStoreOutage(answer.value())) {
       return false;
     }
   }
--- a/packages/cell/cell_service.cc
+++ b/packages/cell/cell_service.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/json_number.h"
 #include "cell/cell_job.h"
 #include "cell/cell_keys.h"
 #include "cell/outage_wait.h"
@@ -34,8 +35,25 @@
   return std::nullopt;
 }
 
+// Returns the number of waiting jobs of the queue in an owner's answer to a "pending" call.
+Result<int64_t> DecodePending(const json& answer, const std::string& queue) {
+  try {
+    const json& queues = answer.at("queues");
+    return queues.contains(queue) ? IntegerFromJson(queues.at(queue), 0, kMaxJsonCount) : 0;
+  } catch (const json::exception& error) {
+    return Fail(ErrorKind::kInternal,
+                std::string("The answer of a peer to a \"pending\" call cannot be decoded: ") +
+                    error.what() + "; check that all instances run the same version.");
+  }
+}
+
 }  // namespace
 
+bool ReportsStoreOutage(const json& answer) {
+  const auto answers = answer.find("answers");
+  return answers != answer.end() && *answers == false;
+}
+
 CellService::CellService(InstanceId self, TransactionalStore* store, PeerPort* peers,
                          CellMembership* membership, const Clock* clock, EventLog* events,
                          FindOwner find_owner)
@@ -173,7 +191,8 @@
                                                                 const JobId& id,
                                                                 absl::Time deadline) {
   BOOST_LEAF_AUTO(answer, CallOwner(part, "state", {{"job", id.value()}}, deadline));
-  return ParseState(answer.value("state", json()));
+  const auto state = answer.find("state");
+  return state == answer.end() ? std::nullopt : ParseState(*state);
 }
 
 Result<CellJobState> CellService::StateFromStore(const PartName& part, const JobId& id) {
@@ -226,7 +245,8 @@
   int64_t pending = 0;
   for (const PoolPart& part : PoolPart::All(route.policy.pool, count)) {
     BOOST_LEAF_AUTO(answer, CallOwner(part.Name(), "pending", json::object(), deadline));
-    pending += answer.value("queues", json::object()).value(route.policy.name, int64_t{0});
+    BOOST_LEAF_AUTO(waiting, DecodePending(answer, route.policy.name));
+    pending += waiting;
   }
   return pending;
 }
--- a/packages/cell/cell_service.h
+++ b/packages/cell/cell_service.h
@@ -24,6 +24,10 @@
 
 namespace pomelotray {
 
+// Returns whether a peer's answer to a "store_health" call says that the store is not available to
+// it. False for an answer of another form.
+bool ReportsStoreOutage(const nlohmann::json& answer);
+
 // Handles the requests that callers may send to any instance. The instance that receives a job or a
 // cancellation writes it to the store. Job states are read from the owner of the job's part, or
 // from the store if the owner does not answer. Thread-safe.
