cell: Refuse task names with indices out of range

A task name in a stored roster or in a worker's report with a negative index, such as "job.-1.0.0", made the owner access memory before the start of an array, which ended the process. Large indices overflowed when the occurrence was multiplied by the number of steps.

ParseTaskName() now accepts indices between 0 and a million. Callers compare them with the sizes of the arrays as before.

--- a/packages/cell/cell_job.cc
+++ b/packages/cell/cell_job.cc
@@ -16,6 +16,13 @@
 // 50%, a few by up to 90%.
 constexpr double kMinRunTimeShare = 0.5;
 
+// Above the number of tasks of any job, and low enough for products with a number of steps.
+constexpr int kMaxNameIndex = 1'000'000;
+
+bool ParseIndex(const std::string& text, int* index) {
+  return absl::SimpleAtoi(text, index) && *index >= 0 && *index <= kMaxNameIndex;
+}
+
 }  // namespace
 
 absl::Duration LatencyObjective(const QueuePolicy& policy, const WorkflowSpec& spec) {
@@ -67,8 +74,8 @@
     return false;
   }
   parts->job = fields[0];
-  return absl::SimpleAtoi(fields[1], &parts->occurrence) &&
-         absl::SimpleAtoi(fields[2], &parts->step) && absl::SimpleAtoi(fields[3], &parts->index);
+  return ParseIndex(fields[1], &parts->occurrence) && ParseIndex(fields[2], &parts->step) &&
+         ParseIndex(fields[3], &parts->index);
 }
 
 }  // namespace pomelotray
--- a/packages/cell/cell_job.h
+++ b/packages/cell/cell_job.h
@@ -141,7 +141,8 @@
   int step = 0;
   int index = 0;
 };
-// Splits a task name into its parts. Returns false if `name` is not a valid task name.
+// Splits a task name into its parts. Returns false if `name` is not a valid task name. The indices
+// are between 0 and a million, but may be beyond the ends of the job's arrays.
 bool ParseTaskName(const std::string& name, TaskNameParts* parts);
 
 }  // namespace pomelotray
--- a/tests/cell/hostile_jobs_test.cc
+++ b/tests/cell/hostile_jobs_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "cell/cell_job.h"
 #include "cell/cell_keys.h"
 #include "tests/cell/hostile_text.h"
 #include "tests/cell/pool_owner_fixture.h"
@@ -206,6 +207,27 @@
   }
 }
 
+// Guards against task names in a roster whose indices lie outside of their job: they are indices of
+// arrays, and their product overflows.
+BOOST_AUTO_TEST_CASE(HostileTaskNamesInTheRosterNameNoTask) {
+  RosterEntry entry;
+  entry.worker = SchedulerFixture::Worker("w0", 1000);
+  entry.unreachable = true;
+  TaskNameParts parts;
+  for (const char* name : {"good.-1.0.0", "good.0.-1.0", "good.0.0.-1", "good.-2147483648.0.0",
+                           "good.2147483647.0.0", "good.0.2147483647.0", "good.0.0.2147483647",
+                           "good.9999999999.0.0", "good.0.0", "", "...", "good.0.0.0.0"}) {
+    BOOST_TEST(!ParseTaskName(name, &parts), name);
+    entry.attempts.push_back(AttemptKey{name, RunNumber(1)});
+  }
+  BOOST_TEST(ParseTaskName("good.4095.63.4095", &parts));
+  PoolOwnerFixture pool(2);
+  pool.store().Put(cell_keys::Roster(kPart), EncodeRoster({entry}));
+  pool.Submit("good", 2);
+  pool.Start();
+  BOOST_TEST(pool.Completes("good"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
