tests/platform: Move the scripted server into a header

Tests of the store's and the adviser's clients need it too. The checks of http_client_test stay as they are.

--- a/tests/platform/http_client_test.cc
+++ b/tests/platform/http_client_test.cc
@@ -1,81 +1,22 @@
 #include "platform/http_client.h"
 
-#include <poll.h>
-#include <sys/socket.h>
-
-#include <array>
 #include <boost/mpl/list.hpp>
 #include <boost/test/unit_test.hpp>
-#include <functional>
 #include <memory>
 #include <string>
-#include <thread>
 
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
-#include "peer/socket.h"
 #include "platform/http_loop.h"
+#include "tests/platform/scripted_server.h"
 
 namespace pomelotray::platform {
 namespace {
 
 constexpr absl::Duration kTimeout = absl::Milliseconds(400);
-constexpr int kPollMs = 2000;
 constexpr char kSmallResponse[] = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"a\": 1}";
 
-// The server's end of a connection, controlled by the test.
-class PeerSocket {
- public:
-  explicit PeerSocket(FileDescriptor socket) : socket_(std::move(socket)) {}
-
-  // Returns the bytes of one read. Empty if the client closed the connection or nothing arrived
-  // within kPollMs.
-  std::string Read() {
-    pollfd entry{socket_.get(), POLLIN, 0};
-    std::array<char, 4096> bytes;
-    const ssize_t count =
-        poll(&entry, 1, kPollMs) > 0 ? recv(socket_.get(), bytes.data(), bytes.size(), 0) : 0;
-    return std::string(bytes.data(), count > 0 ? static_cast<size_t>(count) : 0);
-  }
-  void Write(const std::string& text) {
-    BOOST_TEST(send(socket_.get(), text.data(), text.size(), MSG_NOSIGNAL) ==
-               static_cast<ssize_t>(text.size()));
-  }
-
- private:
-  FileDescriptor socket_;
-};
-
-// Accepts connections sequentially and runs one script on each.
-class ScriptedServer {
- public:
-  using Script = std::function<void(PeerSocket*)>;
-
-  explicit ScriptedServer(std::vector<Script> scripts) {
-    Outcome<FileDescriptor> listener = Capture([] { return ListenOn("127.0.0.1:0"); });
-    BOOST_REQUIRE(listener.ok());
-    listener_ = std::move(listener.value());
-    thread_ = std::thread([this, scripts = std::move(scripts)] {
-      for (const Script& script : scripts) {
-        pollfd entry{listener_.get(), POLLIN, 0};
-        std::string remote;
-        if (poll(&entry, 1, kPollMs) > 0) {
-          PeerSocket peer(AcceptFrom(listener_, &remote));
-          script(&peer);
-        }
-      }
-    });
-  }
-  ~ScriptedServer() { thread_.join(); }
-
-  std::string address() const { return absl::StrCat("127.0.0.1:", LocalPort(listener_)); }
-
- private:
-  FileDescriptor listener_;
-  std::thread thread_;
-};
-
 HttpRequest MakeOrderRequest(const std::string& text) {
   HttpRequest request;
   request.path = "/order";
