platform: Skip bad routes and services of the configuration

One bad route, service or limit discarded the operators' whole document, so that no later change came into force. Priorities, attempts and the version were converted without a check of their range, and a body limit of -1 or 0 was accepted. A route, a service or the limit that cannot be read is now skipped; the limit keeps its default.

--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -42,9 +42,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(LongestPrefixSelectsTheQueue) {
+  std::vector<std::string> skipped;
   const Outcome<CellConfiguration> configuration =
-      Capture([] { return DecodeConfiguration(kConfiguration); });
+      Capture([&] { return DecodeConfiguration(kConfiguration, &skipped); });
   BOOST_REQUIRE(configuration.ok());
+  BOOST_TEST(skipped.empty());
   const CellConfiguration& value = configuration.value();
   BOOST_TEST(value.FindRoute("A.example", "/p/x")->policy.name == "r1");
   BOOST_TEST(value.FindRoute("a.example", "/p/long/x")->policy.name == "r2");
