--- a/tests/platform/http_client_test.cc
+++ b/tests/platform/http_client_test.cc
@@ -193,6 +193,19 @@
   BOOST_TEST(absl::ToInt64Milliseconds(absl::Now() - start) >= absl::ToInt64Milliseconds(kTimeout));
 }
 
+// Guards against a timeout that exceeds the range of poll() and is taken for a short one.
+BOOST_AUTO_TEST_CASE(VeryLongTimeoutsAreNotCutToShortOnes) {
+  ScriptedServer server({[](PeerSocket* peer) {
+    peer->Read();
+    absl::SleepFor(absl::Milliseconds(50));
+    peer->Write(kSmallResponse);
+  }});
+  HttpConnection connection(server.address());
+  HttpRequest request = MakeOrderRequest("x");
+  request.timeout = absl::Milliseconds(int64_t{1} << 32);
+  BOOST_TEST(Capture([&] { return connection.Call(request); }).ok());
+}
+
 // Guards against a refused connection that is reported as a request that may have been carried out.
 BOOST_AUTO_TEST_CASE_TEMPLATE(RefusedConnectionIsReportedAsNotSent, Client, ClientTypes) {
   std::string address;
