--- a/tests/platform/scripted_server.h
+++ b/tests/platform/scripted_server.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "absl/time/time.h"
 #include "peer/socket.h"
 
 namespace pomelotray::platform {
@@ -20,6 +21,9 @@
 inline constexpr int kPollMs = 2000;
 // Clients may decode megabytes between two connections.
 inline constexpr int kAcceptPollMs = 20'000;
+// Timeout of clients in tests that are not about timeouts. On a busy machine a thread may stand
+// still for a second.
+inline constexpr absl::Duration kPatientTimeout = absl::Seconds(20);
 
 // The server's end of a connection, controlled by the test.
 class PeerSocket {
