shard: Count a long run as a success of its worker

A service placed there as the probe ran well, but no worker_restored followed; the worker got one repeatable placement per probe interval (30 s to 30 min) and no work that may not be repeated.

Cause: WorkerHealth forgets failures and ends a quarantine only on a success, and TaskLifecycle reported a success only when an attempt ended with one. Services are not meant to end, so only their failures counted, whatever their run time.

Fix: an attempt whose report shows a run time of at least WorkerHealth::kProvenRunTime (10 minutes) counts as a success, once for each attempt, when the first such report arrives. If it fails later, the failure does not count: a fault of the worker that affects starts shows in the failures of the restarted tasks, which still count. A long run counts once only, because otherwise one old service would release a faulty worker at every heartbeat. The rule does not depend on the job's kind, so a long batch attempt that serves as the probe also ends the quarantine after 10 minutes. A worker on which attempts fail only after 10 minutes is no longer quarantined.

The reporting moves out of TaskLifecycle into the new class HealthReporter.

--- a/packages/scheduler/shard_scheduler.h
+++ b/packages/scheduler/shard_scheduler.h
@@ -72,7 +72,8 @@
   // Removes the job's queued tasks; its reservations remain until they are released.
   void Remove(const JobId& job);
 
-  // Reports the outcome of a task start to the detection of faulty workers.
+  // Reports the outcome of a task start to the detection of faulty workers. An attempt that has run
+  // for WorkerHealth::kProvenRunTime counts as a success.
   void RecordStart(const WorkerId& worker, const JobId& job, bool ok);
   // Updates the run-time estimates with the measured run time and resource use of one task.
   void ObserveRun(const CustomerId& customer, const PoolName& pool, absl::Duration run_time,
--- a/packages/scheduler/worker_health.h
+++ b/packages/scheduler/worker_health.h
@@ -11,7 +11,8 @@
 
 // Quarantines a worker when its last kFailuresToQuarantine task starts all failed and belong to at
 // least two jobs. After an exponential backoff, a quarantined worker may be given one repeatable
-// task as a probe; a successful start ends the quarantine. Thread-compatible.
+// task as a probe; a successful start ends the quarantine. A start has succeeded when its attempt
+// has ended with success or has run for kProvenRunTime. Thread-compatible.
 class WorkerHealth {
  public:
   static constexpr size_t kFailuresToQuarantine = 3;
@@ -20,6 +21,12 @@
   // Another probe may be placed when the last one has had no outcome for this time.
   static constexpr absl::Duration kProbeTimeout = absl::Minutes(1);
 
+  // An attempt that has run for this time counts as a successful start, whether it keeps running or
+  // fails later: a service never ends, and its failure after days does not indicate a faulty
+  // worker. Declared run times are off by a factor of up to 10, so a batch attempt declared with
+  // RunTimeEstimator::kUnknownRunTime, one minute, still counts by its end.
+  static constexpr absl::Duration kProvenRunTime = absl::Minutes(10);
+
   // At most 1/kQuarantineDivisor of the workers of the shard, but at least one, can be quarantined
   // at the same time. When more workers appear faulty, the jobs are the likely cause; without this
   // limit, a few failing jobs could stop the whole shard.
--- a/packages/shard/job_table.h
+++ b/packages/shard/job_table.h
@@ -36,6 +36,9 @@
   bool gang_restarting = false;
   // Tasks for which a stop command has been sent.
   std::set<TaskId> stopping_tasks;
+  // For each task, the number of the last attempt that was counted as a success of its worker
+  // because of its run time.
+  std::map<TaskId, int64_t> proven_attempts;
 };
 
 // A task and the job it belongs to. Valid until the job is removed from its JobTable.
--- a/packages/shard/task_lifecycle.cc
+++ b/packages/shard/task_lifecycle.cc
@@ -34,7 +34,8 @@
 
 }  // namespace
 
-TaskLifecycle::TaskLifecycle(const Context& context) : context_(context) {}
+TaskLifecycle::TaskLifecycle(const Context& context)
+    : context_(context), health_(context.scheduler, context.events) {}
 
 void TaskLifecycle::Accept(TrackedJob* job) {
   job->accepted = true;
@@ -282,6 +283,7 @@
   if (ref->task->state == TaskState::kStarting) {
     MarkRunning(*ref);
   }
+  health_.HandleRunning(*ref, report);
   if (ref->job->stopping_tasks.count(report.task) > 0) {
     // The earlier stop command may have been lost.
     context_.commands->SendStop(worker, report.attempt, StopMode::kStop);
@@ -318,17 +320,6 @@
   JournalTask(ref);
 }
 
-void TaskLifecycle::RecordHealth(const WorkerId& worker, const JobId& job, bool ok) {
-  const bool was_quarantined = context_.scheduler->IsQuarantined(worker);
-  context_.scheduler->RecordStart(worker, job, ok);
-  if (context_.scheduler->IsQuarantined(worker) != was_quarantined) {
-    context_.events
-        ->Record(was_quarantined ? EventCode::kWorkerRestored : EventCode::kWorkerQuarantined)
-        .Worker(worker)
-        .Emit();
-  }
-}
-
 void TaskLifecycle::HandleAttemptEnd(const TaskRef& ref, const AttemptReport& report) {
   const WorkerId worker = ref.task->worker;
   const JobSpec& spec = ref.job->record.spec;
@@ -337,9 +328,7 @@
   if (!ref.job->record.started_at.has_value()) {
     ref.job->record.started_at = context_.clock->Now();
   }
-  if (report.state == AttemptState::kFailed || report.state == AttemptState::kSucceeded) {
-    RecordHealth(worker, ref.job->record.id, report.state == AttemptState::kSucceeded);
-  }
+  health_.HandleEnd(ref, report);
   if (report.state == AttemptState::kSucceeded) {
     context_.scheduler->ObserveRun(spec.customer, spec.pool, report.run_time, report.used);
   }
--- a/packages/shard/task_lifecycle.h
+++ b/packages/shard/task_lifecycle.h
@@ -10,6 +10,7 @@
 #include "scheduler/shard_scheduler.h"
 #include "shard/command_sink.h"
 #include "shard/ended_attempts.h"
+#include "shard/health_reporter.h"
 #include "shard/job_table.h"
 #include "shard/worker_link_listener.h"
 #include "state/journal.h"
@@ -97,9 +98,6 @@
   void Adopt(const TaskRef& ref, const WorkerId& worker, const WorkerInventory& inventory,
              const AttemptReport& report);
   void MarkRunning(const TaskRef& ref);
-  // Passes the result of an attempt to the scheduler and records an event if the worker's
-  // quarantine begins or ends.
-  void RecordHealth(const WorkerId& worker, const JobId& job, bool ok);
   void HandleAttemptEnd(const TaskRef& ref, const AttemptReport& report);
   void HandleMissingAttempt(const TaskRef& ref, const WorkerInventory& inventory, bool after_fence);
   // Called when an attempt has ended without a result that makes the task final.
@@ -124,6 +122,7 @@
   EventBuilder TaskEvent(EventCode code, const TaskRef& ref);
 
   const Context context_;
+  HealthReporter health_;
   bool takeover_complete_ = false;
   // Queued tasks of inherited jobs. Until the takeover is complete they may be running on a worker
   // that has not been fenced.
