--- a/packages/cell/cell_job.cc
+++ b/packages/cell/cell_job.cc
@@ -29,6 +29,12 @@
   return CriticalPath(spec) * policy.stretch + policy.target_latency;
 }
 
+bool StepRun::HasWaitingSuspects() const {
+  return std::any_of(tasks.begin(), tasks.end(), [](const CellTask& task) {
+    return task.phase == TaskPhase::kWaiting && task.losses.IsSuspected();
+  });
+}
+
 CellJob MakeCellJob(JobIntake intake) {
   CellJob job;
   const WorkflowSpec& spec = intake.spec;
--- a/packages/cell/cell_job.h
+++ b/packages/cell/cell_job.h
@@ -90,6 +90,8 @@
   StepAdvice advice;
 
   bool IsDone() const { return succeeded == static_cast<int>(tasks.size()); }
+  // Whether a waiting task is suspected of crashing its workers.
+  bool HasWaitingSuspects() const;
 };
 
 // A job with the scheduling state that the owner of its pool part keeps in memory.
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -11,20 +11,6 @@
 // Minimum remaining validity of a ticket. It must not expire while the start order is in transit,
 // which can take two inter-region round trips plus the time in the order queue.
 constexpr absl::Duration kTicketMargin = absl::Milliseconds(250);
-// Lower and upper bound of the number of workers that one question may name, if there are enough
-// workers to ask about. The upper bound is the limit of the adviser.
-constexpr size_t kMinQuestionWorkers = 8;
-constexpr size_t kMaxQuestionWorkers = 100;
-// Number of workers named in the first question about a step, unless a wide step needs more. The
-// latency objectives allow for one call about 30 workers.
-constexpr size_t kFirstQuestionWorkers = 30;
-// A first question names enough workers for this multiple of the step's tasks, since the share of
-// them that the adviser allows varies.
-constexpr double kWideQuestionMargin = 1.25;
-// Share of the base time of a question that may be spent on renewing tickets that are not needed
-// yet. Free capacity changes while the adviser answers, and a step that waits for capacity would
-// otherwise send one question for each worker.
-constexpr double kSpareRenewalShare = 0.25;
 // A task may backfill a reserved worker if this multiple of its estimate ends before the
 // reservation takes effect. The factor allows for estimates that are up to 90% off.
 constexpr double kBackfillFactor = 2;
@@ -59,22 +45,6 @@
          (demand.accelerators.value() == 0 || demand.accelerators <= available.accelerators);
 }
 
-// Number of workers that a question may name so that their cost is at most `share` of its base
-// time.
-size_t MaxWorkersWithinCost(const AdvicePolicy& policy, double share) {
-  if (policy.per_worker <= absl::ZeroDuration()) {
-    return kMaxQuestionWorkers;
-  }
-  const double workers = absl::FDivDuration(policy.base, policy.per_worker) * share;
-  return std::min(kMaxQuestionWorkers, static_cast<size_t>(workers));
-}
-
-bool HasSuspects(const StepRun& run) {
-  return std::any_of(run.tasks.begin(), run.tasks.end(), [](const CellTask& task) {
-    return task.phase == TaskPhase::kWaiting && task.losses.IsSuspected();
-  });
-}
-
 // True if all tasks of the steps that the run depends on have been started and should end while a
 // ticket requested now is still valid.
 bool WillStartSoon(const CellJob& job, const StepRun& run) {
@@ -392,12 +362,6 @@
                      });
 }
 
-void ScheduleRound::RequestAdviceAhead(const Candidate& candidate) {
-  if (candidate.job->runs[candidate.run].advice.asked.empty()) {
-    RequestAdviceAboutNewWorkers(candidate);
-  }
-}
-
 void ScheduleRound::Allocate(const Candidate& candidate, const CellTask& task,
                              AvailableWorker* available) {
   const StepSpec& step = candidate.job->Step(candidate.job->runs[candidate.run]);
@@ -462,113 +426,10 @@
     isolated_workers_ = isolated_before;
   }
   RequestAdviceAboutNewWorkers(candidate);
-  if (HasSuspects(run)) {
+  if (run.HasWaitingSuspects()) {
     ReserveWorkerForSuspect(candidate);
   }
   ReserveWorkers(candidate, waiting.size());
 }
 
-bool ScheduleRound::CanRequestAdvice(const Candidate& candidate) const {
-  const StepAdvice& advice = candidate.job->runs[candidate.run].advice;
-  return candidate.job->intake.policy.advice.has_value() && !advice.question_pending &&
-         advice.retry_at <= now_;
-}
-
-void ScheduleRound::RenewTickets(const Candidate& candidate, std::set<WorkerId> wanted,
-                                 const TaskCounts& per_worker) {
-  if (!CanRequestAdvice(candidate)) {
-    return;
-  }
-  const StepRun& run = candidate.job->runs[candidate.run];
-  const StepSpec& step = candidate.job->Step(run);
-  const Resources needed = ReservedFor(step);
-  size_t spare_renewals =
-      MaxWorkersWithinCost(*candidate.job->intake.policy.advice, kSpareRenewalShare);
-  for (const AvailableWorker& available : available_workers_) {
-    const WorkerId& id = available.worker->description.id;
-    if (spare_renewals > 0 && needed.FitsInto(available.worker->description.capacity) &&
-        HasTicket(run, id, false) && !HasTicket(run, id, true) &&
-        !HasReachedWorkerLimit(step, id, per_worker) && wanted.insert(id).second) {
-      --spare_renewals;
-    }
-  }
-  std::vector<WorkerId> workers(wanted.begin(), wanted.end());
-  workers.resize(std::min(workers.size(), kMaxQuestionWorkers));
-  RequestAdvice(candidate, std::move(workers));
-}
-
-void ScheduleRound::RequestAdviceAboutNewWorkers(const Candidate& candidate) {
-  if (!CanRequestAdvice(candidate)) {
-    return;
-  }
-  const AdvicePolicy& policy = *candidate.job->intake.policy.advice;
-  const StepRun& run = candidate.job->runs[candidate.run];
-  const StepSpec& step = candidate.job->Step(run);
-  const Resources needed = ReservedFor(step);
-  // The first question includes workers without free capacity, and so do all questions for gangs,
-  // large and suspected tasks, which need workers that can be reserved. Any other question is sent
-  // only for workers on which the step could start at once; otherwise, every waiting step would ask
-  // again while the pool is full.
-  const bool first = run.advice.asked.empty();
-  const bool include_full = first || step.gang || IsLarge(step) || HasSuspects(run);
-  std::vector<std::pair<double, WorkerId>> not_asked;
-  for (const AvailableWorker& available : available_workers_) {
-    const WorkerDescription& worker = available.worker->description;
-    if (needed.FitsInto(include_full ? worker.capacity : available.free) &&
-        available.worker->HasLabel(step.required_label) && run.advice.asked.count(worker.id) == 0) {
-      not_asked.emplace_back(-DominantShare(available.free, worker.capacity), worker.id);
-    }
-  }
-  if (not_asked.empty()) {
-    return;
-  }
-  // Names at most as many workers as double the cost of the call, since the base time is spent in
-  // any case.
-  size_t max_workers =
-      std::clamp(MaxWorkersWithinCost(policy, 1), kMinQuestionWorkers, kMaxQuestionWorkers);
-  std::sort(not_asked.begin(), not_asked.end());
-  if (first) {
-    max_workers =
-        std::min(max_workers, std::max(kFirstQuestionWorkers, WorkersToName(candidate, not_asked)));
-  }
-  not_asked.resize(std::min(not_asked.size(), max_workers));
-  std::vector<WorkerId> workers;
-  workers.reserve(not_asked.size());
-  for (const auto& [score, id] : not_asked) {
-    workers.push_back(id);
-  }
-  RequestAdvice(candidate, std::move(workers));
-}
-
-size_t ScheduleRound::WorkersToName(const Candidate& candidate,
-                                    const std::vector<std::pair<double, WorkerId>>& ranked) const {
-  const StepRun& run = candidate.job->runs[candidate.run];
-  const StepSpec& step = candidate.job->Step(run);
-  const Resources needed = ReservedFor(step);
-  const double share = advice_shares_.Share(candidate.job->intake.policy.name);
-  const double wanted = kWideQuestionMargin * run.waiting;
-  double expected = 0;
-  size_t count = 0;
-  for (; count < ranked.size() && expected < wanted; ++count) {
-    Resources free = available_workers_[available_index_.at(ranked[count].second.value())].free;
-    const int limit = step.max_per_worker > 0 ? step.max_per_worker : run.waiting;
-    for (int tasks = 0; tasks < limit && needed.FitsInto(free); ++tasks) {
-      free -= needed;
-      expected += share;
-    }
-  }
-  return count;
-}
-
-void ScheduleRound::RequestAdvice(const Candidate& candidate, std::vector<WorkerId> workers) {
-  const StepRun& run = candidate.job->runs[candidate.run];
-  const AdvicePolicy& policy = *candidate.job->intake.policy.advice;
-  AdviceRequest request;
-  request.step = TaskRef{candidate.job->intake.id, candidate.run, 0};
-  request.priority = candidate.job->intake.policy.priority;
-  request.cost = policy.base + policy.per_worker * static_cast<int64_t>(workers.size());
-  request.question = AdviceQuestion{StepName(*candidate.job, run), std::move(workers)};
-  result_.advice.push_back(std::move(request));
-}
-
 }  // namespace pomelotray
