cell: Let late long-running tasks use reserved workers for their first start, too

What callers would see: a long-running task waits for its first start for as long as large tasks keep the workers with free capacity reserved.

Cause: only restarts could use reserved workers.

Now a task may use a worker that is reserved for a large task once its step is past its latest start. Before that, new long-running jobs leave the capacity to large tasks.

--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -233,9 +233,10 @@
 }
 
 bool ScheduleRound::MayUseReservation(const Candidate& candidate, const CellTask& task,
-                                      const AvailableWorker& available) {
+                                      const AvailableWorker& available) const {
   const bool may_have_run = task.last_run > RunNumber(0) || candidate.job->inherited;
-  return available.reserved_for_large && may_have_run;
+  const bool late = candidate.job->runs[candidate.run].latest_start < now_;
+  return available.reserved_for_large && (may_have_run || late);
 }
 
 bool ScheduleRound::HasReachedWorkerLimit(const StepSpec& step, const WorkerId& worker,
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -174,10 +174,10 @@
   // takes effect.
   bool EndsBeforeReservation(const StepSpec& step, const AvailableWorker& available) const;
   // Whether the task may start on a worker that is reserved for a large task although it will not
-  // end before. A long-running task that has to be restarted is out of service while it waits, and
-  // it would wait for as long as large tasks keep arriving.
-  static bool MayUseReservation(const Candidate& candidate, const CellTask& task,
-                                const AvailableWorker& available);
+  // end before. A long-running task that has to be restarted or is late is out of service while it
+  // waits, and it would wait for as long as large tasks keep arriving.
+  bool MayUseReservation(const Candidate& candidate, const CellTask& task,
+                         const AvailableWorker& available) const;
   // Whether a task of the step needs a large share of at least one worker.
   bool IsLarge(const StepSpec& step) const;
   // Whether the step may run on the worker, apart from tickets and free capacity.
