cell: Isolate long-running tasks only after a loss at the start or three losses

What callers would see: a long-running task that lost two workers to ordinary crashes waits for a worker of its own, which nothing may bring about: all workers run other work, and reservations and isolated workers use up the third that may be kept.

Cause: a task is suspected after two losses at similar run times. For tasks that end, that costs little time. Long-running tasks that start together after one wave of crashes lose their workers after the same run time in the next wave, so many of them are suspected at once, and each is out of service while it waits.

Now a long-running task is suspected only after a loss within 100 ms of its start or after three losses. One that crashes its workers later in its run takes one more bystander along.

--- a/packages/cell/cell_job.cc
+++ b/packages/cell/cell_job.cc
@@ -29,9 +29,13 @@
   return CriticalPath(spec) * policy.stretch + policy.target_latency;
 }
 
-bool StepRun::HasWaitingSuspects() const {
-  return std::any_of(tasks.begin(), tasks.end(), [](const CellTask& task) {
-    return task.phase == TaskPhase::kWaiting && task.losses.IsSuspected();
+bool NeedsIsolation(const StepSpec& step, const CellTask& task) {
+  return step.long_running ? task.losses.IsLongRunningTaskSuspected() : task.losses.IsSuspected();
+}
+
+bool HasWaitingSuspects(const StepSpec& step, const StepRun& run) {
+  return std::any_of(run.tasks.begin(), run.tasks.end(), [&step](const CellTask& task) {
+    return task.phase == TaskPhase::kWaiting && NeedsIsolation(step, task);
   });
 }
 
--- a/packages/cell/cell_job.h
+++ b/packages/cell/cell_job.h
@@ -90,8 +90,6 @@
   StepAdvice advice;
 
   bool IsDone() const { return succeeded == static_cast<int>(tasks.size()); }
-  // Whether a waiting task is suspected of crashing its workers.
-  bool HasWaitingSuspects() const;
 };
 
 // A job with the scheduling state that the owner of its pool part keeps in memory.
@@ -120,6 +118,12 @@
   const StepSpec& Step(const StepRun& run) const { return intake.spec.steps[run.step]; }
 };
 
+// Whether the task is suspected of crashing its workers, so that it shares them with its own job
+// only.
+bool NeedsIsolation(const StepSpec& step, const CellTask& task);
+// Whether this holds for a waiting task of the run.
+bool HasWaitingSuspects(const StepSpec& step, const StepRun& run);
+
 // Identifies a task of a job by its indices in CellJob::runs and StepRun::tasks.
 struct TaskRef {
   JobId job;
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -381,7 +381,7 @@
   attempt.key = AttemptKey{TaskName(*job, *run, placed.task.task), task.last_run};
   attempt.task = placed.task;
   SetDemand(step, &attempt);
-  attempt.isolated = task.losses.IsSuspected();
+  attempt.isolated = NeedsIsolation(step, task);
   attempt.checkpoint = task.checkpoint;
   worker->used += attempt.reserved;
   if (job->state == CellJobState::kQueued) {
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -186,7 +186,7 @@
     CellJob* job = FindJob(attempt->task->job);
     CellTask& task = run->tasks[attempt->task->task];
     SetDemand(job->Step(*run), attempt);
-    attempt->isolated = task.losses.IsSuspected();
+    attempt->isolated = NeedsIsolation(job->Step(*run), task);
     // The roster may be older than the last starts of the earlier owner and list an attempt that
     // had already been replaced by a newer one.
     const bool replaces = task.phase == TaskPhase::kActive && attempt->key.run > task.last_run;
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -177,7 +177,7 @@
   }
   // Suspected tasks may wait longer for a worker than the others, which must not wait with them.
   std::stable_partition(waiting.begin(), waiting.end(),
-                        [&run](int index) { return !run.tasks[index].losses.IsSuspected(); });
+                        [&](int index) { return !NeedsIsolation(step, run.tasks[index]); });
   if (!step.gang) {
     PlaceTasks(candidate, waiting);
   } else if (waiting.size() == run.tasks.size()) {
@@ -253,7 +253,7 @@
   const Resources needed = ReservedFor(step);
   AvailableWorker* best = nullptr;
   std::tuple<bool, bool, bool, bool, double> best_score;
-  const bool suspected = task.losses.IsSuspected();
+  const bool suspected = NeedsIsolation(step, task);
   result_.workers_examined += static_cast<int64_t>(eligible_workers.size());
   for (const EligibleWorker& eligible : eligible_workers) {
     AvailableWorker* const available = eligible.available;
@@ -315,7 +315,7 @@
     RenewTickets(candidate, std::move(to_renew), per_worker);
   } else if (unplaced_task != nullptr) {
     RequestAdviceAboutNewWorkers(candidate);
-    if (unplaced_task->losses.IsSuspected()) {
+    if (NeedsIsolation(step, *unplaced_task)) {
       ReserveWorkerForSuspect(candidate);
     } else if (IsServing(step)) {
       ChooseWorkerToClear(candidate);
@@ -374,7 +374,7 @@
   }
   available->empty = false;
   available->open_to_suspects = false;
-  if (task.losses.IsSuspected() && !available->isolated) {
+  if (NeedsIsolation(step, task) && !available->isolated) {
     available->isolated = true;
     ++isolated_workers_;
   }
@@ -427,7 +427,7 @@
     isolated_workers_ = isolated_before;
   }
   RequestAdviceAboutNewWorkers(candidate);
-  if (run.HasWaitingSuspects()) {
+  if (HasWaitingSuspects(candidate.job->Step(run), run)) {
     ReserveWorkerForSuspect(candidate);
   }
   ReserveWorkers(candidate, waiting.size());
--- a/packages/cell/schedule_round_advice.cc
+++ b/packages/cell/schedule_round_advice.cc
@@ -82,7 +82,7 @@
   // only for workers on which the step could start at once; otherwise, every waiting step would ask
   // again while the pool is full.
   const bool first = run.advice.asked.empty();
-  const bool include_full = first || step.gang || IsLarge(step) || run.HasWaitingSuspects();
+  const bool include_full = first || step.gang || IsLarge(step) || HasWaitingSuspects(step, run);
   std::vector<std::pair<double, WorkerId>> not_asked;
   for (const AvailableWorker& available : available_workers_) {
     const WorkerDescription& worker = available.worker->description;
--- a/packages/cell/schedule_round_reservations.cc
+++ b/packages/cell/schedule_round_reservations.cc
@@ -20,7 +20,7 @@
                                    const AvailableWorker& available) const {
   const bool own_job =
       available.sole_job != nullptr && *available.sole_job == candidate.job->intake.id;
-  if (!task.losses.IsSuspected()) {
+  if (!NeedsIsolation(candidate.job->Step(candidate.job->runs[candidate.run]), task)) {
     return !available.isolated || own_job;
   }
   return own_job || (available.open_to_suspects && isolated_workers_ < MaxReservedWorkers());
--- a/packages/cell/worker_loss.cc
+++ b/packages/cell/worker_loss.cc
@@ -89,8 +89,12 @@
   return static_cast<int>(std::count_if(attempts_.begin(), attempts_.end(), IsAtStart));
 }
 
+bool WorkerLossHistory::IsLongRunningTaskSuspected() const {
+  return CountAtStart() > 0 || attempts_.size() >= kLossesToSuspect;
+}
+
 bool WorkerLossHistory::IsSuspected() const {
-  return CountAtStart() > 0 || attempts_.size() >= kLossesToSuspect ||
+  return IsLongRunningTaskSuspected() ||
          (attempts_.size() > 1 && MayBeSimilar(attempts_.front(), attempts_.back()));
 }
 
--- a/packages/cell/worker_loss.h
+++ b/packages/cell/worker_loss.h
@@ -57,6 +57,9 @@
 
   // Whether the task may start only on workers that run no attempts of other jobs.
   bool IsSuspected() const;
+  // The same for a long-running task, which is suspected later: it is out of service while it waits
+  // for a worker of its own, and there may be more suspected tasks than workers to isolate.
+  bool IsLongRunningTaskSuspected() const;
   // Whether the task crashes its workers.
   bool CrashesWorkers() const;
   // How long an attempt has to run without the loss of its worker to clear the task of suspicion.
