tests: Check that long-running tasks run at any time of a simulated run

PoolFaultRunTest checked long-running tasks at one moment, 20 s after the last injected fault. Two new cases check each of them at every step: a task of a job that is not cancelled must run if its last run ended (or, if there was none, its job was accepted) 6 s ago or longer and for 3 s on end at least two workers that may run it had capacity for it. No crash, cut-off, store outage, owner change or capacity change may have happened or lasted in these 3 s and the 4 s before them, and the leases of earlier owners must have been over. A worker may run a task if it is up, has fewer tasks of the step than max_per_worker, and is allowed by the adviser. What the scheduler isolates or reserves makes no difference.

The simulation gets, as options, workers of 4, 8 and 16 cores, waves that crash a third of the workers at once, a share of long-running jobs, up to 6 tasks wide and partly with one task per worker, that are cancelled at any time, and an adviser that allows each step on 30% to 50% of the workers by a hash of their names, with tickets of 2 s that the workers check. With an adviser, jobs for which it allows too few workers need not complete. In the new cases, tasks that crash workers do so until then, and a task may wait a little.

--- a/tests/cell/pool_simulation.cc
+++ b/tests/cell/pool_simulation.cc
@@ -1,6 +1,7 @@
 #include "tests/cell/pool_simulation.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -11,6 +12,7 @@
 const char kPool[] = "work";
 constexpr int kMachines = 12;
 constexpr int64_t kCpu = 8000;
+constexpr std::array<int64_t, 3> kMixedCpu = {4000, 8000, 16'000};
 constexpr absl::Duration kStep = absl::Milliseconds(5);
 constexpr absl::Duration kFaultTime = absl::Seconds(30);
 // Covers the end of all leases, a takeover and the work that is left.
@@ -18,29 +20,36 @@
 // Covers the longest cut-off and the end of the leases after it, so that each long-running task can
 // be at work.
 constexpr absl::Duration kRestartTime = absl::Seconds(20);
-// A long-running task whose worker is lost may wait for the end of the lease and 3 s more.
-constexpr absl::Duration kRestartLimit = absl::Seconds(9);
 constexpr absl::Duration kBeatInterval = absl::Milliseconds(1500);
-constexpr absl::Duration kHoldRetryInterval = absl::Milliseconds(250);
 constexpr absl::Duration kRoundInterval = absl::Milliseconds(20);
 constexpr absl::Duration kDirectoryInterval = absl::Milliseconds(500);
 // A smaller capacity counts this long after the worker has it: the time in which an owner must have
 // noticed a change, and one beat of the worker.
 constexpr absl::Duration kCapacityNotice = absl::Milliseconds(4500);
+// The longest time for which a lease of an earlier owner delays the next owner: a lease of 6 s, the
+// drift of clocks and a slack.
+constexpr absl::Duration kMaxLease = absl::Milliseconds(6540);
 constexpr double kJobsPerStep = 0.02;
 
 }  // namespace
 
-PoolSimulation::PoolSimulation(int seed, Faults faults)
+PoolSimulation::PoolSimulation(int seed, Faults faults, Load load, Trace trace)
     : faults_(faults),
+      load_(load),
       random_(static_cast<unsigned>(seed)),
       begin_(clock_.Now()),
+      trace_(std::move(trace)),
       scheduler_(std::make_unique<PoolScheduler>(PoolPart{PoolName(kPool), 0, 1}, term_,
                                                  PoolLimits(), &events_)),
       next_directory_(begin_),
       next_round_(begin_) {
+  if (faults_.crash_waves > 0) {
+    next_wave_ = begin_ + kFaultTime / faults_.crash_waves / 2 + Millis(-1000, 1000);
+  }
   for (int i = 0; i < kMachines; ++i) {
-    AddWorker(absl::StrCat("10.0.0.", i, ":80"));
+    const std::string machine = absl::StrCat("10.0.0.", i, ":80");
+    nominal_cpu_[machine] = load_.mixed_workers ? kMixedCpu.at(i % kMixedCpu.size()) : kCpu;
+    AddWorker(machine);
   }
 }
 
@@ -49,7 +58,7 @@
   worker.description.id = WorkerId(absl::StrCat("w", next_worker_++));
   worker.description.address = machine;
   worker.description.pool = PoolName(kPool);
-  worker.description.capacity.cpu = MilliCores(kCpu);
+  worker.description.capacity.cpu = MilliCores(nominal_cpu_.at(machine));
   worker.description.capacity.memory = MebiBytes(100'000);
   worker.description.started_at = Now();
   worker.published = worker.description;
@@ -64,6 +73,7 @@
 
 void PoolSimulation::Violation(const std::string& text) {
   violations_.push_back(absl::StrCat("at ", absl::ToDoubleSeconds(Now() - begin_), " s: ", text));
+  Note(absl::StrCat("VIOLATION ", text));
 }
 
 void PoolSimulation::After(absl::Duration delay, std::function<void()> action) {
@@ -83,12 +93,16 @@
     Step();
   }
   for (auto& [id, worker] : workers_) {
-    SetCapacity(&worker, kCpu);
+    SetCapacity(&worker, nominal_cpu_.at(worker.description.address));
   }
   while (Now() < begin_ + kFaultTime + kRestartTime) {
     Step();
   }
-  CheckLongRunningTasks();
+  // CheckWaits() replaces this check: crashing tasks crash workers until then, and a task may wait
+  // for a few seconds after that or after capacity has become free.
+  if (!load_.check_waits) {
+    CheckLongRunningTasks();
+  }
   // Long-running tasks may leave too little capacity for the other jobs.
   for (const auto& [id, job] : jobs_) {
     if (job.intake.spec.steps[0].long_running && !job.cancelled) {
@@ -114,6 +128,9 @@
     AdvanceRuns(&worker);
   }
   AdvanceGangs();
+  if (load_.check_waits) {
+    CheckWaits();
+  }
   Publish();
   if (Now() >= next_directory_) {
     next_directory_ = Now() + kDirectoryInterval;
@@ -136,6 +153,10 @@
   intake.policy.priority = Below(3);
   intake.policy.stretch = 2;
   intake.policy.target_latency = absl::Seconds(1);
+  if (load_.adviser) {
+    intake.policy.advice =
+        AdvicePolicy{absl::Milliseconds(60), absl::Milliseconds(3), kTicketValidity};
+  }
   intake.spec.payload = "payload";
   intake.accepted = Now();
   const int steps = 1 + Below(2);
@@ -145,8 +166,11 @@
     step.demand.cpu = MilliCores(500 + Below(3500));
     step.demand.memory = MebiBytes(100);
     step.estimate = Millis(200, 2500);
-    step.long_running = steps == 1 && Below(30) == 0;
+    step.long_running = steps == 1 && Below(Load::kJobsWithOneStep) < load_.long_running_jobs;
     step.gang = !step.long_running && Below(6) == 0;
+    if (step.long_running && load_.wide_long_running_jobs) {
+      MakeLongRunning(&step);
+    }
     if (i > 0) {
       step.after = {i - 1};
     }
@@ -160,6 +184,11 @@
   return intake;
 }
 
+void PoolSimulation::MakeLongRunning(StepSpec* step) {
+  step->task_count = 1 + Below(6);
+  step->max_per_worker = Below(3) == 0 ? 1 : 0;
+}
+
 void PoolSimulation::SubmitJobs() {
   if (Below(1000) >= kJobsPerStep * 1000) {
     return;
@@ -173,9 +202,18 @@
     job.crash_after = Below(5) == 0 ? Millis(100, 190) : Millis(5, 40);
   } else if (Below(1000) < faults_.cancelled_jobs * 1000) {
     After(Millis(50, 3000), [this, id] { Cancel(id); });
+  } else if (load_.wide_long_running_jobs && job.intake.spec.steps[0].long_running &&
+             Below(2) == 0) {
+    After(Millis(3000, 15'000), [this, id] { Cancel(id); });
   }
   scheduler_->AddJob(job.intake, Now());
-  jobs_.emplace(id.value(), std::move(job));
+  const JobTruth& added = jobs_.emplace(id.value(), std::move(job)).first->second;
+  const StepSpec& step = added.intake.spec.steps[0];
+  for (int i = 0; step.long_running && i < step.task_count; ++i) {
+    LongRunningTask& task = long_running_[absl::StrCat(id.value(), ".0.0.", i)];
+    task.job = &added;
+    task.waiting_since = Now();
+  }
 }
 
 void PoolSimulation::Cancel(const JobId& id) {
@@ -192,12 +230,19 @@
   if (happens(faults_.worker_crashes)) {
     CrashRandomWorker();
   }
+  if (Now() >= next_wave_) {
+    next_wave_ += kFaultTime / faults_.crash_waves;
+    CrashThirdOfWorkers();
+  }
   if (happens(faults_.cut_offs)) {
-    std::next(workers_.begin(), Below(static_cast<int>(workers_.size())))->second.cut_until =
-        Now() + Millis(500, 9000);
+    const absl::Time until = Now() + Millis(500, 9000);
+    const WorkerEntry it = std::next(workers_.begin(), Below(static_cast<int>(workers_.size())));
+    it->second.cut_until = until;
+    Note(absl::StrCat("cut off ", it->first));
   }
   if (happens(faults_.store_outages)) {
     store_down_until_ = Now() + Millis(300, 5000);
+    Note("the store is down");
   }
   if (happens(faults_.owner_changes)) {
     ChangeOwner();
@@ -214,14 +259,32 @@
   }
 }
 
+void PoolSimulation::CrashThirdOfWorkers() {
+  std::vector<Worker*> up;
+  for (auto& [id, worker] : workers_) {
+    if (worker.up) {
+      up.push_back(&worker);
+    }
+  }
+  std::shuffle(up.begin(), up.end(), random_);
+  up.resize(up.size() / 3);
+  for (Worker* worker : up) {
+    CrashWorker(worker, "");
+  }
+}
+
 void PoolSimulation::ChangeCapacityOfRandomWorker() {
   Worker& worker = std::next(workers_.begin(), Below(static_cast<int>(workers_.size())))->second;
   if (worker.up) {
-    SetCapacity(&worker, kCpu / 8 * (1 + Below(8)));
+    SetCapacity(&worker, nominal_cpu_.at(worker.description.address) / 8 * (1 + Below(8)));
   }
 }
 
 void PoolSimulation::SetCapacity(Worker* worker, int64_t cpu) {
+  if (worker->description.capacity.cpu != MilliCores(cpu)) {
+    last_fault_ = Now();
+    Note(absl::StrCat("capacity of ", worker->description.id.value(), " is ", cpu));
+  }
   worker->earlier_capacity = CapacityThatCounts(*worker);
   worker->description.capacity.cpu = MilliCores(cpu);
   worker->lower_counts_at = Now() + kCapacityNotice;
@@ -237,7 +300,10 @@
     const bool crashes_workers = run.crash_after < absl::InfiniteDuration();
     bystander_losses_ += crashes_workers ? 0 : 1;
     broken_gangs_.insert(run.gang);
+    NoteEnd(run);
   }
+  last_fault_ = Now();
+  Note(absl::StrCat(worker->description.id.value(), " crashes"));
   if (!cause.empty()) {
     ++crashes_[cause];
   }
@@ -340,6 +406,9 @@
   }
   ++owner_;
   ++term_;
+  last_fault_ = Now();
+  inherited_leases_end_ = Now() + kMaxLease;
+  Note("owner change");
   scheduler_ = std::make_unique<PoolScheduler>(PoolPart{PoolName(kPool), 0, 1}, term_, PoolLimits(),
                                                &events_);
   std::vector<JobIntake> jobs;
@@ -367,7 +436,11 @@
 }
 
 void PoolSimulation::SendOrders() {
-  for (auto& [id, order] : scheduler_->Schedule(Now()).orders) {
+  ScheduledOrders scheduled = scheduler_->Schedule(Now());
+  for (const AdviceRequest& request : scheduled.advice) {
+    SendQuestion(request);
+  }
+  for (auto& [id, order] : scheduled.orders) {
     std::optional<WorkerTime> lease_end = WorkerTime(0);
     if (order.kind == WorkerOrder::Kind::kStart) {
       lease_end = scheduler_->PrepareStart(id, order.key, Now());
@@ -404,123 +477,4 @@
   });
 }
 
-void PoolSimulation::HoldWorkers() {
-  std::vector<WorkerDescription> known;
-  for (const auto& [id, worker] : scheduler_->workers()) {
-    known.push_back(worker.description);
-  }
-  for (const WorkerDescription& description : known) {
-    const WorkerEntry it = workers_.find(description.id.value());
-    if (it == workers_.end()) {
-      FailHold(description);
-    } else if (it->second.next_hold <= Now()) {
-      Hold(description, &it->second);
-    }
-  }
-}
-
-void PoolSimulation::FailHold(const WorkerDescription& description) {
-  const bool replaced =
-      std::any_of(workers_.begin(), workers_.end(), [&description](const auto& entry) {
-        return entry.second.up && entry.second.description.address == description.address &&
-               entry.second.description.id != description.id;
-      });
-  if (replaced) {
-    scheduler_->WorkerReplaced(description.id, Now());
-  } else {
-    scheduler_->HoldFailed(description.id, Now());
-  }
-}
-
-void PoolSimulation::Hold(const WorkerDescription& description, Worker* worker) {
-  if (!worker->up || Now() < worker->cut_until) {
-    worker->next_hold = Now() + kHoldRetryInterval;
-    FailHold(description);
-    return;
-  }
-  const WorkerId& worker_id = description.id;
-  worker->next_hold = Now() + Millis(20, 200);
-  worker->token = FencingToken(term_);
-  const EndNumber acknowledged = scheduler_->AcknowledgedEnd(worker_id);
-  const std::optional<WorkerTime> lease_end = scheduler_->ExtendLease(worker_id, Now());
-  if (lease_end.has_value()) {
-    worker->lease_end =
-        std::max(worker->lease_end, worker->started_at + absl::Milliseconds(lease_end->value()));
-  }
-  WorkerReport report;
-  report.clock = ClockOf(*worker);
-  report.started_at = worker->started_at;
-  for (const TaskRun& run : worker->runs) {
-    const double share = absl::FDivDuration(Now() - run.started, run.duration);
-    report.running.push_back(
-        RunningAttempt{run.key, "", run.long_running ? 100 : static_cast<int>(share * 100), 0});
-  }
-  for (size_t i = 0; i < worker->ends.size();) {
-    const EndedAttempt& end = worker->ends[i];
-    if (end.number <= acknowledged) {
-      if (end.end == AttemptEnd::kSucceeded) {
-        acknowledged_successes_.insert(end.key.task);
-      }
-      worker->ends.erase(worker->ends.begin() + static_cast<int64_t>(i));
-    } else {
-      report.ended.push_back(end);
-      ++i;
-    }
-  }
-  scheduler_->ApplyReport(worker_id, report, Now(), Now());
-}
-
-bool PoolSimulation::IsRunning(const std::string& task) const {
-  return std::any_of(workers_.begin(), workers_.end(), [&task](const auto& entry) {
-    return std::any_of(entry.second.runs.begin(), entry.second.runs.end(),
-                       [&task](const TaskRun& run) { return run.key.task == task; });
-  });
-}
-
-void PoolSimulation::CheckLongRunningTasks() {
-  for (const auto& [id, job] : jobs_) {
-    const StepSpec& step = job.intake.spec.steps[0];
-    if (!step.long_running || job.cancelled || !job.crashing_task.empty()) {
-      continue;
-    }
-    for (int i = 0; i < step.task_count; ++i) {
-      const std::string task = absl::StrCat(id, ".0.0.", i);
-      const auto last_ran = last_ran_.find(task);
-      const bool lost_lately =
-          last_ran != last_ran_.end() && Now() - last_ran->second < kRestartLimit;
-      if (!IsRunning(task) && !lost_lately && CountWorkersWithCapacity(step.demand) >= 2) {
-        Violation(absl::StrCat(task, " does not run although workers have capacity for it"));
-      }
-    }
-  }
-}
-
-int PoolSimulation::CountWorkersWithCapacity(const Resources& demand) const {
-  return static_cast<int>(
-      std::count_if(workers_.begin(), workers_.end(), [&demand](const auto& entry) {
-        const Worker& worker = entry.second;
-        Resources used = demand;
-        for (const TaskRun& run : worker.runs) {
-          used += run.demand;
-        }
-        return worker.up && used.FitsInto(worker.description.capacity);
-      }));
-}
-
-void PoolSimulation::CheckFinalStates() {
-  for (const auto& [id, job] : jobs_) {
-    const std::optional<CellJobState> state = scheduler_->VisibleState(JobId(id));
-    if (job.cancelled && state.has_value() && IsFinal(*state)) {
-      continue;
-    }
-    const CellJobState expected =
-        job.crashing_task.empty() ? CellJobState::kCompleted : CellJobState::kFailed;
-    if (state != expected) {
-      const std::string shown(state.has_value() ? CellJobStateName(*state) : "unknown");
-      const std::string wanted(CellJobStateName(expected));
-      Violation(absl::StrCat(id, " is ", shown, ", not ", wanted));
-    }
-  }
-}
-
 }  // namespace pomelotray
--- a/tests/cell/pool_simulation.h
+++ b/tests/cell/pool_simulation.h
@@ -27,19 +27,47 @@
     // Share of the other jobs that are cancelled.
     double cancelled_jobs = 0.1;
     double worker_crashes = 6;
+    // Number of waves, each of which crashes a third of the workers at once. They are spread evenly
+    // over the first part of the run, so that tasks have to start again between them.
+    int crash_waves = 0;
     double cut_offs = 3;
     double owner_changes = 3;
     double store_outages = 2;
     double capacity_changes = 10;
   };
 
-  PoolSimulation(int seed, Faults faults);
+  // The workers and jobs of the run, apart from faults.
+  struct Load {
+    // Of this many jobs with one step, the given number is long-running.
+    static constexpr int kJobsWithOneStep = 30;
+    int long_running_jobs = 1;
+    // Makes a third of the long-running steps run at most one task per worker, gives them up to 6
+    // tasks, and cancels more of their jobs, up to 15 s after they are accepted. Capacity then
+    // becomes free at any time of the run.
+    bool wide_long_running_jobs = false;
+    // The workers have 4, 8 and 16 cores instead of 8.
+    bool mixed_workers = false;
+    // All queues use an adviser, which allows each step on 30% to 50% of the workers.
+    bool adviser = false;
+    // Checks at any time of the run that long-running tasks run if workers have capacity for them.
+    bool check_waits = false;
+  };
+
+  using Trace = std::function<void(const std::string&)>;
+  // `trace` gets a line for each event of the scheduler and each fault, if it is not null.
+  PoolSimulation(int seed, Faults faults, Load load, Trace trace = nullptr);
 
   // Returns the violated guarantees; empty if there were none.
   std::vector<std::string> Run();
   int crashing_jobs() const;
   // Losses of workers that a task other than the crashing ones suffered.
   int bystander_losses() const { return bystander_losses_; }
+  // Number of starts of long-running tasks that had run before.
+  int long_running_restarts() const { return long_running_restarts_; }
+  // Number of waits of long-running tasks that the check of waits applied to for some time, and the
+  // longest such time.
+  int checked_waits() const { return checked_waits_; }
+  absl::Duration longest_checked_wait() const { return longest_checked_wait_; }
 
  private:
   struct TaskRun {
@@ -83,6 +111,22 @@
     absl::Duration crash_after;
     bool cancelled = false;
   };
+  // A task of a long-running job.
+  struct LongRunningTask {
+    const JobTruth* job = nullptr;
+    // Number of workers that run the task.
+    int runs = 0;
+    bool has_run = false;
+    // When the job was accepted or the last run ended.
+    absl::Time waiting_since;
+    // Since when workers have had capacity for the waiting task without faults.
+    absl::Time could_run_since = absl::InfiniteFuture();
+    // The wait is counted as checked, or reported as a violation.
+    bool checked = false;
+    bool reported = false;
+  };
+  // How long the tickets of the adviser are valid.
+  static constexpr absl::Duration kTicketValidity = absl::Seconds(2);
   using WorkerEntry = std::map<std::string, Worker>::iterator;
 
   int Below(int limit) { return static_cast<int>(random_() % static_cast<unsigned>(limit)); }
@@ -95,6 +139,7 @@
   void SubmitJobs();
   void InjectFaults();
   void CrashRandomWorker();
+  void CrashThirdOfWorkers();
   void ChangeCapacityOfRandomWorker();
   void SetCapacity(Worker* worker, int64_t cpu);
   void CrashWorker(Worker* worker, const std::string& cause);
@@ -104,12 +149,18 @@
   // Ends the members of gangs that are complete for long enough, were broken or wait too long.
   void AdvanceGangs();
   JobIntake MakeJob();
+  void MakeLongRunning(StepSpec* step);
   void Cancel(const JobId& id);
   void Publish();
   void UpdateDirectory();
   void CommitProgress();
   void ChangeOwner();
   void SendOrders();
+  void SendQuestion(const AdviceRequest& request);
+  Advice Answer(const AdviceQuestion& question) const;
+  bool Allows(const std::string& step, const std::string& worker) const;
+  // Whether the ticket permits the task to start on the worker now.
+  bool AcceptsTicket(const Worker& worker, const WorkerOrder& order) const;
   void Deliver(const std::string& id, const WorkerOrder& order, FencingToken token,
                WorkerTime lease_end, int owner);
   OrderAnswer Execute(Worker* worker, const WorkerOrder& order, FencingToken token,
@@ -122,29 +173,52 @@
   bool IsRunning(const std::string& task) const;
   // Checks that each long-running task runs unless the workers have too little capacity.
   void CheckLongRunningTasks();
-  // Returns the number of workers on which a task could start now.
-  int CountWorkersWithCapacity(const Resources& demand) const;
+  // Returns the number of workers on which a task of the step could start now.
+  int CountWorkersWithCapacity(const std::string& job, const StepSpec& step) const;
+  bool HasCapacity(const Worker& worker, const std::string& job, const StepSpec& step) const;
+  // Checks that no long-running task waits for long while workers have capacity for it.
+  void CheckWaits();
+  void CheckWait(const std::string& name, LongRunningTask* task);
+  // Describes what the scheduler holds against starting the task on the workers with capacity.
+  std::string DescribeWait(const std::string& name, const LongRunningTask& task) const;
+  std::string DescribeWorker(const CellWorker& worker, const std::string& job) const;
+  // Updates the time since which no fault has happened.
+  void NoteFaults();
+  void NoteStart(const TaskRun& run);
+  void NoteEnd(const TaskRun& run);
+  // Whether the workers that may run the job's steps have capacity for each of them.
+  bool CanComplete(const std::string& id, const JobTruth& job) const;
   void CheckFinalStates();
+  // Writes a line with the time to the trace, if there is one.
+  void Note(const std::string& text) const;
+  // Writes the events of the scheduler to the trace and keeps what it says about waiting steps.
+  void TakeEvent(const Event& event);
   void Violation(const std::string& text);
 
   WorkerTime ClockOf(const Worker& worker) const;
   Resources CapacityThatCounts(const Worker& worker) const;
 
   const Faults faults_;
+  const Load load_;
   std::mt19937 random_;
   ManualClock clock_;
   HybridClock hybrid_clock_{&clock_};
-  EventLog events_{"simulation", &hybrid_clock_, nullptr, /*capacity=*/0};
   const absl::Time begin_;
+  const Trace trace_;
+  EventLog events_{"simulation", &hybrid_clock_, [this](const Event& event) { TakeEvent(event); },
+                   /*capacity=*/0};
   int64_t term_ = 1;
   std::unique_ptr<PoolScheduler> scheduler_;
   // Number of owner changes; answers to earlier owners are dropped.
   int owner_ = 0;
   std::map<std::string, Worker> workers_;
   int next_worker_ = 0;
+  // CPU capacity of each machine, by address, while no fault has changed it.
+  std::map<std::string, int64_t> nominal_cpu_;
   std::map<std::string, JobTruth> jobs_;
   int next_job_ = 0;
   std::multimap<absl::Time, std::function<void()>> actions_;
+  absl::Time next_wave_ = absl::InfiniteFuture();
   absl::Time store_down_until_ = absl::InfinitePast();
   absl::Time next_directory_;
   absl::Time next_round_;
@@ -158,8 +232,16 @@
   std::map<std::string, absl::Time> complete_gangs_;
   std::set<std::string> broken_gangs_;
   int bystander_losses_ = 0;
-  // When each long-running task was last at work.
-  std::map<std::string, absl::Time> last_ran_;
+  // By task name.
+  std::map<std::string, LongRunningTask> long_running_;
+  absl::Time last_fault_ = absl::InfinitePast();
+  // When all leases that earlier owners granted are over.
+  absl::Time inherited_leases_end_ = absl::InfinitePast();
+  // By job: what the scheduler logged last about its waiting step.
+  std::map<std::string, std::string> wait_reasons_;
+  int long_running_restarts_ = 0;
+  int checked_waits_ = 0;
+  absl::Duration longest_checked_wait_;
   std::vector<std::string> violations_;
 };
 
--- a/tests/cell/pool_simulation_workers.cc
+++ b/tests/cell/pool_simulation_workers.cc
@@ -1,4 +1,5 @@
-// The part of PoolSimulation that runs tasks on the simulated workers and checks each start.
+// The part of PoolSimulation that holds the simulated workers, runs tasks on them and checks each
+// start.
 
 #include <algorithm>
 
@@ -8,11 +9,78 @@
 namespace pomelotray {
 namespace {
 
+constexpr absl::Duration kHoldRetryInterval = absl::Milliseconds(250);
 constexpr absl::Duration kGangTimeout = absl::Seconds(3);
 constexpr int kMaxStartsAfterThirdCrash = 2;
 
 }  // namespace
 
+void PoolSimulation::HoldWorkers() {
+  std::vector<WorkerDescription> known;
+  for (const auto& [id, worker] : scheduler_->workers()) {
+    known.push_back(worker.description);
+  }
+  for (const WorkerDescription& description : known) {
+    const WorkerEntry it = workers_.find(description.id.value());
+    if (it == workers_.end()) {
+      FailHold(description);
+    } else if (it->second.next_hold <= Now()) {
+      Hold(description, &it->second);
+    }
+  }
+}
+
+void PoolSimulation::FailHold(const WorkerDescription& description) {
+  const bool replaced =
+      std::any_of(workers_.begin(), workers_.end(), [&description](const auto& entry) {
+        return entry.second.up && entry.second.description.address == description.address &&
+               entry.second.description.id != description.id;
+      });
+  if (replaced) {
+    scheduler_->WorkerReplaced(description.id, Now());
+  } else {
+    scheduler_->HoldFailed(description.id, Now());
+  }
+}
+
+void PoolSimulation::Hold(const WorkerDescription& description, Worker* worker) {
+  if (!worker->up || Now() < worker->cut_until) {
+    worker->next_hold = Now() + kHoldRetryInterval;
+    FailHold(description);
+    return;
+  }
+  const WorkerId& worker_id = description.id;
+  worker->next_hold = Now() + Millis(20, 200);
+  worker->token = FencingToken(term_);
+  const EndNumber acknowledged = scheduler_->AcknowledgedEnd(worker_id);
+  const std::optional<WorkerTime> lease_end = scheduler_->ExtendLease(worker_id, Now());
+  if (lease_end.has_value()) {
+    worker->lease_end =
+        std::max(worker->lease_end, worker->started_at + absl::Milliseconds(lease_end->value()));
+  }
+  WorkerReport report;
+  report.clock = ClockOf(*worker);
+  report.started_at = worker->started_at;
+  for (const TaskRun& run : worker->runs) {
+    const double share = absl::FDivDuration(Now() - run.started, run.duration);
+    report.running.push_back(
+        RunningAttempt{run.key, "", run.long_running ? 100 : static_cast<int>(share * 100), 0});
+  }
+  for (size_t i = 0; i < worker->ends.size();) {
+    const EndedAttempt& end = worker->ends[i];
+    if (end.number <= acknowledged) {
+      if (end.end == AttemptEnd::kSucceeded) {
+        acknowledged_successes_.insert(end.key.task);
+      }
+      worker->ends.erase(worker->ends.begin() + static_cast<int64_t>(i));
+    } else {
+      report.ended.push_back(end);
+      ++i;
+    }
+  }
+  scheduler_->ApplyReport(worker_id, report, Now(), Now());
+}
+
 OrderAnswer PoolSimulation::Execute(Worker* worker, const WorkerOrder& order, FencingToken token,
                                     WorkerTime lease_end) {
   if (token < worker->token) {
@@ -40,6 +108,9 @@
   if (lease_end <= ClockOf(*worker)) {
     return OrderAnswer::kLeaseOver;
   }
+  if (load_.adviser && !AcceptsTicket(*worker, order)) {
+    return OrderAnswer::kTicketRefused;
+  }
   worker->lease_end =
       std::max(worker->lease_end, worker->started_at + absl::Milliseconds(lease_end.value()));
   TaskNameParts parts;
@@ -60,6 +131,7 @@
     run.crash_after = job.crash_after;
   }
   worker->runs.push_back(run);
+  NoteStart(run);
   CheckStart(*worker, run);
   return OrderAnswer::kAccepted;
 }
@@ -97,9 +169,6 @@
   }
   for (size_t i = 0; i < worker->runs.size();) {
     const TaskRun run = worker->runs[i];
-    if (run.long_running) {
-      last_ran_[run.key.task] = Now();
-    }
     if (run.started + run.crash_after <= Now()) {
       CrashWorker(worker, run.key.task);
       return;
@@ -119,6 +188,7 @@
 
 void PoolSimulation::EndRun(Worker* worker, size_t index, AttemptEnd end) {
   const AttemptKey key = worker->runs[index].key;
+  NoteEnd(worker->runs[index]);
   if (end != AttemptEnd::kSucceeded) {
     broken_gangs_.insert(worker->runs[index].gang);
   }
