--- a/tests/cell/long_running_tasks_test.cc
+++ b/tests/cell/long_running_tasks_test.cc
@@ -255,6 +255,7 @@
   BOOST_REQUIRE_EQUAL(running.size(), jobs.size());
   const auto report = [&](const std::vector<std::pair<AttemptKey, AttemptEnd>>& ended) {
     std::vector<RunningAttempt> attempts;
+    attempts.reserve(running.size());
     for (const AttemptKey& key : running) {
       attempts.push_back(Fixture::Running(key, 100));
     }
