--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -139,7 +139,7 @@
 pomelotray_tests(scheduler DEPENDS pomelotray_scheduler)
 pomelotray_tests(shard DEPENDS pomelotray_shard pomelotray_fakes pomelotray_standins pomelotray_history
   TIMEOUT 300)
-pomelotray_tests(cell DEPENDS pomelotray_cell pomelotray_fakes TIMEOUT 300)
+pomelotray_tests(cell DEPENDS pomelotray_cell pomelotray_fakes TIMEOUT 600)
 pomelotray_tests(platform DEPENDS pomelotray_platform)
 pomelotray_tests(soak DEPENDS pomelotray_cell PkgConfig::HTTPLIB TIMEOUT 300)
 target_sources(test_soak PRIVATE ${CMAKE_SOURCE_DIR}/tests/processes/child_process.cc)
