--- /dev/null
+++ b/review/world/cases.cc
@@ -0,0 +1,299 @@
+#include "review/world/cases.h"
+
+#include <algorithm>
+#include <atomic>
+#include <iostream>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace review {
+namespace {
+
+constexpr int64_t kReadyMs = 15'000;
+constexpr int64_t kSubmitMs = 6000;
+constexpr size_t kMaxShownBreaks = 10;
+
+// Writes the breaks of rule TWICE to the record. Returns the result of the case.
+int JudgeRunsTwice(Cluster* cluster) {
+  const std::vector<std::string> breaks = FindRunsTwice(cluster->record().events());
+  cluster->record().Line(std::to_string(breaks.size()) + " breaks of rule TWICE");
+  for (const std::string& line : breaks) {
+    cluster->record().Line("TWICE: " + line);
+  }
+  for (size_t i = 0; i < breaks.size() && i < kMaxShownBreaks; ++i) {
+    std::cout << "TWICE: " << breaks[i] << "\n";
+  }
+  return breaks.empty() ? kHeld : kBroken;
+}
+
+// Sends a small job every 100 ms.
+class Traffic {
+ public:
+  explicit Traffic(Cluster* cluster)
+      : thread_([this, cluster] {
+          for (int number = 1000; !stopping_; ++number) {
+            cluster->Submit(JobId(number), OneStepJob(1, 500, 256, 300), kSubmitMs);
+            SleepMs(100);
+          }
+        }) {}
+  ~Traffic() {
+    stopping_ = true;
+    thread_.join();
+  }
+
+ private:
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+bool WritesTo(const HttpRequest& request, const std::string& prefix) {
+  if (request.path != "/pomelotray/kv-txn") {
+    return false;
+  }
+  const nlohmann::json& writes = request.body.at("writes");
+  return std::any_of(writes.begin(), writes.end(), [&prefix](const nlohmann::json& write) {
+    return write.at("key").get<std::string>().rfind(prefix, 0) == 0;
+  });
+}
+
+}  // namespace
+
+int PlayManyEnds(Cluster* cluster, bool trouble) {
+  constexpr int kJobs = 60;
+  constexpr int kTasks = 12;
+  constexpr int64_t kTaskMs = 1500;
+  WorkerSettings settings;
+  settings.id = "executor-1";
+  Worker* const first = cluster->AddWorker(settings);
+  settings.id = "executor-2";
+  Worker* const second = cluster->AddWorker(settings);
+  cluster->Configure(/*max_attempts=*/3);
+  cluster->StartInstances(3);
+  if (!cluster->WaitUntilReady(kReadyMs)) {
+    return kNotRun;
+  }
+  SleepMs(2000);
+  for (int i = 0; i < kJobs; ++i) {
+    if (cluster->Submit(JobId(i), OneStepJob(kTasks, 50, 64, kTaskMs), kSubmitMs) != 200) {
+      return kNotRun;
+    }
+  }
+  const auto started = [&] { return first->StartCount() + second->StartCount(); };
+  WaitFor(kTaskMs - 300, [&] { return started() >= kJobs * kTasks; });
+  cluster->record().Line(std::to_string(started()) + " tasks were started");
+  if (trouble) {
+    cluster->KillInstance(cluster->Owner());
+  }
+  for (int i = 0; i < kJobs; ++i) {
+    cluster->WaitForEnd(JobId(i), 30'000);
+  }
+  SleepMs(1000);
+  return JudgeRunsTwice(cluster);
+}
+
+int PlayLastingDone(Cluster* cluster, bool trouble) {
+  // RULES.md, LOST: from 6 s after the last run of a task that lasts, for 3 s.
+  constexpr int64_t kLostAfterMs = 6000 + 3000;
+  constexpr int64_t kTaskMs = 3000;
+  constexpr int kTasks = 3;
+  WorkerSettings settings;
+  std::vector<Worker*> workers;
+  for (int i = 1; i <= 3; ++i) {
+    settings.id = "executor-" + std::to_string(i);
+    workers.push_back(cluster->AddWorker(settings));
+  }
+  cluster->Configure(/*max_attempts=*/3);
+  cluster->StartInstances(3);
+  if (!cluster->WaitUntilReady(kReadyMs)) {
+    return kNotRun;
+  }
+  SleepMs(2000);
+  nlohmann::json job = OneStepJob(kTasks, 4000, 4096, kTaskMs);
+  job["steps"][0]["long-running"] = true;
+  // Without the disruption the tasks end as well, but as failed.
+  job["spec"] = std::to_string(kTaskMs) + (trouble ? " done" : " failed") + " lasting";
+  const std::string id = JobId(1);
+  if (cluster->Submit(id, job, kSubmitMs) != 200) {
+    return kNotRun;
+  }
+  const auto count = [&](RunEvent::Kind kind) {
+    const std::vector<RunEvent> events = cluster->record().events();
+    return std::count_if(events.begin(), events.end(),
+                         [kind](const RunEvent& event) { return event.kind == kind; });
+  };
+  if (!WaitFor(10'000, [&] { return count(RunEvent::Kind::kEnd) >= kTasks; })) {
+    cluster->record().Line("the job's tasks did not start or did not end");
+    return kNotRun;
+  }
+  // The job was not cancelled, the workers are empty, and nothing is disturbed.
+  const int64_t ended = NowMs();
+  const bool again =
+      WaitFor(kLostAfterMs, [&] { return count(RunEvent::Kind::kStart) >= 2 * kTasks; });
+  cluster->record().Line(again ? "the job's tasks run again" : "nothing of the job runs for 9 s");
+  const std::string state = cluster->State(id);
+  cluster->record().Line("client: GET " + id + " shows " + state);
+  std::cout << (again ? "The tasks ran again after " : "LOST: nothing of the job ran for ")
+            << NowMs() - ended << " ms; it is shown as " << state << "\n";
+  return again && state == "running" ? kHeld : kBroken;
+}
+
+int PlayRepeatedCrashes(Cluster* cluster, bool trouble) {
+  // With a share of 0.14 one of seven workers crashes at a time.
+  constexpr int kWorkers = 7;
+  constexpr int kCrashes = 3;
+  constexpr int64_t kFirstCrashMs = 2500;
+  constexpr int64_t kCrashIntervalMs = 4500;
+  constexpr int64_t kDownMs = 2000;
+  constexpr int64_t kTaskMs = 6000;
+  WorkerSettings settings;
+  std::vector<Worker*> workers;
+  for (int i = 1; i <= kWorkers; ++i) {
+    settings.id = "executor-" + std::to_string(i);
+    workers.push_back(cluster->AddWorker(settings));
+  }
+  cluster->Configure(/*max_attempts=*/3);
+  cluster->StartInstances(3);
+  if (!cluster->WaitUntilReady(kReadyMs)) {
+    return kNotRun;
+  }
+  SleepMs(2000);
+  nlohmann::json job = OneStepJob(1, 31'000, 90'000, kTaskMs);
+  job["steps"][0]["gang"] = true;
+  job["steps"][0]["gpu"] = 8;
+  const std::string id = JobId(1);
+  if (cluster->Submit(id, job, kSubmitMs) != 200) {
+    return kNotRun;
+  }
+  const int64_t begin = NowMs();
+  for (int i = 0; trouble && i < kCrashes; ++i) {
+    SleepMs(std::max<int64_t>(begin + kFirstCrashMs + i * kCrashIntervalMs - NowMs(), 0));
+    // Those in groups first (srv_crash, joined).
+    Worker* worker = workers.back();
+    for (Worker* candidate : workers) {
+      worker = candidate->RunsJob(id) ? candidate : worker;
+    }
+    worker->Crash();
+    SleepMs(kDownMs);
+    worker->Restart();
+  }
+  const std::string state = cluster->WaitForEnd(id, 30'000);
+  int64_t failed_ends = 0;
+  for (const RunEvent& event : cluster->record().events()) {
+    failed_ends += event.kind == RunEvent::Kind::kEnd && event.how == "failed" ? 1 : 0;
+  }
+  std::cout << "The job is shown as " << state << "; " << failed_ends << " runs ended `failed`\n";
+  cluster->record().Line(std::to_string(failed_ends) + " runs of the job ended `failed`");
+  if (state == "completed") {
+    return kHeld;
+  }
+  return state == "failed" && failed_ends == 0 ? kBroken : kNotRun;
+}
+
+int PlayRosterAnswerLost(Cluster* cluster, bool trouble) {
+  // With a share of 0.17 one of six workers is cut off.
+  constexpr int kWorkers = 6;
+  constexpr int64_t kCutMs = 3000;
+  constexpr int64_t kLostAnswersMs = 4500;
+  constexpr int64_t kTaskMs = 6000;
+  // Between two regions, there and back.
+  constexpr int64_t kFarMs = 16;
+  WorkerSettings settings;
+  std::vector<Worker*> workers;
+  for (int i = 1; i <= kWorkers; ++i) {
+    settings.id = "executor-" + std::to_string(i);
+    workers.push_back(cluster->AddWorker(settings));
+  }
+  workers.front()->SetAnswerDelay(kFarMs);
+  cluster->store().SetAnswerDelay(4);
+  cluster->Configure(/*max_attempts=*/3);
+  cluster->StartInstances(3);
+  if (!cluster->WaitUntilReady(kReadyMs)) {
+    return kNotRun;
+  }
+  SleepMs(3000);
+  std::atomic<int> writes{0};
+  std::atomic<int> lost{0};
+  {
+    const Traffic traffic(cluster);
+    SleepMs(1000);
+    if (trouble) {
+      const int64_t until = NowMs() + kLostAnswersMs;
+      cluster->record().Line("answers of the store are lost from now on");
+      cluster->store().SetFault([&writes, &lost, until](int, const HttpRequest& request) {
+        if (request.path != "/pomelotray/kv-txn" || NowMs() >= until) {
+          return StoreFault::kNone;
+        }
+        ++writes;
+        if (!WritesTo(request, "pomelotray/roster/")) {
+          return StoreFault::kNone;
+        }
+        ++lost;
+        return StoreFault::kAnswerLost;
+      });
+      workers.front()->SetCutOff(true);
+      SleepMs(kCutMs);
+      workers.front()->SetCutOff(false);
+      SleepMs(until - NowMs());
+      cluster->store().SetFault(nullptr);
+      cluster->record().Line("the store answers again: " + std::to_string(lost) + " of " +
+                             std::to_string(writes) + " writes were not answered");
+    }
+    SleepMs(1000);
+  }
+  SleepMs(1000);
+  if (cluster->Submit(JobId(1), OneStepJob(4, 31'000, 90'000, kTaskMs), kSubmitMs) != 200) {
+    return kNotRun;
+  }
+  SleepMs(1000);
+  if (trouble) {
+    cluster->KillInstance(cluster->Owner());
+  }
+  cluster->WaitForEnd(JobId(1), 30'000);
+  SleepMs(1000);
+  return JudgeRunsTwice(cluster);
+}
+
+int PlayOtherAddress(Cluster* cluster, bool trouble) {
+  // With a share of 0.14 one of seven workers crashes at a time.
+  constexpr int kWorkers = 7;
+  constexpr int kOfKindB = 2;
+  constexpr int64_t kDownMs = 2000;
+  constexpr int64_t kBetweenMs = 2000;
+  constexpr int64_t kCalmMs = 4000;
+  // finish_s and 3 s more.
+  constexpr int64_t kLostAfterMs = 14'000 + 3000;
+  WorkerSettings settings;
+  std::vector<Worker*> workers;
+  for (int i = 1; i <= kWorkers; ++i) {
+    settings.id = "executor-" + std::to_string(i);
+    settings.kind = i <= kOfKindB ? "b" : "a";
+    workers.push_back(cluster->AddWorker(settings));
+  }
+  cluster->Configure(/*max_attempts=*/3);
+  cluster->StartInstances(3);
+  if (!cluster->WaitUntilReady(kReadyMs)) {
+    return kNotRun;
+  }
+  SleepMs(2000);
+  for (int i = 0; trouble && i < kOfKindB; ++i) {
+    workers[i]->Crash();
+    SleepMs(kDownMs);
+    workers[i]->Restart(/*other_address=*/true);
+    SleepMs(kBetweenMs);
+  }
+  SleepMs(kCalmMs);
+  nlohmann::json job = OneStepJob(2, 4000, 4096, 1000);
+  job["steps"][0]["requires"] = "b";
+  const std::string id = JobId(1);
+  if (cluster->Submit(id, job, kSubmitMs) != 200) {
+    return kNotRun;
+  }
+  const std::string state = cluster->WaitForEnd(id, kLostAfterMs);
+  std::cout << "After " << kLostAfterMs / 1000 << " s at most the job is shown as " << state
+            << "; its executors have started "
+            << workers[0]->StartCount() + workers[1]->StartCount() << " tasks\n";
+  return state == "completed" ? kHeld : kBroken;
+}
+
+}  // namespace review
--- /dev/null
+++ b/review/world/cases.h
@@ -0,0 +1,28 @@
+#ifndef POMELOTRAY_REVIEW_WORLD_CASES_H_
+#define POMELOTRAY_REVIEW_WORLD_CASES_H_
+
+#include "review/world/cluster.h"
+
+namespace review {
+
+inline constexpr int kHeld = 0;
+inline constexpr int kBroken = 1;
+inline constexpr int kNotRun = 2;
+
+// Each plays one case, with the disruption only if `trouble` is set, and returns its result.
+
+// Over 500 tasks of one worker end while their owner is killed and replaced.
+int PlayManyEnds(Cluster* cluster, bool trouble);
+// The tasks of a long-running job end `done`.
+int PlayLastingDone(Cluster* cluster, bool trouble);
+// Workers of a gang crash at regular intervals.
+int PlayRepeatedCrashes(Cluster* cluster, bool trouble);
+// A worker is cut off for a short time while answers of the store are lost; later the owner is
+// killed.
+int PlayRosterAnswerLost(Cluster* cluster, bool trouble);
+// Workers crash and start again under their ids at other addresses.
+int PlayOtherAddress(Cluster* cluster, bool trouble);
+
+}  // namespace review
+
+#endif  // POMELOTRAY_REVIEW_WORLD_CASES_H_
