review: Give the job of case 3 one more attempt than it loses workers

max-attempts is 4 now, as in the largest queue of the site, so that three lost workers would not be too many even if each counted as an attempt.

--- a/review/world/cases.cc
+++ b/review/world/cases.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cstdlib>
 #include <iostream>
 #include <string>
 #include <thread>
@@ -152,7 +153,7 @@
     settings.id = "executor-" + std::to_string(i);
     workers.push_back(cluster->AddWorker(settings));
   }
-  cluster->Configure(/*max_attempts=*/3);
+  cluster->Configure(/*max_attempts=*/4);
   cluster->StartInstances(3);
   if (!cluster->WaitUntilReady(kReadyMs)) {
     return kNotRun;
@@ -296,4 +297,49 @@
   return state == "completed" ? kHeld : kBroken;
 }
 
+int PlaySlowStore(Cluster* cluster, bool trouble) {
+  constexpr int kWorkers = 35;
+  constexpr int64_t kUsualMs = 4;
+  constexpr int64_t kSlowForMs = 4500;
+  constexpr int kPeriods = 6;
+  const char* const setting = std::getenv("SLOW");  // NOLINT(concurrency-mt-unsafe)
+  const int64_t slow_ms = setting == nullptr ? 400 : std::atoi(setting);
+  WorkerSettings settings;
+  settings.cpu = 16'000;
+  settings.memory_mb = 32'768;
+  std::vector<Worker*> workers;
+  for (int i = 1; i <= kWorkers; ++i) {
+    settings.id = "executor-" + std::to_string(i);
+    workers.push_back(cluster->AddWorker(settings));
+  }
+  cluster->store().SetAnswerDelay(kUsualMs);
+  cluster->Configure(/*max_attempts=*/3);
+  cluster->StartInstances(3);
+  if (!cluster->WaitUntilReady(kReadyMs)) {
+    return kNotRun;
+  }
+  SleepMs(2000);
+  int number = 0;
+  for (int period = 0; period < kPeriods && cluster->CountOwnEnds() == 0; ++period) {
+    for (int i = 0; i < 150; ++i) {
+      cluster->Submit(JobId(number++), OneStepJob(36, 1500, 2200, 500 + 37 * (i % 20)), kSubmitMs);
+    }
+    if (trouble) {
+      cluster->record().Line("the store is slow from now on");
+      cluster->store().SetAnswerDelay(slow_ms);
+    }
+    WaitFor(kSlowForMs, [&] { return cluster->CountOwnEnds() > 0; });
+    cluster->store().SetAnswerDelay(kUsualMs);
+    cluster->record().Line("the store answers as usual");
+    WaitFor(2000, [&] { return cluster->CountOwnEnds() > 0; });
+  }
+  int64_t started = 0;
+  for (const Worker* worker : workers) {
+    started += worker->StartCount();
+  }
+  const int own_ends = cluster->CountOwnEnds();
+  std::cout << own_ends << " instances ended by themselves; " << started << " starts\n";
+  return own_ends > 0 ? kBroken : kHeld;
+}
+
 }  // namespace review
--- a/review/world/cases.h
+++ b/review/world/cases.h
@@ -22,6 +22,8 @@
 int PlayRosterAnswerLost(Cluster* cluster, bool trouble);
 // Workers crash and start again under their ids at other addresses.
 int PlayOtherAddress(Cluster* cluster, bool trouble);
+// The store is slow while many tasks end.
+int PlaySlowStore(Cluster* cluster, bool trouble);
 
 }  // namespace review
 
--- a/review/world/cluster.cc
+++ b/review/world/cluster.cc
@@ -141,6 +141,22 @@
   instance.up = false;
 }
 
+int Cluster::CountOwnEnds() {
+  int count = 0;
+  for (Instance& instance : instances_) {
+    int status = 0;
+    if (instance.up && waitpid(instance.pid, &status, WNOHANG) == instance.pid) {
+      instance.up = false;
+      instance.ended_itself = true;
+      record_.Line(instance.name + " has ended by itself, " +
+                   (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
+                                        : "exit code " + std::to_string(WEXITSTATUS(status))));
+    }
+    count += instance.ended_itself ? 1 : 0;
+  }
+  return count;
+}
+
 void Cluster::FreezeInstance(int index, bool frozen) {
   record_.Line(instances_[index].name + (frozen ? " is frozen" : " is woken"));
   kill(instances_[index].pid, frozen ? SIGSTOP : SIGCONT);
--- a/review/world/cluster.h
+++ b/review/world/cluster.h
@@ -26,6 +26,8 @@
   void StartInstances(int count);
   void KillInstance(int index);
   void KillAllInstances();
+  // Returns how many instances have ended by themselves, and records each.
+  int CountOwnEnds();
   void FreezeInstance(int index, bool frozen);
   Worker* AddWorker(const WorkerSettings& settings);
   // Returns whether all instances answer their readiness probe with 200 within `limit_ms`, and the
@@ -51,6 +53,7 @@
     std::string name;
     pid_t pid = 0;
     bool up = false;
+    bool ended_itself = false;
     int front_port = 0;
     int ready_port = 0;
   };
--- a/review/world/main.cc
+++ b/review/world/main.cc
@@ -16,6 +16,7 @@
       {"repeated-crashes", review::PlayRepeatedCrashes},
       {"roster-answer-lost", review::PlayRosterAnswerLost},
       {"other-address", review::PlayOtherAddress},
+      {"slow-store", review::PlaySlowStore},
   };
   if (argc != 4 || cases.count(argv[1]) == 0) {
     std::cerr << "usage: world CASE RECORD SCRATCH-FOLDER\n";
