--- a/review/world/cases.h
+++ b/review/world/cases.h
@@ -20,9 +20,7 @@
 // A worker is cut off for a short time while answers of the store are lost; later the owner is
 // killed.
 int PlayRosterAnswerLost(Cluster* cluster, bool trouble);
-// Workers crash and start again under their ids at other addresses.
-int PlayOtherAddress(Cluster* cluster, bool trouble);
-// The store is slow while many tasks end.
+// The store is slow while tasks end and many jobs wait.
 int PlaySlowStore(Cluster* cluster, bool trouble);
 
 }  // namespace review
--- a/review/world/cluster.h
+++ b/review/world/cluster.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
@@ -68,7 +69,7 @@
   Store store_;
   std::vector<Instance> instances_;
   std::vector<std::unique_ptr<Worker>> workers_;
-  size_t next_instance_ = 0;
+  std::atomic<size_t> next_instance_{0};
 };
 
 // Returns a job of one step.
