--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" lasting-done "$(dirname "$0")"
+exec "$(dirname "$0")/../run-case.sh" roster-answer-lost "$(dirname "$0")"
--- a/review/world/cases.cc
+++ b/review/world/cases.cc
@@ -138,58 +138,6 @@
   return again && state == "running" ? kHeld : kBroken;
 }
 
-int PlayRepeatedCrashes(Cluster* cluster, bool trouble) {
-  // With a share of 0.14 one of seven workers crashes at a time.
-  constexpr int kWorkers = 7;
-  constexpr int kCrashes = 3;
-  constexpr int64_t kFirstCrashMs = 2500;
-  constexpr int64_t kCrashIntervalMs = 4500;
-  constexpr int64_t kDownMs = 2000;
-  constexpr int64_t kTaskMs = 6000;
-  WorkerSettings settings;
-  std::vector<Worker*> workers;
-  for (int i = 1; i <= kWorkers; ++i) {
-    settings.id = "executor-" + std::to_string(i);
-    workers.push_back(cluster->AddWorker(settings));
-  }
-  cluster->Configure(/*max_attempts=*/4);
-  cluster->StartInstances(3);
-  if (!cluster->WaitUntilReady(kReadyMs)) {
-    return kNotRun;
-  }
-  SleepMs(2000);
-  nlohmann::json job = OneStepJob(1, 31'000, 90'000, kTaskMs);
-  job["steps"][0]["gang"] = true;
-  job["steps"][0]["gpu"] = 8;
-  const std::string id = JobId(1);
-  if (cluster->Submit(id, job, kSubmitMs) != 200) {
-    return kNotRun;
-  }
-  const int64_t begin = NowMs();
-  for (int i = 0; trouble && i < kCrashes; ++i) {
-    SleepMs(std::max<int64_t>(begin + kFirstCrashMs + i * kCrashIntervalMs - NowMs(), 0));
-    // Those in groups first (srv_crash, joined).
-    Worker* worker = workers.back();
-    for (Worker* candidate : workers) {
-      worker = candidate->RunsJob(id) ? candidate : worker;
-    }
-    worker->Crash();
-    SleepMs(kDownMs);
-    worker->Restart();
-  }
-  const std::string state = cluster->WaitForEnd(id, 30'000);
-  int64_t failed_ends = 0;
-  for (const RunEvent& event : cluster->record().events()) {
-    failed_ends += event.kind == RunEvent::Kind::kEnd && event.how == "failed" ? 1 : 0;
-  }
-  std::cout << "The job is shown as " << state << "; " << failed_ends << " runs ended `failed`\n";
-  cluster->record().Line(std::to_string(failed_ends) + " runs of the job ended `failed`");
-  if (state == "completed") {
-    return kHeld;
-  }
-  return state == "failed" && failed_ends == 0 ? kBroken : kNotRun;
-}
-
 int PlayRosterAnswerLost(Cluster* cluster, bool trouble) {
   // With a share of 0.17 one of six workers is cut off.
   constexpr int kWorkers = 6;
@@ -254,6 +202,73 @@
   return JudgeRunsTwice(cluster);
 }
 
+int PlaySuspectedLasting(Cluster* cluster, bool trouble) {
+  // With a share of 0.1 one of ten workers is lost at a time.
+  constexpr int kWorkers = 10;
+  constexpr int kLosses = 3;
+  constexpr int64_t kRunMs = 2500;
+  constexpr int64_t kBatchMs = 60'000;
+  // An entry is removed after three heartbeat intervals.
+  constexpr int64_t kSilenceMs = 4500;
+  // RULES.md, LOST: from 6 s after the last run, after 4 s of calm, for 3 s. Twice as long here.
+  constexpr int64_t kLostAfterMs = 26'000;
+  WorkerSettings settings;
+  std::vector<Worker*> workers;
+  for (int i = 1; i <= kWorkers; ++i) {
+    settings.id = "executor-" + std::to_string(i);
+    workers.push_back(cluster->AddWorker(settings));
+  }
+  cluster->Configure(/*max_attempts=*/3);
+  cluster->StartInstances(3);
+  if (!cluster->WaitUntilReady(kReadyMs)) {
+    return kNotRun;
+  }
+  SleepMs(2000);
+  // One batch task of 40 cores on each worker leaves 24 of its 64 cores free.
+  if (cluster->Submit(JobId(1), OneStepJob(kWorkers, 40'000, 90'000, kBatchMs), kSubmitMs) != 200) {
+    return kNotRun;
+  }
+  SleepMs(1000);
+  nlohmann::json job = OneStepJob(1, 4000, 4096, 600'000);
+  job["steps"][0]["long-running"] = true;
+  job["spec"] = "600000 failed lasting";
+  const std::string id = JobId(2);
+  if (cluster->Submit(id, job, kSubmitMs) != 200) {
+    return kNotRun;
+  }
+  std::vector<Worker*> left = workers;
+  const auto find = [&] {
+    return std::find_if(left.begin(), left.end(),
+                        [&](const Worker* worker) { return worker->RunsJob(id); });
+  };
+  const auto runs = [&] { return find() != left.end(); };
+  for (int i = 0; i < kLosses; ++i) {
+    if (!WaitFor(10'000, runs)) {
+      cluster->record().Line("the task that lasts didn't start");
+      return kNotRun;
+    }
+    SleepMs(kRunMs);
+    if (trouble) {
+      const auto lost = find();
+      const std::string lost_id = (*lost)->id();
+      (*lost)->Crash();
+      left.erase(lost);
+      SleepMs(kSilenceMs);
+      cluster->store().Remove("servers/" + lost_id);
+    }
+  }
+  const int64_t began = NowMs() - (trouble ? kSilenceMs : 0);
+  WaitFor(kLostAfterMs - (NowMs() - began), [&] { return trouble && runs(); });
+  const bool running = runs();
+  const int64_t waited = NowMs() - began;
+  cluster->record().Line(std::string("the task that lasts ") + (running ? "runs" : "does not run") +
+                         " " + std::to_string(waited) + " ms later; " +
+                         std::to_string(left.size()) + " workers have 24 cores free");
+  std::cout << (running ? "The task that lasts runs, " : "LOST: the task that lasts did not run, ")
+            << waited << " ms later\n";
+  return running ? kHeld : kBroken;
+}
+
 int PlaySlowStore(Cluster* cluster, bool trouble) {
   constexpr int kWorkers = 13;
   constexpr int kJobs = 3000;
--- a/review/world/main.cc
+++ b/review/world/main.cc
@@ -13,8 +13,8 @@
   const std::map<std::string, std::function<int(review::Cluster*, bool)>> cases = {
       {"many-ends", review::PlayManyEnds},
       {"lasting-done", review::PlayLastingDone},
-      {"repeated-crashes", review::PlayRepeatedCrashes},
       {"roster-answer-lost", review::PlayRosterAnswerLost},
+      {"suspected-lasting", review::PlaySuspectedLasting},
       {"slow-store", review::PlaySlowStore},
   };
   if (argc != 4 || cases.count(argv[1]) == 0) {
--- a/review/world/worker.cc
+++ b/review/world/worker.cc
@@ -94,11 +94,6 @@
   return start_count_;
 }
 
-bool Worker::IsUp() const {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return up_;
-}
-
 bool Worker::RunsJob(const std::string& job) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return std::any_of(runs_.begin(), runs_.end(),
--- a/review/world/worker.h
+++ b/review/world/worker.h
@@ -42,7 +42,7 @@
   void SetAnswerDelay(int64_t ms);
   size_t RunningCount() const;
   int64_t StartCount() const;
-  bool IsUp() const;
+  const std::string& id() const { return settings_.id; }
   // Whether the worker runs a task of the job.
   bool RunsJob(const std::string& job) const;
 
