cell: Write the roster again after a write without an answer

Callers saw tasks run twice: one VM started them again on another worker while they still ran. Before that, a worker had been cut off for a few seconds, and the owner of its pool had been replaced.

Cause: after a failed write of the roster, PoolOwner read the revision of the entry again, but still took the text of its last answered write for the stored one. If the lost write excluded a worker that came back before the next one, the built roster equalled the remembered text, so nothing was written and tasks were started on the worker. The next owner read that nothing could run there and did not wait for the worker's report.

The remembered text is now dropped with a failed write. No worker opens until a later write is acknowledged. That write changes the revision that an earlier one requires, so the earlier one cannot be carried out late.

--- a/packages/cell/pool_owner.cc
+++ b/packages/cell/pool_owner.cc
@@ -380,7 +380,8 @@
   const Outcome<Revision> written = Capture([&] { return context_.store->Commit(transaction); });
   if (!written.ok()) {
     RecordStoreFailure(context_.events, "write of the roster", written.error());
-    RereadRoster();
+    stored_roster_.reset();
+    RereadRosterRevision();
     return false;
   }
   roster_revision_ = written.value();
@@ -390,9 +391,8 @@
   return true;
 }
 
-void PoolOwner::RereadRoster() {
-  // An earlier write whose answer was lost may have changed the entry. The commit streams detect a
-  // lost claim.
+void PoolOwner::RereadRosterRevision() {
+  // The commit streams detect a lost claim.
   const Outcome<std::optional<StoreEntry>> entry =
       Capture([this] { return context_.store->Get(cell_keys::Roster(claim_.part)); });
   if (!entry.ok()) {
--- a/packages/cell/pool_owner.h
+++ b/packages/cell/pool_owner.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -122,10 +123,12 @@
   void SyncSessions();
   std::vector<std::shared_ptr<WorkerSession>> RemoveUnusedSessions()
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  // Stores the roster (see RosterEntry) if it has changed. Returns whether it was written.
+  // Stores the roster (see RosterEntry) if it has changed or if the stored one is not known.
+  // Returns whether it was written.
   bool SyncRoster();
-  // Reads the revision of the roster's entry after a failed write, which may have changed it.
-  void RereadRoster();
+  // Reads the revision of the roster's entry after a failed write, which may have changed it or may
+  // still change it.
+  void RereadRosterRevision();
   // Loads the jobs that earlier owners finished. Starting tasks does not depend on them, so this is
   // done later.
   void LoadFinishedJobs();
@@ -165,8 +168,10 @@
   PoolScheduler scheduler_ ABSL_GUARDED_BY(mutex_);
   std::map<WorkerId, std::shared_ptr<WorkerSession>> sessions_ ABSL_GUARDED_BY(mutex_);
 
-  // Accessed by Load() and then only by the directory thread.
-  std::string stored_roster_;
+  // Accessed by Load() and then only by the directory thread. `stored_roster_` has no value while
+  // the contents of the entry are not known: before the first write and after a failed one, until
+  // the next write succeeds. That write invalidates the condition of a late earlier one.
+  std::optional<std::string> stored_roster_;
   Revision roster_revision_;
 
   std::unique_ptr<PrefixWatcher> intake_;
--- a/tests/cell/pool_owner_fixture.h
+++ b/tests/cell/pool_owner_fixture.h
@@ -43,6 +43,16 @@
   void Post(std::function<void()> task) override { loop_.RunAfter(absl::ZeroDuration(), task); }
   Result<std::vector<WorkerDescription>> List() override { return listed_; }
 
+  // While a worker is cut off, no call to it is answered.
+  void SetCutOff(const WorkerId& id, bool cut_off) {
+    absl::MutexLock lock(&mutex_);
+    if (cut_off) {
+      cut_off_.insert(id);
+    } else {
+      cut_off_.erase(id);
+    }
+  }
+
   // Number of different tasks that were started.
   size_t StartedTasks() const {
     absl::MutexLock lock(&mutex_);
@@ -89,8 +99,11 @@
     ends.push_back(EndedAttempt{EndNumber(static_cast<int64_t>(ends.size()) + 1), key,
                                 AttemptEnd::kSucceeded, ""});
   }
-  HoldAnswer Report(const WorkerId& id, EndNumber acknowledged) {
+  Outcome<HoldAnswer> Report(const WorkerId& id, EndNumber acknowledged) {
     absl::MutexLock lock(&mutex_);
+    if (cut_off_.count(id) > 0) {
+      return Error{ErrorKind::kOutcomeUnknown, "The worker did not answer.", std::nullopt};
+    }
     HoldAnswer answer;
     answer.report.clock = WorkerTime(1000);
     answer.report.started_at = absl::UnixEpoch();
@@ -107,6 +120,7 @@
   std::set<std::string> tasks_ ABSL_GUARDED_BY(mutex_);
   int starts_ ABSL_GUARDED_BY(mutex_) = 0;
   std::map<WorkerId, std::vector<EndedAttempt>> ended_ ABSL_GUARDED_BY(mutex_);
+  std::set<WorkerId> cut_off_ ABSL_GUARDED_BY(mutex_);
   SystemClock clock_;
   TimerQueue loop_{&clock_};
 };
--- a/tests/cell/pool_owner_test.cc
+++ b/tests/cell/pool_owner_test.cc
@@ -1,8 +1,12 @@
 #include "cell/pool_owner.h"
 
+#include <algorithm>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <fstream>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "cell/cell_keys.h"
@@ -25,6 +29,20 @@
   return threads;
 }
 
+// Returns whether the worker is in the stored roster, and attempts may be started on it.
+bool IsOpenInStoredRoster(const FakeStore& store, const WorkerId& id) {
+  const std::optional<StoreEntry> entry = store.Peek(cell_keys::Roster(kPart));
+  if (!entry.has_value()) {
+    return false;
+  }
+  const Outcome<std::vector<RosterEntry>> roster =
+      Capture([&] { return DecodeRoster(entry->value); });
+  return roster.ok() && std::any_of(roster.value().begin(), roster.value().end(),
+                                    [&id](const RosterEntry& worker) {
+                                      return worker.worker.id == id && !worker.unreachable;
+                                    });
+}
+
 BOOST_AUTO_TEST_SUITE(PoolOwnerTest)
 
 // Guards against a number of threads that grows with the number of workers: with thousands of
@@ -83,6 +101,27 @@
   BOOST_TEST(pool.Completes("inherited"));
 }
 
+// Guards against two runs of a task after a takeover: the write of a roster that excludes a worker
+// got no answer, and the owner started tasks on the worker again while the stored roster said that
+// nothing could run there.
+BOOST_AUTO_TEST_CASE(NothingStartsOnAWorkerThatAnUnansweredRosterWriteExcluded) {
+  const WorkerId worker("w0");
+  PoolOwnerFixture pool(1);
+  pool.Start();
+  BOOST_REQUIRE(Eventually([&] { return IsOpenInStoredRoster(pool.store(), worker); }));
+  std::atomic<bool> lost = false;
+  pool.store().SetHook([&lost](const FakeStore::Call& call) {
+    const bool is_roster = call.kind == "commit" && call.key == cell_keys::Roster(kPart);
+    return is_roster && !lost.exchange(true) ? StoreFault::kAnswerLost : StoreFault::kNone;
+  });
+  pool.workers().SetCutOff(worker, true);
+  BOOST_REQUIRE(Eventually([&] { return !IsOpenInStoredRoster(pool.store(), worker); }));
+  pool.workers().SetCutOff(worker, false);
+  pool.Submit("later", 1);
+  BOOST_REQUIRE(Eventually([&] { return pool.workers().Starts() == 1; }));
+  BOOST_TEST(IsOpenInStoredRoster(pool.store(), worker));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
