cell: Conclude nothing from attempts that a cut report omits

Callers saw tasks run a second time although they had ended: over 500 ends of one worker waited while the owner of its pool was replaced, and the next owner started the tasks again whose ends the first report left out.

Cause: a worker lists at most 500 ended attempts, and the others once those are acknowledged. PoolScheduler took each report as complete.

The adapter marks reports with many ends as possibly cut. From such a report, running and ended attempts are applied as before, but nothing follows from an absence: attempts are kept, an unanswered start stays unsettled, and inherited tasks wait until the worker has listed all ends, also past the end of the earlier owner's leases.

--- a/packages/base/event_catalog.cc
+++ b/packages/base/event_catalog.cc
@@ -76,6 +76,8 @@
        "A task was on a worker that was lost."},
       {Code::kTaskWaiting, kInfo, "task_waiting",
        "A long-running task waits; the reason and the workers that it cannot use."},
+      {Code::kUnexpectedEnd, kWarning, "unexpected_end",
+       "A worker reported the end of an attempt that its earlier reports did not show."},
       {Code::kRequestReceived, kInfo, "request_received", "A caller's request arrived."},
       {Code::kRequestSent, kInfo, "request_sent", "A request was sent to an executor."},
       {Code::kRequestAnswered, kInfo, "request_answered", "A request was answered."},
--- a/packages/base/event_catalog.h
+++ b/packages/base/event_catalog.h
@@ -65,6 +65,7 @@
   kJobStateTold = 416,
   kTaskWorkerLost = 417,
   kTaskWaiting = 418,
+  kUnexpectedEnd = 419,
 
   kRequestReceived = 500,
   kRequestSent = 501,
--- a/packages/cell/cell_ports.h
+++ b/packages/cell/cell_ports.h
@@ -85,12 +85,15 @@
   std::string checkpoint;
 };
 
-// All attempts that a worker runs and all ended attempts that the owner has not acknowledged.
+// All attempts that a worker runs and the ended attempts that the owner has not acknowledged.
 struct WorkerReport {
   WorkerTime clock;
   absl::Time started_at;
   std::vector<RunningAttempt> running;
   std::vector<EndedAttempt> ended;
+  // The worker may have further ended attempts, which it reports once those in `ended` are
+  // acknowledged. Nothing follows from the absence of an attempt from such a report.
+  bool may_omit_ends = false;
 };
 
 // Tells a worker to start an attempt.
--- a/packages/cell/cell_worker.h
+++ b/packages/cell/cell_worker.h
@@ -112,6 +112,8 @@
   absl::Time unreachable_since = absl::InfiniteFuture();
   // The histories of tasks contain attempts on the worker, although its loss is not certain.
   bool losses_expected = false;
+  // All attempts that are running on the worker, or have ended there, are known from a report.
+  bool fully_reported = false;
   // Jobs whose attempts have failed on the worker since the last attempt that succeeded on it.
   std::set<JobId> failed_jobs;
   absl::Time quarantined_until = absl::InfinitePast();
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -92,7 +92,13 @@
 }
 
 bool PoolScheduler::CanStartInheritedTasks(absl::Time now) const {
-  return unreported_workers_.empty() || now >= inherited_leases_end_;
+  // The ends that a worker has yet to list outlast the leases.
+  return partly_reported_workers_.empty() &&
+         (unreported_workers_.empty() || now >= inherited_leases_end_);
+}
+
+bool PoolScheduler::MayHaveUnknownAttempts(const WorkerId& id) const {
+  return unreported_workers_.count(id) > 0 || partly_reported_workers_.count(id) > 0;
 }
 
 CellJob* PoolScheduler::FindJob(const JobId& id) {
@@ -209,7 +215,7 @@
   std::vector<RosterEntry> roster;
   for (auto& [id, worker] : workers_) {
     const bool usable = worker.listed && !worker.description.draining;
-    const bool unreported = unreported_workers_.count(id) > 0;
+    const bool unreported = MayHaveUnknownAttempts(id);
     const bool unreachable =
         !unreported && !IsTrusted(id) && now - worker.last_report > kUnreachableAfter;
     if (unreachable || !usable) {
@@ -235,7 +241,7 @@
   std::vector<RosterEntry> roster = BuildRoster(now);
   for (RosterEntry& entry : roster) {
     // A worker that has not reported to this owner may run attempts that are not known here.
-    if (unreported_workers_.count(entry.worker.id) > 0) {
+    if (MayHaveUnknownAttempts(entry.worker.id)) {
       continue;
     }
     entry.handover_term = entry.unreachable ? 0 : term_;
@@ -346,6 +352,9 @@
 void PoolScheduler::DropExpiredWorkers(absl::Time now) {
   for (auto it = workers_.begin(); it != workers_.end();) {
     CellWorker& worker = it->second;
+    if (IsLeaseExpired(worker, now)) {
+      partly_reported_workers_.erase(worker.description.id);
+    }
     if (IsLeaseExpired(worker, now) && !worker.attempts.empty()) {
       LoseAttempts(&worker, worker.listed ? WorkerLossCause::kCutOff : WorkerLossCause::kVanished,
                    now);
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -215,6 +215,12 @@
   void StopStalledAttempts(CellWorker* worker, absl::Time now);
   void AdvanceAcknowledged(CellWorker* worker);
   bool IsCurrent(const CellWorker& worker, const Attempt& attempt);
+  // Whether attempts of earlier owners that are not known here may be running on the worker or have
+  // ended there.
+  bool MayHaveUnknownAttempts(const WorkerId& id) const;
+  // Applies what follows from the absence of attempts from a report.
+  void ApplyAbsences(CellWorker* worker, const WorkerReport& report, absl::Time sent,
+                     absl::Time received);
   absl::Duration MaxLeaseDuration() const;
 
   const PoolPart part_;
@@ -242,6 +248,8 @@
   absl::flat_hash_set<JobId> changed_;
   // Workers of the inherited roster that have not reported yet.
   std::set<WorkerId> unreported_workers_;
+  // Workers of the inherited roster whose reports so far may have omitted ended attempts.
+  std::set<WorkerId> partly_reported_workers_;
   // When the leases that earlier owners granted have all expired.
   absl::Time inherited_leases_end_ = absl::InfinitePast();
   // The earlier owner may not have noticed its replacement before this time. It may know, and have
--- a/packages/cell/pool_scheduler_losses.cc
+++ b/packages/cell/pool_scheduler_losses.cc
@@ -111,6 +111,8 @@
       tasks.push_back(*attempt.task);
     }
   }
+  // A worker that was only cut off may still report the ends of these attempts.
+  worker->fully_reported = false;
   while (!worker->attempts.empty()) {
     DropAttempt(worker, AttemptKey(worker->attempts.begin()->first), nullptr, true);
   }
@@ -206,6 +208,7 @@
   MarkUnreachable(worker, now);
   worker->lease_over_at = now;
   unreported_workers_.erase(id);
+  partly_reported_workers_.erase(id);
   LoseAttempts(worker, WorkerLossCause::kCrashed, now);
 }
 
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -109,6 +109,7 @@
     worker->last_reported_end = EndNumber(0);
     worker->acknowledged = EndNumber(0);
     worker->unacknowledged.clear();
+    worker->fully_reported = false;
   }
   if (!worker->fenced) {
     worker->fenced = true;
@@ -136,11 +137,27 @@
   for (const RunningAttempt& running : report.running) {
     ApplyRunning(worker, running, received);
   }
+  ApplyAbsences(worker, report, sent, received);
+  AdvanceAcknowledged(worker);
+}
+
+void PoolScheduler::ApplyAbsences(CellWorker* worker, const WorkerReport& report, absl::Time sent,
+                                  absl::Time received) {
+  const WorkerId& id = worker->description.id;
+  const bool inherited = unreported_workers_.erase(id) > 0;
+  if (report.may_omit_ends) {
+    if (inherited) {
+      partly_reported_workers_.insert(id);
+    }
+    // Attempts that seem to make no progress may have ended.
+    ResetProgressTimers(worker, received);
+    return;
+  }
+  partly_reported_workers_.erase(id);
+  worker->fully_reported = true;
   DropUnlistedAttempts(worker, report, sent);
   StopStalledAttempts(worker, received);
   ClearSurvivors(worker);
-  AdvanceAcknowledged(worker);
-  unreported_workers_.erase(id);
 }
 
 void PoolScheduler::ResetProgressTimers(CellWorker* worker, absl::Time now) {
@@ -278,6 +295,14 @@
       .Worker(worker->description.id)
       .With("end", AttemptEndName(ended.end))
       .Emit();
+  if (worker->fully_reported && it == worker->attempts.end()) {
+    events_->Record(EventCode::kUnexpectedEnd)
+        .Task(TaskId(ended.key.task))
+        .With("run", ended.key.run.value())
+        .Worker(worker->description.id)
+        .With("number", ended.number.value())
+        .Emit();
+  }
   const bool succeeded = ended.end == AttemptEnd::kSucceeded;
   DropAttempt(worker, ended.key, succeeded ? nullptr : "the attempt ended without success",
               ended.end == AttemptEnd::kFailed);
@@ -456,8 +481,8 @@
                       std::any_of(report.running.begin(), report.running.end(), is_key) ||
                       std::any_of(report.ended.begin(), report.ended.end(), is_key);
   // Listed attempts are handled with the reports of holds, which also acknowledge ends.
-  if (listed || attempt.phase != AttemptPhase::kUncertain || attempt.stop_confirmed_at >= sent ||
-      report.started_at != worker->started_at) {
+  if (listed || report.may_omit_ends || attempt.phase != AttemptPhase::kUncertain ||
+      attempt.stop_confirmed_at >= sent || report.started_at != worker->started_at) {
     return false;
   }
   DropAttempt(worker, key, "the worker never started the attempt", false);
--- a/tests/cell/scheduler_fixture.cc
+++ b/tests/cell/scheduler_fixture.cc
@@ -94,12 +94,14 @@
 }
 
 void SchedulerFixture::Report(const std::string& worker, std::vector<RunningAttempt> running,
-                              const std::vector<std::pair<AttemptKey, AttemptEnd>>& ended) {
+                              const std::vector<std::pair<AttemptKey, AttemptEnd>>& ended,
+                              bool may_omit_ends) {
   Advance(absl::Milliseconds(1));
   WorkerReport report;
   report.clock = WorkerTime(1000);
   report.started_at = absl::UnixEpoch();
   report.running = std::move(running);
+  report.may_omit_ends = may_omit_ends;
   for (const auto& [key, end] : ended) {
     report.ended.push_back(EndedAttempt{EndNumber(++last_end_number_[worker]), key, end, ""});
   }
--- a/tests/cell/scheduler_fixture.h
+++ b/tests/cell/scheduler_fixture.h
@@ -44,7 +44,8 @@
   // Applies a report of the worker with its running attempts and those that ended since its last
   // report, and extends its lease.
   void Report(const std::string& worker, std::vector<RunningAttempt> running,
-              const std::vector<std::pair<AttemptKey, AttemptEnd>>& ended = {});
+              const std::vector<std::pair<AttemptKey, AttemptEnd>>& ended = {},
+              bool may_omit_ends = false);
   // Simulates a crash of the worker's process: its hold fails at once. After kRestartTime, its
   // next process answers at the same address as the idle worker `successor`.
   void Crash(const std::string& worker, const std::string& successor);
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include "absl/strings/str_cat.h"
 #include "platform/configuration_codec.h"
 #include "platform/node_settings.h"
 #include "platform/worker_client.h"
@@ -146,6 +147,22 @@
   }
 }
 
+// Guards against reports that are taken for complete although the worker lists the oldest ended
+// attempts only: the tasks of the others would run again.
+BOOST_AUTO_TEST_CASE(LongListOfEndsCountsAsCut) {
+  constexpr int kPlatformLimit = 500;
+  nlohmann::json body = {{"clock-ms", 5}, {"running", nlohmann::json::array()}, {"ended", {}}};
+  const auto may_omit_ends = [&body] {
+    return Capture([&] { return DecodeReport(body); }).value().may_omit_ends;
+  };
+  body["ended"] = nlohmann::json::array();
+  BOOST_TEST(!may_omit_ends());
+  for (int i = 1; i <= kPlatformLimit; ++i) {
+    body["ended"].push_back({i, absl::StrCat("a.0.0.", i), 1, "done", ""});
+  }
+  BOOST_TEST(may_omit_ends());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
