cell: Restart long-running tasks that end without a failure

Callers saw long-running jobs shown as completed, with nothing running, although nobody had cancelled them.

Cause: PoolScheduler::ApplyEnd took a successful end of a long-running task for the end of its work. The task counted as done, also for later owners, and the job ended with its last task.

A task is now restarted however it ends, and stored results of long-running steps are ignored. A task that ends within a second of its start several times in a row is restarted after 0.25 s, doubling up to 2 s; the first restart is immediate. Ends as failed, which were restarted in a tight loop until now, follow the same rule.

--- a/packages/cell/cell_job.h
+++ b/packages/cell/cell_job.h
@@ -54,6 +54,10 @@
   // The workers that were lost under the task's attempts.
   WorkerLossHistory losses;
   std::string checkpoint;
+  // Number of consecutive attempts of a long-running task that ended soon after their start, and
+  // the time before which the task is not started again because of them.
+  int short_attempts = 0;
+  absl::Time start_not_before = absl::InfinitePast();
 };
 
 // The adviser's answers about one step. The adviser issues a ticket for each worker on which the
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -208,6 +208,10 @@
   void ReserveForUnboundAttempt(Attempt* attempt);
   void ApplyEnd(CellWorker* worker, const EndedAttempt& ended, absl::Time now);
   void ApplySuccess(CellJob* job, StepRun* run, const TaskRef& ref, absl::Time now);
+  // Records the end of a long-running task's attempt, after which the task is started again.
+  void ApplyLongRunningEnd(CellJob* job, StepRun* run, const TaskRef& ref);
+  // Delays the next start of a long-running task whose attempts end soon after their start.
+  static void DelayRestart(const Attempt& attempt, CellTask* task, absl::Time now);
   void ApplyFailure(CellJob* job, StepRun* run, const TaskRef& ref, const EndedAttempt& ended,
                     absl::Time now);
   void RecordWorkerFailure(CellWorker* worker, const JobId& job, absl::Time now);
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -23,6 +23,12 @@
 constexpr absl::Duration kMaxReportGap = absl::Seconds(2);
 // Reported progress of a long-running attempt that is at work.
 constexpr int kAtWorkPercent = 100;
+// A long-running attempt that ends within this time of its start delays the next start of its task.
+constexpr absl::Duration kShortAttempt = absl::Seconds(1);
+// Delay after the second of several such attempts in a row; it doubles with each further one. A
+// task must not be out of service for longer than three seconds.
+constexpr absl::Duration kMinRestartDelay = absl::Milliseconds(250);
+constexpr absl::Duration kMaxRestartDelay = absl::Seconds(2);
 // Longer than a worker needs to stop an attempt (at most 0.9 s). The attempt occupies its capacity
 // until then, whether the worker still lists it or not.
 constexpr absl::Duration kMaxStopDuration = absl::Milliseconds(1500);
@@ -286,6 +292,10 @@
   const std::optional<TaskRef> ref = ResolveTaskName(ended.key.task);
   const auto it = worker->attempts.find(ended.key);
   const bool superseded = it != worker->attempts.end() && !IsCurrent(*worker, it->second);
+  if (it != worker->attempts.end() && !superseded) {
+    CellTask& task = FindStepRun(*ref)->tasks[ref->task];
+    DelayRestart(it->second, &task, now);
+  }
   if (it != worker->attempts.end() && !ended.checkpoint.empty()) {
     it->second.checkpoint = ended.checkpoint;
   }
@@ -315,7 +325,11 @@
     StepRun* run = FindStepRun(*ref);
     const JobId id = job->intake.id;
     if (succeeded) {
-      ApplySuccess(job, run, *ref, now);
+      if (job->Step(*run).long_running) {
+        ApplyLongRunningEnd(job, run, *ref);
+      } else {
+        ApplySuccess(job, run, *ref, now);
+      }
       worker->failed_jobs.clear();
     } else if (ended.end == AttemptEnd::kFailed && !superseded) {
       RecordWorkerFailure(worker, id, now);
@@ -361,14 +375,35 @@
   }
 }
 
+void PoolScheduler::ApplyLongRunningEnd(CellJob* job, StepRun* run, const TaskRef& ref) {
+  run->tasks[ref.task].losses.Clear();
+  MarkChanged(job);
+}
+
+void PoolScheduler::DelayRestart(const Attempt& attempt, CellTask* task, absl::Time now) {
+  if (attempt.estimate < absl::InfiniteDuration() || attempt.stop_wanted) {
+    return;
+  }
+  if (now - attempt.known_since > kShortAttempt) {
+    task->short_attempts = 0;
+    return;
+  }
+  ++task->short_attempts;
+  absl::Duration delay = absl::ZeroDuration();
+  for (int i = 1; i < task->short_attempts && delay < kMaxRestartDelay; ++i) {
+    delay = std::max(kMinRestartDelay, delay * 2);
+  }
+  task->start_not_before = now + std::min(delay, kMaxRestartDelay);
+}
+
 void PoolScheduler::ApplyFailure(CellJob* job, StepRun* run, const TaskRef& ref,
                                  const EndedAttempt& ended, absl::Time now) {
   const StepSpec& step = job->Step(*run);
-  run->tasks[ref.task].losses.Clear();
   if (step.long_running) {
-    MarkChanged(job);
+    ApplyLongRunningEnd(job, run, ref);
     return;
   }
+  run->tasks[ref.task].losses.Clear();
   std::set<RunNumber>& failed =
       step.gang ? run->gang_failed_runs : run->tasks[ref.task].failed_runs;
   failed.insert(ended.key.run);
--- a/packages/cell/progress_record.cc
+++ b/packages/cell/progress_record.cc
@@ -168,8 +168,9 @@
   return record;
 }
 
-void ApplyStepRun(StepRunRecord record, StepRun* run) {
-  for (size_t i = 0; i < record.done.size(); ++i) {
+void ApplyStepRun(StepRunRecord record, const StepSpec& step, StepRun* run) {
+  // Earlier versions recorded a long-running task as succeeded when it ended without a failure.
+  for (size_t i = 0; i < record.done.size() && !step.long_running; ++i) {
     if (record.done[i] && run->tasks[i].phase != TaskPhase::kSucceeded) {
       run->tasks[i].phase = TaskPhase::kSucceeded;
       ++run->succeeded;
@@ -246,7 +247,7 @@
   }
   for (StepRunRecord& record : progress.runs) {
     StepRun* const run = &job->runs[record.run];
-    ApplyStepRun(std::move(record), run);
+    ApplyStepRun(std::move(record), job->Step(*run), run);
   }
   return {};
 }
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -171,10 +171,13 @@
   const StepSpec& step = candidate.job->Step(run);
   std::vector<int> waiting;
   for (size_t i = 0; i < run.tasks.size(); ++i) {
-    if (run.tasks[i].phase == TaskPhase::kWaiting) {
+    if (run.tasks[i].phase == TaskPhase::kWaiting && run.tasks[i].start_not_before <= now_) {
       waiting.push_back(static_cast<int>(i));
     }
   }
+  if (waiting.empty()) {
+    return;
+  }
   // Suspected tasks may wait longer for a worker than the others, which must not wait with them.
   std::stable_partition(waiting.begin(), waiting.end(),
                         [&](int index) { return !NeedsIsolation(step, run.tasks[index]); });
--- a/packages/cell/schedule_round_waits.cc
+++ b/packages/cell/schedule_round_waits.cc
@@ -61,6 +61,10 @@
   const StepRun& run = candidate.job->runs[candidate.run];
   StepWait wait;
   wait.task = TaskRef{candidate.job->intake.id, candidate.run, task};
+  if (run.tasks[task].start_not_before > now_) {
+    wait.workers[WaitReason::kRestartDelay] = 1;
+    return wait;
+  }
   if (!LeavesHeadroom(candidate)) {
     wait.workers[WaitReason::kHeadroom] = 1;
     return wait;
--- a/packages/cell/step_wait.cc
+++ b/packages/cell/step_wait.cc
@@ -14,6 +14,8 @@
       return "capacity";
     case WaitReason::kLabel:
       return "label";
+    case WaitReason::kRestartDelay:
+      return "restart delay";
     case WaitReason::kBestEffort:
       return "best effort";
     case WaitReason::kReservation:
--- a/packages/cell/step_wait.h
+++ b/packages/cell/step_wait.h
@@ -17,6 +17,8 @@
   // The worker has too little free capacity.
   kCapacity,
   kLabel,
+  // The task has ended soon after several starts in a row.
+  kRestartDelay,
   // Best-effort and serving tasks do not share a worker.
   kBestEffort,
   // The worker is reserved for another task.
--- a/tests/cell/long_running_tasks_test.cc
+++ b/tests/cell/long_running_tasks_test.cc
@@ -347,6 +347,70 @@
   BOOST_TEST(stops == 1U);
 }
 
+// Guards against a long-running task that is not started again, and whose job is shown as
+// completed, after an end that is no failure. Every kind of end is followed by a restart.
+BOOST_AUTO_TEST_CASE(TasksAreRestartedHoweverTheyEnd) {
+  for (const AttemptEnd end :
+       {AttemptEnd::kSucceeded, AttemptEnd::kFailed, AttemptEnd::kStopped,
+        AttemptEnd::kLeaseExpired, AttemptEnd::kGangBroken, AttemptEnd::kGangIncomplete}) {
+    RunningPool pool;
+    pool.AddWorkers(3, 1000);
+    pool.Add(LongRunningJob("a", 2, 1000));
+    pool.Run(kMaxRestartDelay);
+    BOOST_REQUIRE_EQUAL(pool.CountRunning("a"), 2);
+    pool.End(pool.WorkerOf("a"), "a", end);
+    pool.Run(kMaxRestartDelay);
+    BOOST_TEST(pool.CountRunning("a") == 2);
+    BOOST_TEST((pool.fixture().State("a") == CellJobState::kRunning));
+  }
+}
+
+// Guards against the same after a takeover: the end waits at the worker and is read by the next
+// owner, or an earlier version has stored that the task succeeded.
+BOOST_AUTO_TEST_CASE(NextOwnerRestartsTasksThatEnded) {
+  Fixture fixture;
+  const std::vector<WorkerDescription> workers = {Fixture::Worker("w1", 1000)};
+  fixture.AddWorkers(workers);
+  const JobIntake job = LongRunningJob("a", 1, 1000);
+  fixture.AddJob(job);
+  const AttemptKey key = Starts(fixture.Round()).at(0).order.key;
+  fixture.TakeOver({job}, workers);
+  fixture.scheduler().ConfirmRoster({WorkerId("w1")});
+  fixture.Report("w1", {}, {{key, AttemptEnd::kSucceeded}});
+  BOOST_TEST(Starts(fixture.Round()).size() == 1U);
+  CellJob stored = MakeCellJob(job);
+  const Outcome<void> applied = Capture([&stored] {
+    return ApplyProgress(R"({"state":"running","runs":[{"run":0,"done":"1"}]})", &stored);
+  });
+  BOOST_TEST(applied.ok());
+  BOOST_TEST((stored.runs[0].tasks[0].phase == TaskPhase::kWaiting));
+}
+
+// Guards against a rapid series of starts of a long-running task that ends at once each time, and
+// against a job that cannot be cancelled meanwhile.
+BOOST_AUTO_TEST_CASE(TaskThatEndsAtOnceIsRestartedMoreAndMoreRarely) {
+  constexpr absl::Duration kObserved = absl::Seconds(20);
+  constexpr int kMaxStarts = 15;
+  RunningPool pool;
+  pool.AddWorkers(2, 1000);
+  pool.Add(LongRunningJob("a", 1, 1000));
+  int starts = 0;
+  absl::Time last_start = pool.fixture().Now();
+  const absl::Time observed_until = pool.fixture().Now() + kObserved;
+  while (pool.fixture().Now() < observed_until) {
+    for (const SentOrder& sent : pool.Step()) {
+      ++starts;
+      last_start = pool.fixture().Now();
+      pool.End(sent.worker.value(), "a", AttemptEnd::kSucceeded);
+    }
+    BOOST_TEST(pool.fixture().Now() - last_start <= kMaxRestartDelay);
+  }
+  BOOST_TEST(starts <= kMaxStarts);
+  pool.fixture().scheduler().CancelJob(JobId("a"), pool.fixture().Now());
+  BOOST_TEST(pool.Step().empty());
+  BOOST_TEST((pool.fixture().State("a") == CellJobState::kCancelled));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
