cell: List attempts with unstored ends in the roster

Callers saw tasks run again although an earlier run had ended as done on another worker, around restarts of instances.

Cause: the roster of a planned handover, and the entry of an unreachable worker, name all attempts that the next owner has to wait for. They left out attempts whose end the owner had received but not yet stored; a draining worker with such ends left the roster.

The roster now lists these attempts as well, and keeps their workers. The next owner takes them for running until the worker reports or its lease is over. IdleLeavingWorkerLeavesTheRoster expected that a worker leaves the roster before its end is stored; it now checks that the worker stays until then and leaves afterwards.

--- a/packages/cell/cell_worker.h
+++ b/packages/cell/cell_worker.h
@@ -73,6 +73,7 @@
 // An ended attempt that the worker keeps reporting until the owner acknowledges it.
 struct UnacknowledgedEnd {
   EndNumber number;
+  AttemptKey key;
   // The end may be acknowledged once this version of the job is stored. If the id is empty, nothing
   // has to be stored first.
   JobId job;
--- a/packages/cell/job_record.h
+++ b/packages/cell/job_record.h
@@ -59,12 +59,11 @@
 struct RosterEntry {
   WorkerDescription worker;
   // The worker is unreachable: no more attempts are started on it, and only those in `attempts` can
-  // be running on it.
+  // be running on it or have ended there without their end being stored.
   bool unreachable = false;
   // Term of the owner that wrote the entry during a clean shutdown, else 0. When that owner
-  // released the pool part, only `attempts` could be running on the worker. Only the owner of the
-  // next term may rely on this; later owners may not, because the owner in between starts further
-  // attempts.
+  // released the pool part, the same holds for this worker. Only the owner of the next term may
+  // rely on this; later owners may not, because the owner in between starts further attempts.
   int64_t handover_term = 0;
   std::vector<AttemptKey> attempts;
   // The subset of `attempts` that is being stopped.
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -32,6 +32,19 @@
   return worker.lease_over_at <= now;
 }
 
+// Returns the attempts that the next owner must not assume to be over without success: those that
+// may be running, and those whose ends may not be stored yet, so that only the worker knows them.
+std::vector<AttemptKey> UnsettledAttempts(const CellWorker& worker) {
+  std::vector<AttemptKey> keys;
+  for (const auto& [key, attempt] : worker.attempts) {
+    keys.push_back(key);
+  }
+  for (const UnacknowledgedEnd& end : worker.unacknowledged) {
+    keys.push_back(end.key);
+  }
+  return keys;
+}
+
 }  // namespace
 
 PoolScheduler::PoolScheduler(PoolPart part, int64_t term, PoolLimits limits, EventLog* events)
@@ -221,16 +234,15 @@
     if (unreachable || !usable) {
       worker.on_roster = worker.on_roster && unreported;
     }
-    if (worker.attempts.empty() && !unreported && (unreachable || !usable)) {
+    std::vector<AttemptKey> unsettled = UnsettledAttempts(worker);
+    if (unsettled.empty() && !unreported && (unreachable || !usable)) {
       continue;
     }
     RosterEntry entry;
     entry.worker = worker.description;
     entry.unreachable = unreachable;
-    for (const auto& [key, attempt] : worker.attempts) {
-      if (unreachable) {
-        entry.attempts.push_back(key);
-      }
+    if (unreachable) {
+      entry.attempts = std::move(unsettled);
     }
     roster.push_back(std::move(entry));
   }
@@ -245,9 +257,9 @@
       continue;
     }
     entry.handover_term = entry.unreachable ? 0 : term_;
-    entry.attempts.clear();
-    for (const auto& [key, attempt] : workers_.at(entry.worker.id).attempts) {
-      entry.attempts.push_back(key);
+    const CellWorker& worker = workers_.at(entry.worker.id);
+    entry.attempts = UnsettledAttempts(worker);
+    for (const auto& [key, attempt] : worker.attempts) {
       if (attempt.stop_wanted) {
         entry.stopping.push_back(key);
       }
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -319,7 +319,7 @@
   if (ref.has_value()) {
     RetractLoss(*ref, ended.key.run);
   }
-  UnacknowledgedEnd pending{ended.number, JobId(), 0};
+  UnacknowledgedEnd pending{ended.number, ended.key, JobId(), 0};
   CellJob* job = ref.has_value() ? FindJob(ref->job) : nullptr;
   if (job != nullptr && !IsFinal(job->state)) {
     StepRun* run = FindStepRun(*ref);
--- a/tests/cell/pool_scheduler_test.cc
+++ b/tests/cell/pool_scheduler_test.cc
@@ -170,6 +170,8 @@
   fixture.scheduler().UpdateDirectory({leaving}, fixture.Now());
   BOOST_TEST(fixture.scheduler().BuildRoster(fixture.Now()).size() == 1U);
   fixture.Report("w1", {}, {{started.order.key, AttemptEnd::kSucceeded}});
+  BOOST_TEST(fixture.scheduler().BuildRoster(fixture.Now()).size() == 1U);
+  fixture.CommitAll();
   BOOST_TEST(fixture.scheduler().BuildRoster(fixture.Now()).empty());
   leaving.draining = false;
   fixture.scheduler().UpdateDirectory({leaving}, fixture.Now());
