cell: Send one hold at a time when ends are stored as the wait expires

Callers would see the owner of a pool end with signal 6, or a task start again although it ran: both came from two holds on one connection.

Cause: WorkerSession waits up to 0.4 s for ends to be stored. When that wait expires, the timer's thread prepares the next hold. If the ends are stored at that moment, the connector's thread resumes the hold as well, and both send one. AsyncHttpConnection allows one call: the first answer went to the second call, whose later sending time makes attempts that the report does not list yet count as over, and the second answer found no call (std::bad_function_call).

The thread that ends the wait now sends the hold, and the other one sends none.

--- a/packages/cell/worker_session.cc
+++ b/packages/cell/worker_session.cc
@@ -92,8 +92,10 @@
     });
     return;
   }
-  EndWait();
-  SendHold(*order);
+  // The ends may have been stored since BeginWait(). Then ResumeHold() sends a hold of its own.
+  if (EndWait(wait)) {
+    SendHold(*order);
+  }
 }
 
 int64_t WorkerSession::BeginWait() {
@@ -102,9 +104,11 @@
   return ++wait_number_;
 }
 
-void WorkerSession::EndWait() {
+bool WorkerSession::EndWait(int64_t wait) {
   absl::MutexLock lock(&mutex_);
-  waiting_for_ends_ = false;
+  const bool in_progress = waiting_for_ends_ && wait == wait_number_;
+  waiting_for_ends_ = waiting_for_ends_ && !in_progress;
+  return in_progress;
 }
 
 void WorkerSession::EndsStored() {
@@ -117,14 +121,9 @@
 }
 
 void WorkerSession::ResumeHold(int64_t wait, bool wait_expired) {
-  {
-    absl::MutexLock lock(&mutex_);
-    if (!waiting_for_ends_ || wait != wait_number_) {
-      return;
-    }
-    waiting_for_ends_ = false;
+  if (EndWait(wait)) {
+    PrepareAndSendHold(wait_expired);
   }
-  PrepareAndSendHold(wait_expired);
 }
 
 void WorkerSession::SendHold(const HoldOrder& order) {
--- a/packages/cell/worker_session.h
+++ b/packages/cell/worker_session.h
@@ -78,7 +78,9 @@
   void PrepareAndSendHold(bool wait_expired);
   // Lets EndsStored() resume the hold from now on. Returns the number of this wait.
   int64_t BeginWait();
-  void EndWait();
+  // Ends wait number `wait`. Returns false if it has ended before, because another thread sends the
+  // next hold.
+  bool EndWait(int64_t wait);
   // Does nothing if wait number `wait` has already ended.
   void ResumeHold(int64_t wait, bool wait_expired);
   void SendHold(const HoldOrder& order);
