cell: Stop the members of a gang when one does not start

Callers saw parts of gangs that ran without the others until they gave up.

Cause: the members of a gang are started one by one on their workers. If one start was refused (for its ticket, for want of room, by an unhealthy worker), was not sent, got no answer, or its worker was lost, the owner requeued that task only. The others waited for it, up to the platform's time limit for gangs, and held their capacity.

The owner now stops the other members at once and does not send the starts that are still queued. An order that is given up before it is sent no longer closes its worker to starts until the next report.

--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -168,6 +168,8 @@
   // again and `reason` is logged, unless it is null.
   void DropAttempt(CellWorker* worker, const AttemptKey& key, const char* reason,
                    bool avoid_worker);
+  // Stops the other members of a gang attempt that has lost one: they could only wait for it.
+  void StopGang(const TaskRef& lost, RunNumber run);
   // Requeues the tasks of all attempts on a worker that is gone.
   void LoseAttempts(CellWorker* worker, WorkerLossCause cause, absl::Time now);
   // Describes what the loss of the worker says about the task of one of its attempts.
--- a/packages/cell/pool_scheduler_losses.cc
+++ b/packages/cell/pool_scheduler_losses.cc
@@ -1,6 +1,7 @@
 // The part of PoolScheduler that handles the loss of workers and finds the tasks that cause it.
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -104,11 +105,11 @@
   } else {
     RetractLosses(worker);
   }
-  std::vector<TaskRef> tasks;
+  std::vector<std::pair<TaskRef, RunNumber>> tasks;
   for (const auto& [key, attempt] : worker->attempts) {
     if (IsCurrent(*worker, attempt)) {
       RecordTaskWorkerLost(*worker, attempt, cause, lost_at);
-      tasks.push_back(*attempt.task);
+      tasks.emplace_back(*attempt.task, key.run);
     }
   }
   // A worker that was only cut off may still report the ends of these attempts.
@@ -116,7 +117,8 @@
   while (!worker->attempts.empty()) {
     DropAttempt(worker, AttemptKey(worker->attempts.begin()->first), nullptr, true);
   }
-  for (const TaskRef& task : tasks) {
+  for (const auto& [task, run] : tasks) {
+    StopGang(task, run);
     GiveUpIfItCrashesWorkers(task, now);
   }
 }
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -84,6 +84,7 @@
   if (reason == nullptr) {
     return;
   }
+  StopGang(*attempt.task, key.run);
   events_->Record(EventCode::kTaskRequeued)
       .Job(attempt.task->job)
       .Task(TaskId(key.task))
@@ -366,6 +367,20 @@
   FinishIfComplete(job, now);
 }
 
+void PoolScheduler::StopGang(const TaskRef& lost, RunNumber run) {
+  const CellJob* job = FindJob(lost.job);
+  const StepRun* step_run = FindStepRun(lost);
+  if (step_run == nullptr || !job->Step(*step_run).gang) {
+    return;
+  }
+  for (size_t i = 0; i < step_run->tasks.size(); ++i) {
+    const CellTask& member = step_run->tasks[i];
+    if (member.phase == TaskPhase::kActive && member.last_run == run) {
+      StopAttempt(member.worker, AttemptKey{TaskName(*job, *step_run, static_cast<int>(i)), run});
+    }
+  }
+}
+
 void PoolScheduler::StopAttempt(const WorkerId& id, const AttemptKey& key) {
   CellWorker* worker = FindWorker(id);
   const auto it =
@@ -487,10 +502,18 @@
     if (attempt.phase == AttemptPhase::kOrdered) {
       attempt.phase = AttemptPhase::kUncertain;
       attempt.stop_wanted = true;
+      if (IsCurrent(*worker, attempt)) {
+        StopGang(*attempt.task, key.run);
+      }
     }
     MarkUnreachable(worker, now);
     return;
   }
+  if (outcome.never_sent && attempt.stop_wanted) {
+    // The start was not sent because it is not wanted any more, which says nothing of the worker.
+    DropAttempt(worker, key, "the start was given up before it was sent", false);
+    return;
+  }
   if (outcome.answer == OrderAnswer::kTicketRefused && attempt.task.has_value()) {
     StepRun* run = FindStepRun(*attempt.task);
     if (run != nullptr) {
--- /dev/null
+++ b/tests/cell/gang_test.cc
@@ -0,0 +1,105 @@
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "tests/cell/scheduler_fixture.h"
+
+namespace pomelotray {
+namespace {
+
+using Fixture = SchedulerFixture;
+
+JobIntake GangJob(const std::string& id) {
+  StepSpec gang = Fixture::Step(2, 1000);
+  gang.gang = true;
+  return Fixture::Job(id, {gang});
+}
+
+// A gang of two tasks whose starts are ordered, one on each of two workers.
+class GangFixture : public Fixture {
+ public:
+  GangFixture() {
+    AddWorkers({Worker("w1", 1000), Worker("w2", 1000)});
+    AddJob(GangJob("a"));
+    ordered = Starts(Round(/*confirm=*/false));
+    BOOST_REQUIRE_EQUAL(ordered.size(), 2U);
+  }
+
+  void Finish(const SentOrder& sent, const OrderOutcome& outcome) {
+    scheduler().StartFinished(sent.worker, sent.order.key, outcome, Now());
+  }
+
+  std::vector<SentOrder> ordered;
+};
+
+const OrderOutcome kAccepted{OrderAnswer::kAccepted, false};
+const OrderOutcome kNotSent{std::nullopt, true};
+
+BOOST_AUTO_TEST_SUITE(GangTest)
+
+// Guards against members of a gang that wait for the others until they give up: one start was
+// refused, or got no answer, and the others went on waiting.
+BOOST_AUTO_TEST_CASE(MembersStopWhenOneDoesNotStart) {
+  for (const OrderOutcome& outcome :
+       {OrderOutcome{OrderAnswer::kTicketRefused, false}, OrderOutcome{OrderAnswer::kNoRoom, false},
+        OrderOutcome{OrderAnswer::kUnhealthy, false}, kNotSent, OrderOutcome{}}) {
+    GangFixture fixture;
+    const SentOrder& started = fixture.ordered[0];
+    fixture.Finish(started, kAccepted);
+    fixture.Finish(fixture.ordered[1], outcome);
+    bool stopped = false;
+    for (const SentOrder& stop : Stops(fixture.Round())) {
+      stopped = stopped || stop.order.key == started.order.key;
+    }
+    BOOST_TEST(stopped);
+  }
+}
+
+// Guards against the same when the worker of one member is lost.
+BOOST_AUTO_TEST_CASE(MembersStopWhenOneLosesItsWorker) {
+  GangFixture fixture;
+  fixture.Finish(fixture.ordered[0], kAccepted);
+  fixture.Finish(fixture.ordered[1], kAccepted);
+  fixture.scheduler().WorkerReplaced(fixture.ordered[1].worker, fixture.Now());
+  const std::vector<SentOrder> stops = Stops(fixture.Round());
+  BOOST_REQUIRE_EQUAL(stops.size(), 1U);
+  BOOST_TEST((stops[0].order.key == fixture.ordered[0].order.key));
+}
+
+// Guards against members that are started although the gang cannot become complete, and against
+// workers that get no starts for up to a second because such an order was given up.
+BOOST_AUTO_TEST_CASE(MembersThatAreNotSentYetAreGivenUp) {
+  GangFixture fixture;
+  const SentOrder& waiting = fixture.ordered[1];
+  fixture.Finish(fixture.ordered[0], OrderOutcome{OrderAnswer::kNoRoom, false});
+  BOOST_TEST(!fixture.scheduler()
+                  .PrepareStart(waiting.worker, waiting.order.key, fixture.Now())
+                  .has_value());
+  fixture.Finish(waiting, kNotSent);
+  fixture.AddJob(Fixture::Job("b", {Fixture::Step(1, 1000)}, 2, /*priority=*/0));
+  const std::vector<SentOrder> next = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(next.size(), 1U);
+  BOOST_TEST((next[0].worker == waiting.worker));
+}
+
+// Guards against members that are stopped although the gang has succeeded: the end of one member
+// stands for all.
+BOOST_AUTO_TEST_CASE(SuccessOfOneMemberStopsNone) {
+  GangFixture fixture;
+  for (const SentOrder& sent : fixture.ordered) {
+    fixture.Finish(sent, kAccepted);
+  }
+  const SentOrder& first = fixture.ordered[0];
+  const SentOrder& second = fixture.ordered[1];
+  fixture.Report(first.worker.value(), {}, {{first.order.key, AttemptEnd::kSucceeded}});
+  fixture.Report(second.worker.value(), {}, {{second.order.key, AttemptEnd::kSucceeded}});
+  BOOST_TEST(fixture.Round().empty());
+  fixture.CommitAll();
+  BOOST_TEST((fixture.State("a") == CellJobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace pomelotray
