peer: Replace a connection that is silent for all of a call

Callers saw long-running tasks wait although workers had capacity: for 39 s after connections had gone silent, questions to the adviser by way of one instance were all lost, although new connections to it worked. Relayed writes and queries of job states by way of it were lost as well.

Cause: ClientConnection closes a connection after 4 s in which calls are waiting and nothing is received. On a dead connection each call ended with its own, shorter timeout, and the next call restarted the time. So the connection was used for as long as calls were made.

A connection on which nothing is received between the sending of a call and its timeout now gets no new calls: the next one opens another connection. Calls in flight on it may still be answered. A slow call alone replaces no connection on which others are answered.

--- a/packages/peer/client_connection.cc
+++ b/packages/peer/client_connection.cc
@@ -61,6 +61,7 @@
       call->abandoned = true;
       if (call->stream >= 0) {
         abandoned_.push_back(call->stream);
+        silent_ = silent_ || last_heard_ < call->sent;
       }
       wake_.Signal();
       return FailureOf(*call, absl::StrCat("No answer from ", address_, " within the timeout."));
@@ -78,9 +79,17 @@
   wake_.Signal();
 }
 
+void ClientConnection::Retire() {
+  {
+    absl::MutexLock lock(&mutex_);
+    closing_ = true;
+  }
+  wake_.Signal();
+}
+
 bool ClientConnection::usable() const {
   absl::MutexLock lock(&mutex_);
-  return !closing_;
+  return !closing_ && !silent_;
 }
 
 std::optional<Error> ClientConnection::Connect(FileDescriptor* socket) {
@@ -130,6 +139,9 @@
       }
       last_received_ = context_->clock->Now();
       pinged_ = false;
+      absl::MutexLock lock(&mutex_);
+      last_heard_ = last_received_;
+      silent_ = false;
     }
   }
 }
@@ -140,9 +152,11 @@
     if (call->abandoned) {
       continue;
     }
-    if (calls_.empty()) {
+    // Time without a call is no silence of the peer.
+    if (calls_.empty() && !silent_) {
       last_received_ = context_->clock->Now();
     }
+    call->sent = context_->clock->Now();
     call->stream =
         session_.SendRequest(address_, call->method, context_->self.value(), std::move(call->data));
     if (call->stream < 0) {
@@ -174,7 +188,12 @@
     // A new connection waits for the call that it was opened for, which may arrive late.
     const absl::Duration patience =
         used_ ? limits.client_idle_timeout : limits.client_idle_timeout + limits.connect_timeout;
-    if (!closing_ && now < last_call_ + patience) {
+    if (!closing_ && silent_ && !pinged_) {
+      pinged_ = true;
+      session_.SendPing();
+    }
+    const bool dead = silent_ && now >= last_received_ + 2 * limits.stall_timeout;
+    if (!closing_ && !dead && now < last_call_ + patience) {
       return true;
     }
     closing_ = true;
--- a/packages/peer/client_connection.h
+++ b/packages/peer/client_connection.h
@@ -29,8 +29,11 @@
   Outcome<Http2Message> Exchange(const std::string& method, std::string data, absl::Time deadline);
   // Fails the calls in flight and lets Run() return.
   void Abort();
+  // Accepts no new calls; Run() returns once those in flight have ended.
+  void Retire();
 
-  // True while new calls are accepted.
+  // True while new calls are accepted and the peer has not been silent for all of a call that timed
+  // out. Such a connection may be dead although it is open.
   bool usable() const;
   bool finished() const { return finished_.load(); }
 
@@ -39,6 +42,7 @@
     std::string method;
     std::string data;
     int32_t stream = -1;
+    absl::Time sent;
     // The last byte was handed to the socket or may have been.
     bool leaving = false;
     // The caller no longer waits.
@@ -79,6 +83,9 @@
   mutable absl::Mutex mutex_;
   bool closing_ ABSL_GUARDED_BY(mutex_) = false;
   bool aborted_ ABSL_GUARDED_BY(mutex_) = false;
+  absl::Time last_heard_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  // A call has timed out, and nothing has been received since it was sent.
+  bool silent_ ABSL_GUARDED_BY(mutex_) = false;
   std::deque<std::shared_ptr<Call>> queue_ ABSL_GUARDED_BY(mutex_);
   std::vector<int32_t> abandoned_ ABSL_GUARDED_BY(mutex_);
   std::map<int32_t, std::shared_ptr<Call>> calls_ ABSL_GUARDED_BY(mutex_);
--- a/packages/peer/peer_client.cc
+++ b/packages/peer/peer_client.cc
@@ -88,6 +88,7 @@
     if (it->second.connection->usable()) {
       return Acquired{it->second.connection, true};
     }
+    it->second.connection->Retire();
     retired_.push_back(std::move(it->second));
     connections_.erase(it);
   }
--- a/tests/peer/transport_test.cc
+++ b/tests/peer/transport_test.cc
@@ -4,6 +4,7 @@
 
 #include "absl/synchronization/notification.h"
 #include "boost/test/unit_test.hpp"
+#include "tests/fakes/severable_proxy.h"
 #include "tests/peer/peer_fixture.h"
 
 namespace pomelotray {
@@ -202,6 +203,46 @@
   }
 }
 
+// Guards against calls that all go out on a connection which has gone silent without a reset: each
+// call timed out, and its end let the connection pass for an idle one.
+BOOST_AUTO_TEST_CASE(SilentConnectionIsReplacedAfterOneLostCall) {
+  constexpr absl::Duration kShortTimeout = absl::Milliseconds(300);
+  const std::unique_ptr<PeerServer> server = Serve(Echo);
+  SeverableProxy proxy(AddressOf(*server));
+  const std::unique_ptr<PeerClient> client = Connect();
+  BOOST_TEST(KindOf(Call(client.get(), proxy.address(), 1)) == "ok");
+  proxy.SeverAll();
+  BOOST_TEST(KindOf(Call(client.get(), proxy.address(), 2, kShortTimeout)) == "outcome_unknown");
+  BOOST_TEST(KindOf(Call(client.get(), proxy.address(), 3)) == "ok");
+  BOOST_TEST(proxy.accepted() == 2U);
+}
+
+// Guards against new connections whenever one slow call of several times out: the peer answers
+// others on the same connection meanwhile.
+BOOST_AUTO_TEST_CASE(ConnectionThatAnswersOtherCallsIsKept) {
+  constexpr absl::Duration kShortTimeout = absl::Milliseconds(500);
+  absl::Notification release;
+  const std::unique_ptr<PeerServer> server = Serve([&release](const PeerCall& call) {
+    if (call.method == "slow") {
+      release.WaitForNotification();
+    }
+    return Result<nlohmann::json>(call.body);
+  });
+  SeverableProxy proxy(AddressOf(*server));
+  const std::unique_ptr<PeerClient> client = Connect();
+  BOOST_TEST(KindOf(Call(client.get(), proxy.address(), 1)) == "ok");
+  std::thread slow([&] {
+    BOOST_TEST(KindOf(Call(client.get(), proxy.address(), 2, kShortTimeout, "slow")) != "ok");
+  });
+  const absl::Time end = client_side.clock.Now() + 2 * kShortTimeout;
+  while (client_side.clock.Now() < end) {
+    BOOST_TEST(KindOf(Call(client.get(), proxy.address(), 3)) == "ok");
+  }
+  slow.join();
+  release.Notify();
+  BOOST_TEST(proxy.accepted() == 1U);
+}
+
 // Guards against control bytes that grow unnoticed: a repeated call's headers, framing and envelope
 // take at most 120 bytes both ways on a warm connection.
 BOOST_AUTO_TEST_CASE(WarmCallOverheadIsBounded) {
