--- a/tests/platform/http_client_test.cc
+++ b/tests/platform/http_client_test.cc
@@ -1,14 +1,20 @@
 #include "platform/http_client.h"
 
+#include <array>
+#include <atomic>
 #include <boost/mpl/list.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <string>
+#include <thread>
+#include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
 #include "platform/http_loop.h"
+#include "tests/fakes/severable_proxy.h"
 #include "tests/platform/scripted_server.h"
 
 namespace pomelotray::platform {
@@ -26,6 +32,47 @@
   return request;
 }
 
+// Answers each read of any number of connections with `kSmallResponse`, after a pause that lets
+// calls of several threads overlap.
+class AnsweringServer {
+ public:
+  AnsweringServer() {
+    Outcome<FileDescriptor> listener = Capture([] { return ListenOn("127.0.0.1:0"); });
+    BOOST_REQUIRE(listener.ok());
+    listener_ = std::move(listener.value());
+    thread_ = std::thread([this] { Run(); });
+  }
+  ~AnsweringServer() {
+    stopping_ = true;
+    thread_.join();
+  }
+  std::string address() const { return absl::StrCat("127.0.0.1:", LocalPort(listener_)); }
+
+ private:
+  void Run() {
+    std::vector<FileDescriptor> connections;
+    std::array<char, 4096> bytes;
+    while (!stopping_) {
+      std::string remote;
+      for (FileDescriptor peer = AcceptFrom(listener_, &remote); peer.valid();
+           peer = AcceptFrom(listener_, &remote)) {
+        connections.push_back(std::move(peer));
+      }
+      absl::SleepFor(kPause);
+      for (const FileDescriptor& connection : connections) {
+        if (recv(connection.get(), bytes.data(), bytes.size(), MSG_DONTWAIT) > 0) {
+          send(connection.get(), kSmallResponse, sizeof(kSmallResponse) - 1, MSG_NOSIGNAL);
+        }
+      }
+    }
+  }
+
+  static constexpr absl::Duration kPause = absl::Milliseconds(20);
+  FileDescriptor listener_;
+  std::atomic<bool> stopping_ = false;
+  std::thread thread_;
+};
+
 // Adapts HttpConnection, whose calls block the calling thread, to the tests.
 class BlockingClient {
  public:
@@ -193,6 +240,31 @@
   BOOST_TEST(absl::ToInt64Milliseconds(absl::Now() - start) >= absl::ToInt64Milliseconds(kTimeout));
 }
 
+// Guards against calls that time out one after the other, each on another idle connection, after
+// all connections have gone silent without a reset.
+BOOST_AUTO_TEST_CASE(OneTimeoutClosesAllConnectionsThatWereIdleBefore) {
+  constexpr int kParallelCalls = 4;
+  AnsweringServer server;
+  SeverableProxy proxy(server.address());
+  HttpConnectionPool pool(proxy.address());
+  const auto call = [&pool] { return Capture([&] { return pool.Call(MakeOrderRequest("x")); }); };
+  HttpRequest patient = MakeOrderRequest("x");
+  patient.timeout = kPatientTimeout;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kParallelCalls; ++i) {
+    callers.emplace_back([&] { BOOST_TEST(Capture([&] { return pool.Call(patient); }).ok()); });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  const size_t opened = proxy.accepted();
+  BOOST_TEST(opened > 1U);
+  proxy.SeverAll();
+  BOOST_TEST(!call().ok());
+  BOOST_TEST(Capture([&] { return pool.Call(patient); }).ok());
+  BOOST_TEST(proxy.accepted() == opened + 1);
+}
+
 // Guards against a timeout that exceeds the range of poll() and is taken for a short one.
 BOOST_AUTO_TEST_CASE(VeryLongTimeoutsAreNotCutToShortOnes) {
   ScriptedServer server({[](PeerSocket* peer) {
