tests: Hand a pool over with results that are not stored

The owner runs with its own threads, and the store refuses the results of tasks. Without the unstored ends in the roster, the next owner starts the finished task again (2 starts instead of 1).

--- a/tests/cell/pool_owner_fixture.h
+++ b/tests/cell/pool_owner_fixture.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -53,6 +54,11 @@
     }
   }
 
+  // Returns the worker of the last start.
+  WorkerId LastStartedOn() const {
+    absl::MutexLock lock(&mutex_);
+    return last_started_on_;
+  }
   // Number of different tasks that were started.
   size_t StartedTasks() const {
     absl::MutexLock lock(&mutex_);
@@ -95,6 +101,7 @@
     absl::MutexLock lock(&mutex_);
     ++starts_;
     tasks_.insert(key.task);
+    last_started_on_ = id;
     std::vector<EndedAttempt>& ends = ended_[id];
     ends.push_back(EndedAttempt{EndNumber(static_cast<int64_t>(ends.size()) + 1), key,
                                 AttemptEnd::kSucceeded, ""});
@@ -121,6 +128,7 @@
   int starts_ ABSL_GUARDED_BY(mutex_) = 0;
   std::map<WorkerId, std::vector<EndedAttempt>> ended_ ABSL_GUARDED_BY(mutex_);
   std::set<WorkerId> cut_off_ ABSL_GUARDED_BY(mutex_);
+  WorkerId last_started_on_ ABSL_GUARDED_BY(mutex_);
   SystemClock clock_;
   TimerQueue loop_{&clock_};
 };
@@ -130,8 +138,7 @@
  public:
   explicit PoolOwnerFixture(int workers)
       : workers_(workers),
-        membership_({InstanceId("a"), "a:1"}, "1", &store_, &clock_, &events_,
-                    {[](const PartClaim&) {}, [](const PartName&) {}, [] { return false; }}),
+        membership_(MakeMembership("1")),
         advice_(InstanceId("a"), nullptr, nullptr, &events_) {
     store_.Put(cell_keys::PartCount(PoolName("rendering")), "1");
   }
@@ -148,19 +155,36 @@
   }
   // Claims the pool and starts an owner for it, which replaces an earlier one.
   void Start() {
-    membership_.SetPools({PoolName("rendering")});
-    membership_.Start();
-    BOOST_REQUIRE(Eventually([this] { return membership_.ClaimOf(Part()).has_value(); }));
+    membership_->SetPools({PoolName("rendering")});
+    membership_->Start();
+    BOOST_REQUIRE(Eventually([this] { return membership_->ClaimOf(Part()).has_value(); }));
     PoolLimits limits;
     limits.task_lease = kTaskLease;
-    owner_ = std::make_shared<PoolOwner>(*membership_.ClaimOf(Part()), limits, MakeContext());
+    owner_ = std::make_shared<PoolOwner>(*membership_->ClaimOf(Part()), limits, MakeContext());
     owner_->Start();
   }
+  // Stops the owner in order and starts the next one.
+  void HandOver() {
+    std::optional<StoreWrite> roster = owner_->PrepareHandover(kHandoverTimeout);
+    BOOST_REQUIRE(roster.has_value());
+    membership_->Resign({std::move(*roster)});
+    owner_.reset();
+    membership_ = MakeMembership("2");
+    Start();
+  }
   bool Completes(const std::string& id) {
     return Eventually([&] { return owner_->StateOf(JobId(id)) == CellJobState::kCompleted; });
   }
 
  private:
+  static constexpr absl::Duration kHandoverTimeout = absl::Milliseconds(50);
+
+  std::unique_ptr<CellMembership> MakeMembership(const std::string& incarnation) {
+    return std::make_unique<CellMembership>(
+        CellMember{InstanceId("a"), "a:1"}, incarnation, &store_, &clock_, &events_,
+        CellMembership::Callbacks{[](const PartClaim&) {}, [](const PartName&) {},
+                                  [] { return false; }});
+  }
   PoolOwnerContext MakeContext() {
     PoolOwnerContext context;
     context.store = &store_;
@@ -168,7 +192,7 @@
     context.connector = &workers_;
     context.advice = &advice_;
     context.timers = &timers_;
-    context.membership = &membership_;
+    context.membership = membership_.get();
     context.clock = &clock_;
     context.events = &events_;
     context.claim_lost = [](const PartName&) {};
@@ -181,7 +205,7 @@
   FakeStore store_{&clock_};
   SimulatedWorkers workers_;
   TimerQueue timers_{&clock_};
-  CellMembership membership_;
+  std::unique_ptr<CellMembership> membership_;
   AdviceDispatcher advice_;
   std::shared_ptr<PoolOwner> owner_;
 };
--- a/tests/cell/pool_owner_test.cc
+++ b/tests/cell/pool_owner_test.cc
@@ -122,6 +122,37 @@
   BOOST_TEST(IsOpenInStoredRoster(pool.store(), worker));
 }
 
+// Guards against a second run of a finished task after a planned handover: the store refused the
+// result, and the next owner started the task on another worker before the first one, which was
+// slow to answer, repeated the end.
+BOOST_AUTO_TEST_CASE(HandoverWithUnstoredResultsRepeatsNoTask) {
+  constexpr absl::Duration kSlowAnswer = absl::Milliseconds(700);
+  PoolOwnerFixture pool(2);
+  pool.Start();
+  BOOST_REQUIRE(Eventually([&] {
+    return IsOpenInStoredRoster(pool.store(), WorkerId("w0")) &&
+           IsOpenInStoredRoster(pool.store(), WorkerId("w1"));
+  }));
+  std::atomic<int> refused = 0;
+  const std::string stream_prefix = CommitStream::Prefix(kPart);
+  pool.store().SetHook([&](const FakeStore::Call& call) {
+    const bool is_result = call.kind == "commit" && call.key.rfind(stream_prefix, 0) == 0;
+    refused += is_result ? 1 : 0;
+    return is_result ? StoreFault::kDown : StoreFault::kNone;
+  });
+  pool.Submit("a", 1);
+  BOOST_REQUIRE(Eventually([&refused] { return refused > 0; }));
+  const WorkerId worker = pool.workers().LastStartedOn();
+  pool.workers().SetCutOff(worker, true);
+  pool.HandOver();
+  BOOST_REQUIRE(Eventually([&pool] { return pool.owner().IsServing(); }));
+  SystemClock().SleepFor(kSlowAnswer);
+  pool.workers().SetCutOff(worker, false);
+  pool.store().SetHook(nullptr);
+  BOOST_TEST(pool.Completes("a"));
+  BOOST_TEST(pool.workers().Starts() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
