cell: Acknowledge ends of a completed job only when its state is stored

Callers saw gangs run a second time after they had succeeded: each member was started again although its end as done had been acknowledged.

Cause: the end of one member completes a gang, and with it often the job. The other members end after that. Their ends found the job in a final state and were acknowledged at once, although that state was not stored. If the owner was lost before the commit, the next owner knew of no end.

The new test fails without the fix: the end of a member is acknowledged before anything is stored.

Each end of a job that the owner knows now waits for the job's latest version to be stored.

--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -119,6 +119,11 @@
   return it == jobs_.end() ? nullptr : &it->second;
 }
 
+CellJob* PoolScheduler::FindJobOfTask(const std::string& task_name) {
+  TaskNameParts parts;
+  return ParseTaskName(task_name, &parts) ? FindJob(JobId(parts.job)) : nullptr;
+}
+
 CellWorker* PoolScheduler::FindWorker(const WorkerId& id) {
   const auto it = workers_.find(id);
   return it == workers_.end() ? nullptr : &it->second;
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -151,6 +151,8 @@
 
  private:
   CellJob* FindJob(const JobId& id);
+  // Returns the job that the name of a task contains, also if it is in a final state.
+  CellJob* FindJobOfTask(const std::string& task_name);
   CellWorker* FindWorker(const WorkerId& id);
   StepRun* FindStepRun(const TaskRef& ref);
   std::optional<TaskRef> ResolveTaskName(const std::string& task_name);
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -279,9 +279,9 @@
 void PoolScheduler::ReserveForUnboundAttempt(Attempt* attempt) {
   // A job in a final state has no tasks any more, but its specification still has the resource
   // demand of each step.
+  const CellJob* const job = FindJobOfTask(attempt->key.task);
   TaskNameParts parts;
-  const CellJob* job =
-      ParseTaskName(attempt->key.task, &parts) ? FindJob(JobId(parts.job)) : nullptr;
+  ParseTaskName(attempt->key.task, &parts);
   if (job != nullptr && parts.step < static_cast<int>(job->intake.spec.steps.size())) {
     SetDemand(job->intake.spec.steps[parts.step], attempt);
   } else {
@@ -338,8 +338,13 @@
     } else {
       MarkChanged(job);
     }
-    pending.job = id;
-    pending.version = job->version;
+  }
+  // This includes jobs whose final state is not stored yet: the end of one member of a gang
+  // completes the job, and the other members end after that.
+  const CellJob* const known_job = FindJobOfTask(ended.key.task);
+  if (known_job != nullptr) {
+    pending.job = known_job->intake.id;
+    pending.version = known_job->version;
   }
   worker->unacknowledged.push_back(pending);
 }
--- a/tests/cell/gang_test.cc
+++ b/tests/cell/gang_test.cc
@@ -99,6 +99,25 @@
   BOOST_TEST((fixture.State("a") == CellJobState::kCompleted));
 }
 
+// Guards against a second run of a gang that has succeeded: the owner acknowledged the ends of the
+// other members before the success was stored, was lost, and the next owner learned of no end.
+BOOST_AUTO_TEST_CASE(EndsOfAllMembersWaitForTheStoredSuccess) {
+  GangFixture fixture;
+  for (const SentOrder& sent : fixture.ordered) {
+    fixture.Finish(sent, kAccepted);
+  }
+  for (const SentOrder& sent : fixture.ordered) {
+    fixture.Report(sent.worker.value(), {}, {{sent.order.key, AttemptEnd::kSucceeded}});
+  }
+  for (const SentOrder& sent : fixture.ordered) {
+    BOOST_TEST(fixture.scheduler().AcknowledgedEnd(sent.worker).value() == 0);
+  }
+  fixture.CommitAll();
+  for (const SentOrder& sent : fixture.ordered) {
+    BOOST_TEST(fixture.scheduler().AcknowledgedEnd(sent.worker).value() == 1);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
