tests: Check the outcomes of calls on the test's own thread

ThreadSanitizer found a data race in the framework of the tests: two threads checked conditions at the same time in ConnectionThatAnswersOtherCallsIsKept. The HTTP client's test did the same. The slow call's outcome is now named.

--- a/tests/peer/transport_test.cc
+++ b/tests/peer/transport_test.cc
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -231,8 +232,9 @@
   SeverableProxy proxy(AddressOf(*server));
   const std::unique_ptr<PeerClient> client = Connect();
   BOOST_TEST(KindOf(Call(client.get(), proxy.address(), 1)) == "ok");
+  std::string slow_outcome;
   std::thread slow([&] {
-    BOOST_TEST(KindOf(Call(client.get(), proxy.address(), 2, kShortTimeout, "slow")) != "ok");
+    slow_outcome = KindOf(Call(client.get(), proxy.address(), 2, kShortTimeout, "slow"));
   });
   const absl::Time end = client_side.clock.Now() + 2 * kShortTimeout;
   while (client_side.clock.Now() < end) {
@@ -240,6 +242,7 @@
   }
   slow.join();
   release.Notify();
+  BOOST_TEST(slow_outcome == "outcome_unknown");
   BOOST_TEST(proxy.accepted() == 1U);
 }
 
--- a/tests/platform/http_client_test.cc
+++ b/tests/platform/http_client_test.cc
@@ -250,13 +250,16 @@
   const auto call = [&pool] { return Capture([&] { return pool.Call(MakeOrderRequest("x")); }); };
   HttpRequest patient = MakeOrderRequest("x");
   patient.timeout = kPatientTimeout;
+  std::atomic<int> answered = 0;
   std::vector<std::thread> callers;
   for (int i = 0; i < kParallelCalls; ++i) {
-    callers.emplace_back([&] { BOOST_TEST(Capture([&] { return pool.Call(patient); }).ok()); });
+    callers.emplace_back(
+        [&] { answered += Capture([&] { return pool.Call(patient); }).ok() ? 1 : 0; });
   }
   for (std::thread& caller : callers) {
     caller.join();
   }
+  BOOST_TEST(answered == kParallelCalls);
   const size_t opened = proxy.accepted();
   BOOST_TEST(opened > 1U);
   proxy.SeverAll();
