--- a/tests/platform/http_client_test.cc
+++ b/tests/platform/http_client_test.cc
@@ -252,6 +252,7 @@
   patient.timeout = kPatientTimeout;
   std::atomic<int> answered = 0;
   std::vector<std::thread> callers;
+  callers.reserve(kParallelCalls);
   for (int i = 0; i < kParallelCalls; ++i) {
     callers.emplace_back(
         [&] { answered += Capture([&] { return pool.Call(patient); }).ok() ? 1 : 0; });
