cell: Stop a whole gang when a member stalls or was never started

What callers saw: a gang that could not become complete kept its workers until its members gave up ("alone", GANG).

Cause: stops the members when an attempt is dropped. Two paths drop none: a member that is stopped for its lack of progress is dropped only when it has ended, and a member that an earlier owner never started has no attempt at all.

Fix: the check for progress stops the whole gang at once. A round that finds a gang of which some members wait while others are active stops these; after a takeover this is after all workers have reported, so a missing member is known not to run.

The two new cases of GangTest failed before (1 of 2 members stopped, 0 of 1).

--- a/packages/base/event_catalog.cc
+++ b/packages/base/event_catalog.cc
@@ -66,7 +66,7 @@
       {Code::kTaskAdopted, kInfo, "task_adopted", "A new owner adopted a running task."},
       {Code::kTaskRequeued, kInfo, "task_requeued", "A repeatable task was queued again."},
       {Code::kTaskPreempted, kInfo, "task_preempted",
-       "A repeatable task made room for urgent work."},
+       "A running task is stopped and queued again; the reason."},
       {Code::kGangReserved, kInfo, "gang_reserved", "Room is being reserved for a gang."},
       {Code::kAdviceReceived, kInfo, "advice_received",
        "The adviser named the workers that may run a step."},
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -470,6 +470,10 @@
       BeginAttempt(placed, now, &result);
     }
   }
+  // An earlier owner may have been lost before it had started all members.
+  for (const TaskRef& task : round.incomplete_gangs) {
+    StopGang(task, std::nullopt);
+  }
   for (AdviceRequest& request : round.advice) {
     StepRun* run = FindStepRun(request.step);
     if (run == nullptr) {
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -162,7 +162,8 @@
   void Finish(CellJob* job, CellJobState state, absl::Time now, const std::string& reason);
   void FinishIfComplete(CellJob* job, absl::Time now);
   void RequestStops(const CellJob& job);
-  void StopAttempt(const WorkerId& id, const AttemptKey& key);
+  // Marks the attempt to be stopped. Returns false if it is unknown or already marked.
+  bool StopAttempt(const WorkerId& id, const AttemptKey& key);
 
   void BeginAttempt(const PlacedTask& placed, absl::Time now, ScheduledOrders* result);
   void StopAttempts(CellWorker* worker, absl::Time now, ScheduledOrders* result);
@@ -170,8 +171,9 @@
   // again and `reason` is logged, unless it is null.
   void DropAttempt(CellWorker* worker, const AttemptKey& key, const char* reason,
                    bool avoid_worker);
-  // Stops the other members of a gang attempt that has lost one: they could only wait for it.
-  void StopGang(const TaskRef& lost, RunNumber run);
+  // Stops the active members of the task's gang, if it belongs to one: without the task they could
+  // only wait. With `run`, only members of that attempt are stopped.
+  void StopGang(const TaskRef& task, std::optional<RunNumber> run);
   // Requeues the tasks of all attempts on a worker that is gone.
   void LoseAttempts(CellWorker* worker, WorkerLossCause cause, absl::Time now);
   // Describes what the loss of the worker says about the task of one of its attempts.
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -372,26 +372,30 @@
   FinishIfComplete(job, now);
 }
 
-void PoolScheduler::StopGang(const TaskRef& lost, RunNumber run) {
-  const CellJob* job = FindJob(lost.job);
-  const StepRun* step_run = FindStepRun(lost);
+void PoolScheduler::StopGang(const TaskRef& task, std::optional<RunNumber> run) {
+  const CellJob* job = FindJob(task.job);
+  const StepRun* step_run = FindStepRun(task);
   if (step_run == nullptr || !job->Step(*step_run).gang) {
     return;
   }
   for (size_t i = 0; i < step_run->tasks.size(); ++i) {
     const CellTask& member = step_run->tasks[i];
-    if (member.phase == TaskPhase::kActive && member.last_run == run) {
-      StopAttempt(member.worker, AttemptKey{TaskName(*job, *step_run, static_cast<int>(i)), run});
+    const AttemptKey key{TaskName(*job, *step_run, static_cast<int>(i)), member.last_run};
+    if (member.phase == TaskPhase::kActive && key.run == run.value_or(key.run) &&
+        StopAttempt(member.worker, key)) {
+      events_->Record(EventCode::kTaskPreempted)
+          .Task(TaskId(key.task))
+          .Worker(member.worker)
+          .With(event_field::kReason, "another member of the gang is missing")
+          .Emit();
     }
   }
 }
 
-void PoolScheduler::StopAttempt(const WorkerId& id, const AttemptKey& key) {
+bool PoolScheduler::StopAttempt(const WorkerId& id, const AttemptKey& key) {
   CellWorker* worker = FindWorker(id);
-  const auto it =
-      worker == nullptr ? std::map<AttemptKey, Attempt>::iterator() : worker->attempts.find(key);
-  if (worker != nullptr && it != worker->attempts.end()) {
-    it->second.stop_wanted = true;
+  if (worker == nullptr) {
+    return false;
   }
 }
 
@@ -407,6 +411,12 @@
   if (now - attempt.known_since > kShortAttempt) {
     task->short_attempts = 0;
     return;
+  const auto it = worker->attempts.find(key);
+  if (it == worker->attempts.end() || it->second.stop_wanted) {
+    return false;
+  }
+  it->second.stop_wanted = true;
+  return true;
   }
   ++task->short_attempts;
   absl::Duration delay = absl::ZeroDuration();
@@ -477,6 +487,7 @@
         .Worker(worker->description.id)
         .With(event_field::kReason, "the attempt made no progress")
         .With("percent", attempt.percent)
+  std::vector<std::pair<TaskRef, RunNumber>> stalled;
         .With("age_ms", absl::ToInt64Milliseconds(now - attempt.progress_at))
         .Emit();
   }
@@ -484,6 +495,7 @@
 
 void PoolScheduler::StartFinished(const WorkerId& id, const AttemptKey& key,
                                   const OrderOutcome& outcome, absl::Time now) {
+    stalled.emplace_back(*attempt.task, key.run);
   CellWorker* worker = FindWorker(id);
   if (worker == nullptr || worker->attempts.count(key) == 0) {
     return;
@@ -494,6 +506,9 @@
       attempt.phase = AttemptPhase::kRunning;
       attempt.confirmed_at = now;
       attempt.progress_at = now;
+  for (const auto& [task, run] : stalled) {
+    StopGang(task, run);
+  }
     }
     return;
   }
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -185,6 +185,8 @@
     PlaceTasks(candidate, waiting);
   } else if (waiting.size() == run.tasks.size()) {
     PlaceGang(candidate, waiting);
+  } else {
+    result_.incomplete_gangs.push_back(TaskRef{candidate.job->intake.id, candidate.run, 0});
   }
 }
 
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -41,6 +41,8 @@
   // Workers whose best-effort attempts have to be stopped because no other worker has capacity for
   // a serving task.
   std::vector<WorkerId> workers_to_clear;
+  // A task of each gang of which some members wait while others are active.
+  std::vector<TaskRef> incomplete_gangs;
   // Number of pairs of a task and a worker that were examined; measures the cost of the round.
   int64_t workers_examined = 0;
   // Number of tasks that could start when the round began, and of workers that the round reserved.
--- a/tests/cell/gang_test.cc
+++ b/tests/cell/gang_test.cc
@@ -67,6 +67,40 @@
   BOOST_TEST((stops[0].order.key == fixture.ordered[0].order.key));
 }
 
+// Guards against the same when one member makes no progress: the others were stopped only after it
+// had ended.
+BOOST_AUTO_TEST_CASE(MembersStopWithOneThatMakesNoProgress) {
+  GangFixture fixture;
+  for (const SentOrder& sent : fixture.ordered) {
+    fixture.Finish(sent, kAccepted);
+  }
+  const SentOrder& stalled = fixture.ordered[0];
+  const SentOrder& other = fixture.ordered[1];
+  for (int second = 0; second < 4; ++second) {
+    fixture.Report(other.worker.value(), {Fixture::Running(other.order.key, 10 + second)});
+    fixture.Report(stalled.worker.value(), {Fixture::Running(stalled.order.key, 0)});
+    fixture.Advance(absl::Seconds(1));
+  }
+  BOOST_TEST(Stops(fixture.Round()).size() == 2U);
+}
+
+// Guards against the same after a takeover: the earlier owner was lost before it had started all
+// members.
+BOOST_AUTO_TEST_CASE(NextOwnerStopsMembersOfAnIncompleteGang) {
+  GangFixture fixture;
+  const SentOrder& started = fixture.ordered[0];
+  const SentOrder& missing = fixture.ordered[1];
+  const std::vector<WorkerDescription> workers = {Fixture::Worker("w1", 1000),
+                                                  Fixture::Worker("w2", 1000)};
+  fixture.TakeOver({GangJob("a")}, workers);
+  fixture.Report(started.worker.value(), {Fixture::Running(started.order.key, 0)});
+  BOOST_TEST(fixture.Round().empty());
+  fixture.Report(missing.worker.value(), {});
+  const std::vector<SentOrder> stops = Stops(fixture.Round());
+  BOOST_REQUIRE_EQUAL(stops.size(), 1U);
+  BOOST_TEST((stops[0].order.key == started.order.key));
+}
+
 // Guards against members that are started although the gang cannot become complete, and against
 // workers that get no starts for up to a second because such an order was given up.
 BOOST_AUTO_TEST_CASE(MembersThatAreNotSentYetAreGivenUp) {
