cell: Start all members of a gang from the same checkpoint

What callers saw: members of a restarted gang waited in vain for each other (GANG, "alone"). The platform documents that all members of a gang must start from the same checkpoint, and that the value of any of them is valid for all.

Cause: each task kept the checkpoint that its own worker had reported last. Reports arrive at different times, and stops produce new values, so the members of a restarted gang carried different values, or some carried none.

The two new cases of GangTest failed before (c1 for c2, none for c1).

Fix: the checkpoint that was received last goes to all tasks of the gang. Stored progress with several values, as earlier versions wrote it, is read with one value for all.

--- a/packages/cell/cell_job.h
+++ b/packages/cell/cell_job.h
@@ -91,6 +91,8 @@
   int waiting = 0;
   // Attempt numbers with which the whole gang failed.
   std::set<RunNumber> gang_failed_runs;
+  // When the checkpoint that all tasks of a gang have was received from a worker.
+  absl::Time gang_checkpoint_received_at = absl::InfinitePast();
   StepAdvice advice;
 
   bool IsDone() const { return succeeded == static_cast<int>(tasks.size()); }
--- a/packages/cell/cell_worker.cc
+++ b/packages/cell/cell_worker.cc
@@ -12,6 +12,13 @@
 
 }  // namespace
 
+void Attempt::ApplyCheckpoint(const std::string& reported, absl::Time received) {
+  if (!reported.empty() && reported != checkpoint) {
+    checkpoint = reported;
+    checkpoint_received_at = received;
+  }
+}
+
 bool Attempt::IsSettled(absl::Time now) const {
   return estimate == absl::InfiniteDuration() && phase == AttemptPhase::kRunning && !isolated &&
          now - known_since > kSettleTime;
--- a/packages/cell/cell_worker.h
+++ b/packages/cell/cell_worker.h
@@ -59,8 +59,13 @@
   // That time restarts after a gap in the reports, in which the worker may have been paused.
   int percent = -1;
   absl::Time progress_at = absl::InfiniteFuture();
+  // Latest checkpoint, and when the worker reported it; infinite past if the attempt was started
+  // with it.
   std::string checkpoint;
+  absl::Time checkpoint_received_at = absl::InfinitePast();
 
+  // Takes the checkpoint of a report; does nothing if it is empty or the known one.
+  void ApplyCheckpoint(const std::string& reported, absl::Time received);
   // Returns the expected end of the attempt, extrapolated from its progress or, if it has reported
   // none, from its estimate. Never before `now`: an attempt that exceeds its estimate may end at
   // any time.
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -171,6 +171,9 @@
   // again and `reason` is logged, unless it is null.
   void DropAttempt(CellWorker* worker, const AttemptKey& key, const char* reason,
                    bool avoid_worker);
+  // Keeps the checkpoint of an attempt that is over for the next start of its task. All tasks of a
+  // gang get the checkpoint that was received last, since they must start with the same one.
+  void KeepCheckpoint(const Attempt& attempt);
   // Stops the active members of the task's gang, if it belongs to one: without the task they could
   // only wait. With `run`, only members of that attempt are stopped.
   void StopGang(const TaskRef& task, std::optional<RunNumber> run);
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -75,9 +75,7 @@
   CellTask& task = run->tasks[attempt.task->task];
   task.phase = TaskPhase::kWaiting;
   ++run->waiting;
-  if (!attempt.checkpoint.empty()) {
-    task.checkpoint = attempt.checkpoint;
-  }
+  KeepCheckpoint(attempt);
   if (avoid_worker) {
     task.avoided_worker = worker->description.id;
   }
@@ -94,6 +92,24 @@
       .Emit();
 }
 
+void PoolScheduler::KeepCheckpoint(const Attempt& attempt) {
+  if (attempt.checkpoint.empty()) {
+    return;
+  }
+  StepRun* run = FindStepRun(*attempt.task);
+  if (!FindJob(attempt.task->job)->Step(*run).gang) {
+    run->tasks[attempt.task->task].checkpoint = attempt.checkpoint;
+    return;
+  }
+  if (attempt.checkpoint_received_at < run->gang_checkpoint_received_at) {
+    return;
+  }
+  run->gang_checkpoint_received_at = attempt.checkpoint_received_at;
+  for (CellTask& member : run->tasks) {
+    member.checkpoint = attempt.checkpoint;
+  }
+}
+
 void PoolScheduler::ApplyReport(const WorkerId& id, const WorkerReport& report, absl::Time sent,
                                 absl::Time received) {
   CellWorker* worker = FindWorker(id);
@@ -197,9 +213,7 @@
     attempt.percent = running.percent;
     attempt.progress_at = now;
   }
-  if (!running.checkpoint.empty()) {
-    attempt.checkpoint = running.checkpoint;
-  }
+  attempt.ApplyCheckpoint(running.checkpoint, now);
 }
 
 bool PoolScheduler::BindAttempt(CellWorker* worker, Attempt* attempt) {
@@ -262,7 +276,7 @@
   attempt.known_since = now;
   attempt.percent = running.percent;
   attempt.progress_at = now;
-  attempt.checkpoint = running.checkpoint;
+  attempt.ApplyCheckpoint(running.checkpoint, now);
   const bool wanted = BindAttempt(worker, &attempt);
   if (attempt.task.has_value()) {
     RetractLoss(*attempt.task, attempt.key.run);
@@ -297,8 +311,8 @@
     CellTask& task = FindStepRun(*ref)->tasks[ref->task];
     DelayRestart(it->second, &task, now);
   }
-  if (it != worker->attempts.end() && !ended.checkpoint.empty()) {
-    it->second.checkpoint = ended.checkpoint;
+  if (it != worker->attempts.end()) {
+    it->second.ApplyCheckpoint(ended.checkpoint, now);
   }
   events_->Record(EventCode::kTaskEnded)
       .Task(TaskId(ended.key.task))
@@ -397,6 +411,12 @@
   if (worker == nullptr) {
     return false;
   }
+  const auto it = worker->attempts.find(key);
+  if (it == worker->attempts.end() || it->second.stop_wanted) {
+    return false;
+  }
+  it->second.stop_wanted = true;
+  return true;
 }
 
 void PoolScheduler::ApplyLongRunningEnd(CellJob* job, StepRun* run, const TaskRef& ref) {
@@ -411,12 +431,6 @@
   if (now - attempt.known_since > kShortAttempt) {
     task->short_attempts = 0;
     return;
-  const auto it = worker->attempts.find(key);
-  if (it == worker->attempts.end() || it->second.stop_wanted) {
-    return false;
-  }
-  it->second.stop_wanted = true;
-  return true;
   }
   ++task->short_attempts;
   absl::Duration delay = absl::ZeroDuration();
@@ -473,6 +487,7 @@
 }
 
 void PoolScheduler::StopStalledAttempts(CellWorker* worker, absl::Time now) {
+  std::vector<std::pair<TaskRef, RunNumber>> stalled;
   for (auto& [key, attempt] : worker->attempts) {
     if (attempt.phase != AttemptPhase::kRunning || attempt.stop_wanted ||
         attempt.percent >= kAtWorkPercent || now - attempt.progress_at < kStallTimeout ||
@@ -480,6 +495,7 @@
       continue;
     }
     attempt.stop_wanted = true;
+    stalled.emplace_back(*attempt.task, key.run);
     FindStepRun(*attempt.task)->tasks[attempt.task->task].avoided_worker = worker->description.id;
     RecordWorkerFailure(worker, attempt.task->job, now);
     events_->Record(EventCode::kTaskPreempted)
@@ -487,15 +503,16 @@
         .Worker(worker->description.id)
         .With(event_field::kReason, "the attempt made no progress")
         .With("percent", attempt.percent)
-  std::vector<std::pair<TaskRef, RunNumber>> stalled;
         .With("age_ms", absl::ToInt64Milliseconds(now - attempt.progress_at))
         .Emit();
   }
+  for (const auto& [task, run] : stalled) {
+    StopGang(task, run);
+  }
 }
 
 void PoolScheduler::StartFinished(const WorkerId& id, const AttemptKey& key,
                                   const OrderOutcome& outcome, absl::Time now) {
-    stalled.emplace_back(*attempt.task, key.run);
   CellWorker* worker = FindWorker(id);
   if (worker == nullptr || worker->attempts.count(key) == 0) {
     return;
@@ -506,9 +523,6 @@
       attempt.phase = AttemptPhase::kRunning;
       attempt.confirmed_at = now;
       attempt.progress_at = now;
-  for (const auto& [task, run] : stalled) {
-    StopGang(task, run);
-  }
     }
     return;
   }
--- a/packages/cell/progress_record.cc
+++ b/packages/cell/progress_record.cc
@@ -168,6 +168,18 @@
   return record;
 }
 
+void ApplyCheckpoints(const std::map<size_t, std::string>& checkpoints, const StepSpec& step,
+                      StepRun* run) {
+  for (const auto& [task, checkpoint] : checkpoints) {
+    run->tasks[task].checkpoint = checkpoint;
+  }
+  // Earlier versions stored one checkpoint for each task of a gang, although all tasks must start
+  // with the same one.
+  for (size_t i = 0; step.gang && !checkpoints.empty() && i < run->tasks.size(); ++i) {
+    run->tasks[i].checkpoint = checkpoints.begin()->second;
+  }
+}
+
 void ApplyStepRun(StepRunRecord record, const StepSpec& step, StepRun* run) {
   // Earlier versions recorded a long-running task as succeeded when it ended without a failure.
   for (size_t i = 0; i < record.done.size() && !step.long_running; ++i) {
@@ -183,9 +195,7 @@
   for (auto& [task, losses] : record.losses) {
     run->tasks[task].losses = std::move(losses);
   }
-  for (auto& [task, checkpoint] : record.checkpoints) {
-    run->tasks[task].checkpoint = std::move(checkpoint);
-  }
+  ApplyCheckpoints(record.checkpoints, step, run);
   run->gang_failed_runs = std::move(record.gang_failures);
 }
 
--- a/tests/cell/gang_test.cc
+++ b/tests/cell/gang_test.cc
@@ -101,6 +101,50 @@
   BOOST_TEST((stops[0].order.key == started.order.key));
 }
 
+// Guards against gangs that are started with several checkpoints, one for each member: members wait
+// in vain for others that resume from another checkpoint.
+BOOST_AUTO_TEST_CASE(MembersStartWithTheSameCheckpoint) {
+  GangFixture fixture;
+  for (const SentOrder& sent : fixture.ordered) {
+    fixture.Finish(sent, kAccepted);
+  }
+  const AttemptKey first = fixture.ordered[0].order.key;
+  const AttemptKey second = fixture.ordered[1].order.key;
+  fixture.Report(fixture.ordered[0].worker.value(), {RunningAttempt{first, "c1", 10, 0}});
+  fixture.Report(fixture.ordered[1].worker.value(), {RunningAttempt{second, "c2", 20, 0}});
+  fixture.Report(fixture.ordered[1].worker.value(), {}, {{second, AttemptEnd::kFailed}});
+  fixture.Report(fixture.ordered[0].worker.value(), {}, {{first, AttemptEnd::kGangBroken}});
+  const std::vector<SentOrder> restarted = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(restarted.size(), 2U);
+  for (const SentOrder& sent : restarted) {
+    BOOST_TEST(sent.order.checkpoint == "c2");
+  }
+}
+
+// Guards against the same when the next owner restarts the gang and only one member had reported a
+// checkpoint.
+BOOST_AUTO_TEST_CASE(NextOwnerStartsMembersWithTheSameCheckpoint) {
+  GangFixture fixture;
+  for (const SentOrder& sent : fixture.ordered) {
+    fixture.Finish(sent, kAccepted);
+  }
+  const AttemptKey first = fixture.ordered[0].order.key;
+  const AttemptKey second = fixture.ordered[1].order.key;
+  fixture.Report(fixture.ordered[0].worker.value(), {RunningAttempt{first, "c1", 10, 0}});
+  fixture.Report(fixture.ordered[0].worker.value(), {}, {{first, AttemptEnd::kGangBroken}});
+  fixture.Report(fixture.ordered[1].worker.value(), {}, {{second, AttemptEnd::kFailed}});
+  fixture.CommitAll();
+  const std::vector<WorkerDescription> workers = {Fixture::Worker("w1", 1000),
+                                                  Fixture::Worker("w2", 1000)};
+  fixture.TakeOver({GangJob("a")}, workers);
+  fixture.AddWorkers(workers);
+  const std::vector<SentOrder> restarted = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(restarted.size(), 2U);
+  for (const SentOrder& sent : restarted) {
+    BOOST_TEST(sent.order.checkpoint == "c1");
+  }
+}
+
 // Guards against members that are started although the gang cannot become complete, and against
 // workers that get no starts for up to a second because such an order was given up.
 BOOST_AUTO_TEST_CASE(MembersThatAreNotSentYetAreGivenUp) {
