tests: Play gangs in the soak, and check that no member is left waiting

A third of the jobs are gangs now. The stand-ins of the workers share a board on which a gang works once all members are there, ends as a whole, breaks when a member ends, and gives up after three seconds; they report checkpoints. Members that start from different checkpoints are violations.

The new case NoMemberOfAGangIsLeftWaiting has one fault only: workers refuse one start out of ten.

--- a/tests/soak/run_history.cc
+++ b/tests/soak/run_history.cc
@@ -77,6 +77,16 @@
   succeeded_.insert(task);
 }
 
+void RunHistory::GangIncomplete(const std::string& task, int64_t run) {
+  absl::MutexLock lock(&mutex_);
+  incomplete_gangs_.push_back(absl::StrCat(task, "#", run));
+}
+
+std::vector<std::string> RunHistory::incomplete_gangs() const {
+  absl::MutexLock lock(&mutex_);
+  return incomplete_gangs_;
+}
+
 void RunHistory::AddViolation(const std::string& text) {
   absl::MutexLock lock(&mutex_);
   AddViolationLocked(text);
--- a/tests/soak/run_history.h
+++ b/tests/soak/run_history.h
@@ -27,10 +27,14 @@
   void CrashedBy(const std::string& task);
   // Records that the owner acknowledged a successful run of the task.
   void SuccessAcknowledged(const std::string& task);
+  // Records that a member of a gang ended because it had waited in vain for the others.
+  void GangIncomplete(const std::string& task, int64_t run);
   // Adds a violation that the caller detected itself.
   void AddViolation(const std::string& text);
 
   std::vector<std::string> violations() const;
+  // The runs that were recorded with GangIncomplete(), as "<task>#<run>".
+  std::vector<std::string> incomplete_gangs() const;
   std::set<std::string> accepted() const;
 
  private:
@@ -47,6 +51,7 @@
   // The workers that each task has crashed, and its starts since the third crash.
   std::map<std::string, int> crashes_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, int> starts_since_third_crash_ ABSL_GUARDED_BY(mutex_);
+  std::vector<std::string> incomplete_gangs_ ABSL_GUARDED_BY(mutex_);
   std::vector<std::string> violations_ ABSL_GUARDED_BY(mutex_);
 };
 
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -69,7 +69,8 @@
   store_.Put("op/config", Configuration());
   for (int i = 0; i < limits_.workers; ++i) {
     workers_.push_back(
-        std::make_unique<WorkerStandin>(absl::StrCat("w-", i), kWorkerCpu, &history_));
+        std::make_unique<WorkerStandin>(absl::StrCat("w-", i), kWorkerCpu, &history_, &gangs_));
+    workers_.back()->RefuseStarts(limits_.refusal_interval);
     store_.Put(absl::StrCat("servers/w-", i), workers_.back()->Entry());
   }
   instances_.resize(limits_.instances);
@@ -218,6 +219,13 @@
   const std::string payload = "payload of " + id;
   json first = {
       {"count", 1 + RandomBelow(random, 4)}, {"cpu", 1000}, {"mem-mb", 10}, {"estimate-ms", 300}};
+  if (RandomBelow(random, 3) == 0 && !HasCrashingTask(id)) {
+    first["gang"] = true;
+    first["checkpoints"] = true;
+    for (const char* step : {".0.0", ".0.1"}) {
+      gangs_.Add(id + step, first["count"].get<int>());
+    }
+  }
   json steps = json::array({first});
   if (RandomBelow(random, 3) == 0) {
     first["after"] = {0};
@@ -250,9 +258,12 @@
 void SoakRun::CallerLoop(int caller) {
   std::mt19937 random(static_cast<unsigned>(seed_ * 1000 + caller));
   for (int number = 0; !stopping_; ++number) {
-    SubmitJob(absl::StrCat(absl::Hex(seed_ * 1000 + caller, absl::kZeroPad8),
-                           absl::Hex(number, absl::kZeroPad8)),
-              &random);
+    const std::string id = absl::StrCat(absl::Hex(seed_ * 1000 + caller, absl::kZeroPad8),
+                                        absl::Hex(number, absl::kZeroPad8));
+    if (limits_.refusal_interval > 0 && HasCrashingTask(id)) {
+      continue;
+    }
+    SubmitJob(id, &random);
     absl::SleepFor(absl::Milliseconds(30 + RandomBelow(&random, 100)));
   }
 }
@@ -293,7 +304,9 @@
   }
   const absl::Time end = absl::Now() + limits_.fault_duration;
   while (absl::Now() < end) {
-    InjectFault();
+    if (limits_.refusal_interval == 0) {
+      InjectFault();
+    }
     absl::SleepFor(kFaultInterval);
     EndFaults(/*all=*/false);
   }
@@ -303,6 +316,11 @@
     caller.join();
   }
   WaitForCompletion();
+  if (limits_.refusal_interval > 0) {
+    for (const std::string& run : history_.incomplete_gangs()) {
+      history_.AddViolation("a member of a gang waited in vain for the others: " + run);
+    }
+  }
   return history_.violations();
 }
 
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -27,6 +27,8 @@
     absl::Duration fault_duration = absl::Seconds(12);
     // Covers the longest takeover, lease expiry and work on the backlog after the last fault.
     absl::Duration recovery_timeout = absl::Seconds(60);
+    // Workers refuse one start out of this many, and there are no other faults; 0: random faults.
+    uint64_t refusal_interval = 0;
   };
 
   SoakRun(int seed, Limits limits);
@@ -67,6 +69,7 @@
   std::mt19937 random_;
   const std::string folder_;
   RunHistory history_;
+  GangBoard gangs_{&history_};
   StoreStandin store_;
   std::vector<std::unique_ptr<WorkerStandin>> workers_;
   std::vector<Instance> instances_;
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -12,6 +12,10 @@
 // restart, the end of a run was acknowledged although it had not been seen.
 constexpr char kSeeds[] = "1 3";
 
+// Workers refuse one start out of this many, so that about every third gang is concerned.
+constexpr uint64_t kRefusalInterval = 10;
+constexpr int kRefusalSeed = 5;
+
 std::string Setting(const char* name, const std::string& fallback) {
   const char* value = std::getenv(name);  // NOLINT(concurrency-mt-unsafe)
   return value == nullptr ? fallback : value;
@@ -35,6 +39,21 @@
   }
 }
 
+// Guards against members of a gang that wait for the others until they give up: the start of one
+// member is refused, and there is no other fault.
+BOOST_AUTO_TEST_CASE(NoMemberOfAGangIsLeftWaiting) {
+  SoakRun::Limits limits;
+  limits.refusal_interval = kRefusalInterval;
+  // One caller submits fewer tasks than the workers can run.
+  limits.callers = 1;
+  SoakRun run(kRefusalSeed, limits);
+  const std::vector<std::string> violations = run.Run();
+  BOOST_TEST(run.accepted() > 0U, "no job was accepted");
+  for (const std::string& violation : violations) {
+    BOOST_ERROR(violation);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(RunHistoryTest)
--- a/tests/soak/worker_standin.cc
+++ b/tests/soak/worker_standin.cc
@@ -23,6 +23,9 @@
 constexpr int64_t kTaskCpu = 1000;
 // One job out of this many has a task that crashes its workers.
 constexpr uint64_t kCrashingJobInterval = 25;
+// How long a member of a gang waits for the others.
+constexpr absl::Duration kGangTimeout = absl::Seconds(3);
+constexpr absl::Duration kCheckpointInterval = absl::Milliseconds(50);
 constexpr absl::Duration kCrashDelay = absl::Milliseconds(10);
 constexpr absl::Duration kDowntimeAfterCrash = absl::Milliseconds(1500);
 
@@ -32,12 +35,14 @@
   return task.substr(end_of_job) == ".0.0.0" && HasCrashingTask(task.substr(0, end_of_job));
 }
 
+std::string StepOf(const std::string& task) { return task.substr(0, task.rfind('.')); }
+
 }  // namespace
 
 bool HasCrashingTask(const std::string& job) { return StableHash(job) % kCrashingJobInterval == 0; }
 
-WorkerStandin::WorkerStandin(std::string id, int64_t cpu, RunHistory* history)
-    : id_(std::move(id)), history_(history), cpu_(cpu), started_at_(absl::Now()) {
+WorkerStandin::WorkerStandin(std::string id, int64_t cpu, RunHistory* history, GangBoard* gangs)
+    : id_(std::move(id)), history_(history), gangs_(gangs), cpu_(cpu), started_at_(absl::Now()) {
   Listen();
   advance_thread_ = std::thread([this] { AdvanceLoop(); });
 }
@@ -195,17 +200,29 @@
     (*answer)["reason"] = "old";
     return 409;
   }
-  const uint64_t hash = StableHash(task);
-  running_[task] = Run{task, run,
-                       absl::Now() + kMinTaskDuration +
-                           absl::Milliseconds(static_cast<int64_t>(
-                               hash % static_cast<uint64_t>(kTaskDurationRangeMs)))};
+  if (refusal_interval_ > 0 && StableHash(absl::StrCat(task, "#", run)) % refusal_interval_ == 0) {
+    (*answer)["reason"] = "room";
+    return 409;
+  }
+  Run started;
+  started.task = task;
+  started.run = run;
+  started.started_at = absl::Now();
+  started.gang = gangs_->IsGang(StepOf(task)) ? StepOf(task) : "";
+  const uint64_t hash = StableHash(started.gang.empty() ? task : started.gang);
+  started.duration =
+      kMinTaskDuration +
+      absl::Milliseconds(static_cast<int64_t>(hash % static_cast<uint64_t>(kTaskDurationRangeMs)));
+  if (!started.gang.empty()) {
+    gangs_->MemberStarted(started.gang, run, order.value("checkpoint", ""));
+  }
+  running_[task] = started;
   const int64_t allowed = absl::Now() < lower_cpu_counts_at_ ? std::max(cpu_, earlier_cpu_) : cpu_;
   if (static_cast<int64_t>(running_.size()) * kTaskCpu > allowed) {
     history_->AddViolation(absl::StrCat(id_, " exceeds its CPU capacity with task ", task));
   }
   if (CrashesWorkers(task)) {
-    running_[task].finish_time = absl::InfiniteFuture();
+    running_[task].duration = absl::InfiniteDuration();
     crash_at_ = std::min(crash_at_, absl::Now() + kCrashDelay);
     crashing_task_ = task;
   }
@@ -257,11 +274,11 @@
       if (!run_ends_.empty() || absl::Now() >= end || stopping_) {
         json running = json::array();
         for (const auto& [task, run] : running_) {
-          running.push_back({task, run.run, "", ClockMs() % 100, 0});
+          running.push_back({task, run.run, CheckpointOf(run), ClockMs() % 100, 0});
         }
         json ended = json::array();
         for (const auto& [number, entry] : run_ends_) {
-          ended.push_back({number, entry.task, entry.run, entry.outcome, ""});
+          ended.push_back({number, entry.task, entry.run, entry.outcome, entry.checkpoint});
         }
         (*answer)["born"] = absl::ToUnixMillis(started_at_);
         (*answer)["running"] = std::move(running);
@@ -275,24 +292,65 @@
 
 void WorkerStandin::Finish(const std::string& outcome, std::map<std::string, Run>::iterator* it) {
   const Run& run = (*it)->second;
+  if (!run.gang.empty() && outcome != "done") {
+    gangs_->MemberEnded(run.gang, run.run);
+  }
+  if (outcome == "alone") {
+    history_->GangIncomplete(run.task, run.run);
+  }
   last_ended_run_[run.task] = std::max(last_ended_run_[run.task], run.run);
-  run_ends_[next_end_number_++] = RunEnd{run.task, run.run, outcome};
+  run_ends_[next_end_number_++] = RunEnd{run.task, run.run, outcome, CheckpointOf(run)};
   history_->Ended(id_, run.task, run.run);
   *it = running_.erase(*it);
 }
 
+std::string WorkerStandin::CheckpointOf(const Run& run) const {
+  if (run.gang.empty()) {
+    return "";
+  }
+  const int64_t saved = gangs_->WorkedFor(run.gang, run.run) / kCheckpointInterval;
+  return saved > 0 ? absl::StrCat(run.run, "-", saved) : "";
+}
+
+std::string WorkerStandin::OutcomeOf(const Run& run) const {
+  const bool fails = run.run == 1 && StableHash(run.task) % kFirstRunFailureInterval == 0;
+  const bool finished = absl::Now() - run.started_at >= run.duration;
+  if (finished && (fails || run.gang.empty())) {
+    return fails ? "failed" : "done";
+  }
+  if (!run.gang.empty()) {
+    const std::string outcome = OutcomeOfGang(run);
+    if (!outcome.empty()) {
+      return outcome;
+    }
+  }
+  if (run.stopped) {
+    return "stopped";
+  }
+  return ClockMs() > lease_end_ms_ ? "lapsed" : "";
+}
+
+std::string WorkerStandin::OutcomeOfGang(const Run& run) const {
+  switch (gangs_->StateOf(run.gang, run.run, run.duration)) {
+    case GangBoard::State::kSucceeded:
+      return "done";
+    case GangBoard::State::kBroken:
+      return run.stopped ? "stopped" : "broken";
+    case GangBoard::State::kIncomplete:
+      return absl::Now() - run.started_at >= kGangTimeout ? "alone" : "";
+    case GangBoard::State::kAtWork:
+      break;
+  }
+  return "";
+}
+
 void WorkerStandin::Advance() {
-  const absl::Time now = absl::Now();
-  const bool lapsed = ClockMs() > lease_end_ms_;
   for (auto it = running_.begin(); it != running_.end();) {
-    const Run& run = it->second;
-    if (run.finish_time <= now) {
-      const bool fails = run.run == 1 && StableHash(run.task) % kFirstRunFailureInterval == 0;
-      Finish(fails ? "failed" : "done", &it);
-    } else if (run.stopped || lapsed) {
-      Finish(run.stopped ? "stopped" : "lapsed", &it);
-    } else {
+    const std::string outcome = OutcomeOf(it->second);
+    if (outcome.empty()) {
       ++it;
+    } else {
+      Finish(outcome, &it);
     }
   }
 }
@@ -318,6 +376,9 @@
   absl::MutexLock lock(&mutex_);
   for (const auto& [task, run] : running_) {
     history_->Ended(id_, task, run.run);
+    if (!run.gang.empty()) {
+      gangs_->MemberEnded(run.gang, run.run);
+    }
   }
   running_.clear();
   last_ended_run_.clear();
@@ -330,6 +391,11 @@
   started_at_ = std::max(absl::Now(), started_at_ + absl::Milliseconds(1));
 }
 
+void WorkerStandin::RefuseStarts(uint64_t interval) {
+  absl::MutexLock lock(&mutex_);
+  refusal_interval_ = interval;
+}
+
 void WorkerStandin::DelayAnswers(absl::Duration time) {
   absl::MutexLock lock(&mutex_);
   answers_delayed_until_ = absl::Now() + time;
--- a/tests/soak/worker_standin.h
+++ b/tests/soak/worker_standin.h
@@ -10,6 +10,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
+#include "tests/soak/gang_board.h"
 #include "tests/soak/run_history.h"
 
 namespace httplib {
@@ -25,11 +26,12 @@
 // clock and numbers the ends of runs. It does not reject tasks for lack of capacity but reports
 // over-commitment to the history. A hash of the task name determines the duration, 0.1 to 0.5 s,
 // and whether the first run fails. The first task of some jobs crashes it: it refuses connections
-// for a second or two and then starts again.
+// for a second or two and then starts again. The members of a gang work once all are there, end
+// together and report checkpoints.
 class WorkerStandin {
  public:
   // `cpu` is the capacity of the worker; each task takes 1000 of it.
-  WorkerStandin(std::string id, int64_t cpu, RunHistory* history);
+  WorkerStandin(std::string id, int64_t cpu, RunHistory* history, GangBoard* gangs);
   ~WorkerStandin();
 
   std::string address() const;
@@ -43,6 +45,8 @@
   void PostponeLowerCpu(absl::Time lower_counts_at);
   // Simulates a restart: all runs are lost and the server starts again under the same id and port.
   void Restart();
+  // From now on refuses one start out of `interval`, chosen by a hash, for lack of room.
+  void RefuseStarts(uint64_t interval);
   // Executes orders but delays their answers until `time` has passed.
   void DelayAnswers(absl::Duration time);
 
@@ -50,13 +54,17 @@
   struct Run {
     std::string task;
     int64_t run = 0;
-    absl::Time finish_time;
+    absl::Time started_at;
+    absl::Duration duration;
+    // Name of the step if it is a gang, else empty.
+    std::string gang;
     bool stopped = false;
   };
   struct RunEnd {
     std::string task;
     int64_t run = 0;
     std::string outcome;
+    std::string checkpoint;
   };
 
   void Listen();
@@ -75,6 +83,11 @@
   bool CheckFencingToken(const nlohmann::json& order, nlohmann::json* answer)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ExtendLease(const nlohmann::json& order) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Returns how the run ends now, or an empty text if it goes on.
+  std::string OutcomeOf(const Run& run) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  std::string OutcomeOfGang(const Run& run) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Returns the checkpoint that the run reports now; empty if it has none.
+  std::string CheckpointOf(const Run& run) const;
   // Ends the runs that are finished, stopped or no longer covered by the lease.
   void Advance() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void Finish(const std::string& outcome, std::map<std::string, Run>::iterator* it)
@@ -83,6 +96,7 @@
 
   const std::string id_;
   RunHistory* const history_;
+  GangBoard* const gangs_;
   // Held during a restart. Restarts come from the soak run and from crashing tasks.
   absl::Mutex restart_mutex_;
   std::unique_ptr<httplib::Server> server_;
@@ -101,6 +115,8 @@
   absl::Time started_at_ ABSL_GUARDED_BY(mutex_);
   int64_t incarnation_ ABSL_GUARDED_BY(mutex_) = 0;
   absl::Time answers_delayed_until_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  // No start is refused for lack of room if this is 0.
+  uint64_t refusal_interval_ ABSL_GUARDED_BY(mutex_) = 0;
   int64_t token_ ABSL_GUARDED_BY(mutex_) = 0;
   int64_t lease_end_ms_ ABSL_GUARDED_BY(mutex_) = 0;
   int64_t next_end_number_ ABSL_GUARDED_BY(mutex_) = 1;
