tests: Play a gang that ends while the store is down, with real processes

The members of a gang, one on each worker, end while the store refuses all calls. Then the worker whose end completed the gang and all instances are lost.

--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -11,6 +11,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "cell/pool_part.h"
 
 namespace pomelotray {
 namespace {
@@ -23,6 +24,10 @@
 constexpr absl::Duration kFaultInterval = absl::Milliseconds(700);
 constexpr absl::Duration kCallTimeout = absl::Seconds(3);
 constexpr int kMaxAttempts = 4;
+// One job out of this many is a gang.
+constexpr uint64_t kGangInterval = 3;
+// Longer than a gang runs and an owner waits for the store before it sends its next hold.
+constexpr absl::Duration kGangOutage = absl::Seconds(2);
 constexpr absl::Duration kStopTimeout = absl::Seconds(6);
 // By then an instance that reaches the store has learned of a worker's capacity: the time in which
 // it has to notice changes, and one interval in which the worker publishes it.
@@ -58,6 +63,12 @@
       .dump();
 }
 
+// Depends on a hash of the id, so that the sequence of random numbers stays that of the versions
+// without gangs.
+bool IsGangJob(const std::string& id) {
+  return StableHash("gang" + id) % kGangInterval == 0 && !HasCrashingTask(id);
+}
+
 int RandomBelow(std::mt19937* random, int below) {
   return static_cast<int>((*random)() % static_cast<unsigned>(below));
 }
@@ -216,10 +227,9 @@
 }
 
 void SoakRun::SubmitJob(const std::string& id, std::mt19937* random) {
-  const std::string payload = "payload of " + id;
   json first = {
       {"count", 1 + RandomBelow(random, 4)}, {"cpu", 1000}, {"mem-mb", 10}, {"estimate-ms", 300}};
-  if (RandomBelow(random, 3) == 0 && !HasCrashingTask(id)) {
+  if (IsGangJob(id)) {
     first["gang"] = true;
     first["checkpoints"] = true;
     for (const char* step : {".0.0", ".0.1"}) {
@@ -231,6 +241,11 @@
     first["after"] = {0};
     steps.push_back(first);
   }
+  Submit(id, steps, random);
+}
+
+void SoakRun::Submit(const std::string& id, const json& steps, std::mt19937* random) {
+  const std::string payload = "payload of " + id;
   history_.Submitted(id, payload);
   bool never_stored = true;
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
@@ -255,11 +270,15 @@
   }
 }
 
+std::string SoakRun::JobName(int caller, int number) const {
+  return absl::StrCat(absl::Hex(seed_ * 1000 + caller, absl::kZeroPad8),
+                      absl::Hex(number, absl::kZeroPad8));
+}
+
 void SoakRun::CallerLoop(int caller) {
   std::mt19937 random(static_cast<unsigned>(seed_ * 1000 + caller));
   for (int number = 0; !stopping_; ++number) {
-    const std::string id = absl::StrCat(absl::Hex(seed_ * 1000 + caller, absl::kZeroPad8),
-                                        absl::Hex(number, absl::kZeroPad8));
+    const std::string id = JobName(caller, number);
     if (limits_.refusal_interval > 0 && HasCrashingTask(id)) {
       continue;
     }
@@ -324,4 +343,36 @@
   return history_.violations();
 }
 
+std::vector<std::string> SoakRun::RunGangThatEndsInOutage() {
+  absl::SleepFor(kStartDelay);
+  const std::string id = JobName(0, 0);
+  gangs_.Add(id + ".0.0", limits_.workers);
+  Submit(id,
+         {{{"count", limits_.workers},
+           {"cpu", 1000},
+           {"mem-mb", 10},
+           {"estimate-ms", 300},
+           {"gang", true},
+           {"anti-affinity", 1}}},
+         &random_);
+  store_.SetDown(true);
+  absl::SleepFor(kGangOutage);
+  const auto worker = std::find_if(workers_.begin(), workers_.end(), [](const auto& standin) {
+    return standin->HasUnacknowledgedEnds();
+  });
+  if (worker == workers_.end()) {
+    history_.AddViolation("all ends of a gang were acknowledged although nothing was stored");
+  } else {
+    (*worker)->Restart();
+  }
+  for (Instance& instance : instances_) {
+    instance.process->Signal(SIGKILL);
+    instance.process->Wait(kStopTimeout);
+    instance.process.reset();
+  }
+  EndFaults(/*all=*/true);
+  WaitForCompletion();
+  return history_.violations();
+}
+
 }  // namespace pomelotray
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <string>
 #include <thread>
@@ -36,6 +37,9 @@
 
   // Returns the violated guarantees; empty when there were none.
   std::vector<std::string> Run();
+  // Plays one fault instead: a gang ends while the store is down, and then a worker whose end is
+  // not acknowledged and all instances are lost.
+  std::vector<std::string> RunGangThatEndsInOutage();
   size_t accepted() const { return history_.accepted().size(); }
 
  private:
@@ -58,7 +62,10 @@
   // Ends the store and instance faults whose time is over, or all of them if `all` is set.
   void EndFaults(bool all);
   void CallerLoop(int caller);
+  std::string JobName(int caller, int number) const;
+  // Submits a job with random steps, or with the given ones.
   void SubmitJob(const std::string& id, std::mt19937* random);
+  void Submit(const std::string& id, const nlohmann::json& steps, std::mt19937* random);
   // Adds a violation for each accepted job that is not reported as completed in time or, if it has
   // a task that crashes its workers, as failed.
   void WaitForCompletion();
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -15,6 +15,14 @@
 // Workers refuse one start out of this many, so that about every third gang is concerned.
 constexpr uint64_t kRefusalInterval = 10;
 constexpr int kRefusalSeed = 5;
+constexpr int kOutageSeed = 6;
+
+void CheckNoViolation(const std::vector<std::string>& violations, size_t accepted) {
+  BOOST_TEST(accepted > 0U, "no job was accepted");
+  for (const std::string& violation : violations) {
+    BOOST_ERROR(violation);
+  }
+}
 
 std::string Setting(const char* name, const std::string& fallback) {
   const char* value = std::getenv(name);  // NOLINT(concurrency-mt-unsafe)
@@ -47,11 +55,14 @@
   // One caller submits fewer tasks than the workers can run.
   limits.callers = 1;
   SoakRun run(kRefusalSeed, limits);
-  const std::vector<std::string> violations = run.Run();
-  BOOST_TEST(run.accepted() > 0U, "no job was accepted");
-  for (const std::string& violation : violations) {
-    BOOST_ERROR(violation);
-  }
+  CheckNoViolation(run.Run(), run.accepted());
+}
+
+// Guards against gangs that run again: one member's end completes the gang, the ends of the others
+// were acknowledged before the completion was stored, and the owner and that worker were lost.
+BOOST_AUTO_TEST_CASE(GangThatEndsInAnOutageRunsOnce) {
+  SoakRun run(kOutageSeed, SoakRun::Limits());
+  CheckNoViolation(run.RunGangThatEndsInOutage(), run.accepted());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/worker_standin.cc
+++ b/tests/soak/worker_standin.cc
@@ -391,6 +391,11 @@
   started_at_ = std::max(absl::Now(), started_at_ + absl::Milliseconds(1));
 }
 
+bool WorkerStandin::HasUnacknowledgedEnds() const {
+  absl::MutexLock lock(&mutex_);
+  return !run_ends_.empty();
+}
+
 void WorkerStandin::RefuseStarts(uint64_t interval) {
   absl::MutexLock lock(&mutex_);
   refusal_interval_ = interval;
--- a/tests/soak/worker_standin.h
+++ b/tests/soak/worker_standin.h
@@ -45,6 +45,7 @@
   void PostponeLowerCpu(absl::Time lower_counts_at);
   // Simulates a restart: all runs are lost and the server starts again under the same id and port.
   void Restart();
+  bool HasUnacknowledgedEnds() const;
   // From now on refuses one start out of `interval`, chosen by a hash, for lack of room.
   void RefuseStarts(uint64_t interval);
   // Executes orders but delays their answers until `time` has passed.
