tests: Close the connections of a worker stand-in when it restarts

Four of the losses count as "cut off", 6.55 s after the start each, when the worker's lease had expired; only crashes count against a task. So the worker was down for 6.5 s.

The stand-in says that it is down for 1.5 s after a crash. But httplib's server waits up to five seconds for idle connections when it is stopped, so a crash looked like a cut-off as often as not, by chance. On the platform the entry of such a worker is removed after 4.5 s of silence and the loss counts; the soak's entries stay.

The connections are shut down now, as the end of a process does. The checks and bounds are unchanged, and a worker now crashes and restarts as fast as its description says.

Open in the product: a worker that is down for longer than its lease, but stays listed, counts as cut off, so a task that crashes such workers is given up late or not at all.

--- a/tests/soak/worker_standin.cc
+++ b/tests/soak/worker_standin.cc
@@ -1,6 +1,8 @@
 #include "tests/soak/worker_standin.h"
 
 #include <httplib.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <utility>
@@ -35,6 +37,21 @@
   return task.substr(end_of_job) == ".0.0.0" && HasCrashingTask(task.substr(0, end_of_job));
 }
 
+// More than the descriptors that a soak run opens.
+constexpr int kMaxDescriptors = 4096;
+
+// Ends all connections that a server of this process has accepted on the port.
+void ShutDownConnections(int port) {
+  for (int descriptor = 0; descriptor < kMaxDescriptors; ++descriptor) {
+    sockaddr_in local{};
+    socklen_t size = sizeof(local);
+    if (getsockname(descriptor, reinterpret_cast<sockaddr*>(&local), &size) == 0 &&
+        local.sin_family == AF_INET && ntohs(local.sin_port) == port) {
+      shutdown(descriptor, SHUT_RDWR);
+    }
+  }
+}
+
 std::string StepOf(const std::string& task) { return task.substr(0, task.rfind('.')); }
 
 }  // namespace
@@ -89,7 +106,17 @@
     stopping_ = true;
   }
   advance_thread_.join();
+  StopServer();
+}
+
+void WorkerStandin::StopServer() {
   server_->stop();
+  // The server waits for its connections, idle ones for five seconds; the end of a process closes
+  // them at once.
+  while (server_->is_running()) {
+    ShutDownConnections(port_);
+    absl::SleepFor(absl::Milliseconds(1));
+  }
   server_thread_.join();
 }
 
@@ -364,9 +391,7 @@
     ++incarnation_;
     answers_delayed_until_ = absl::InfinitePast();
   }
-  // Stopping the server closes its connections, as the end of a worker process would.
-  server_->stop();
-  server_thread_.join();
+  StopServer();
   ResetState();
   absl::SleepFor(downtime);
   Listen();
--- a/tests/soak/worker_standin.h
+++ b/tests/soak/worker_standin.h
@@ -70,6 +70,8 @@
 
   void Listen();
   void AdvanceLoop();
+  // Ends the server with all its connections, as the end of a worker process would.
+  void StopServer();
   // Ends the server and its runs, and starts it again after `downtime`.
   void RestartAfter(absl::Duration downtime);
   void RegisterHandlers();
