--- a/tests/soak/worker_standin.cc
+++ b/tests/soak/worker_standin.cc
@@ -346,7 +346,7 @@
     return fails ? "failed" : "done";
   }
   if (!run.gang.empty()) {
-    const std::string outcome = OutcomeOfGang(run);
+    std::string outcome = OutcomeOfGang(run);
     if (!outcome.empty()) {
       return outcome;
     }
