cell: Log once a second how starts and questions to the adviser fare

What operators saw: after a takeover the new owner drops more than half of its informational lines, and no line tells how long a start waits between the decision and its sending, or how old its ticket is then.

Change: start_summary (420) sums this up for each pool part. It and pool_state have the new level notice: such lines are written at a fixed rate, so the limit of informational lines does not apply to them.

Test: StartStatisticsTest, and StreamLogTest, which keeps notices over the rate.

--- a/packages/base/event_catalog.cc
+++ b/packages/base/event_catalog.cc
@@ -5,6 +5,7 @@
 const std::vector<EventDescription>& EventCatalog() {
   using Code = EventCode;
   constexpr EventLevel kInfo = EventLevel::kInfo;
+  constexpr EventLevel kNotice = EventLevel::kNotice;
   constexpr EventLevel kWarning = EventLevel::kWarning;
   constexpr EventLevel kError = EventLevel::kError;
   static const std::vector<EventDescription>* const kCatalog = new std::vector<EventDescription>{
@@ -78,6 +79,8 @@
        "A long-running task waits; the reason and the workers that it cannot use."},
       {Code::kUnexpectedEnd, kWarning, "unexpected_end",
        "A worker reported the end of an attempt that its earlier reports did not show."},
+      {Code::kStartSummary, kNotice, "start_summary",
+       "Starts and questions to the adviser of a pool part since the last summary, every second."},
       {Code::kRequestReceived, kInfo, "request_received", "A caller's request arrived."},
       {Code::kRequestSent, kInfo, "request_sent", "A request was sent to an executor."},
       {Code::kRequestAnswered, kInfo, "request_answered", "A request was answered."},
@@ -110,7 +113,7 @@
        "A worker was lost with all tasks on it; the cause says how it is known."},
       {Code::kWorkerCapacityChanged, kInfo, "worker_capacity_changed",
        "A worker announced another capacity."},
-      {Code::kPoolState, kInfo, "pool_state",
+      {Code::kPoolState, kNotice, "pool_state",
        "A summary of a pool part's workers and waiting tasks, every 5 s."},
   };
   return *kCatalog;
--- a/packages/base/event_catalog.h
+++ b/packages/base/event_catalog.h
@@ -7,7 +7,13 @@
 
 namespace pomelotray {
 
-enum class EventLevel { kInfo, kWarning, kError };
+enum class EventLevel {
+  kInfo,
+  // Informational and written at a fixed rate, so that it is never dropped to limit the rate.
+  kNotice,
+  kWarning,
+  kError
+};
 
 // Numbers of all log and timeline events. A number is never reused; docs/events.md lists them all.
 // 1xx process, 2xx membership, 3xx state and ownership, 4xx jobs and tasks, 5xx requests, 6xx
@@ -66,6 +72,7 @@
   kTaskWorkerLost = 417,
   kTaskWaiting = 418,
   kUnexpectedEnd = 419,
+  kStartSummary = 420,
 
   kRequestReceived = 500,
   kRequestSent = 501,
--- a/packages/base/log_sink.cc
+++ b/packages/base/log_sink.cc
@@ -17,6 +17,7 @@
 log4cplus::LogLevel ToLogLevel(EventLevel level) {
   switch (level) {
     case EventLevel::kInfo:
+    case EventLevel::kNotice:
       return log4cplus::INFO_LOG_LEVEL;
     case EventLevel::kWarning:
       return log4cplus::WARN_LOG_LEVEL;
--- a/packages/cell/cell_job.h
+++ b/packages/cell/cell_job.h
@@ -65,7 +65,8 @@
 struct StepAdvice {
   struct Ticket {
     std::string text;
-    absl::Time expires;
+    absl::Time received = absl::InfinitePast();
+    absl::Time expires = absl::InfiniteFuture();
   };
   std::map<WorkerId, Ticket> allowed;
   // Workers named in the questions that the adviser has answered.
--- a/packages/cell/cell_worker.h
+++ b/packages/cell/cell_worker.h
@@ -38,6 +38,11 @@
   // Estimated run time; infinite if the attempt runs until it is stopped.
   absl::Duration estimate;
   AttemptPhase phase = AttemptPhase::kOrdered;
+  // Time of the decision to start the attempt; infinite past if an earlier owner made it.
+  absl::Time ordered_at = absl::InfinitePast();
+  // Time at which the adviser's ticket for the start was received; infinite past if the start has
+  // none.
+  absl::Time ticket_received_at = absl::InfinitePast();
   // Time at which the start order was sent; infinite past if it was not sent by this owner.
   absl::Time sent_at = absl::InfinitePast();
   // Time at which the order was sent or, if an earlier owner sent it, at which this one learned of
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -332,6 +332,7 @@
     return;
   }
   run->advice.question_pending = false;
+  statistics_.AddAdvice(now - run->advice.asked_at, request.cost);
   if (!advice.has_value()) {
     run->advice.retry_at = now + kAdviceRetryDelay;
     return;
@@ -352,7 +353,7 @@
   const Resources needed = ReservedFor(FindJob(request.step.job)->Step(*run));
   int64_t usable = 0;
   for (const auto& [id, ticket] : advice->tickets) {
-    run->advice.allowed[id] = StepAdvice::Ticket{ticket, now + advice->validity};
+    run->advice.allowed[id] = StepAdvice::Ticket{ticket, now, now + advice->validity};
     const CellWorker* worker = FindWorker(id);
     usable += worker != nullptr && worker->AcceptsStarts(now) && needed.FitsInto(worker->Free());
   }
@@ -409,6 +410,9 @@
   SetDemand(step, &attempt);
   attempt.isolated = NeedsIsolation(step, task);
   attempt.checkpoint = task.checkpoint;
+  attempt.ordered_at = now;
+  attempt.ticket_received_at = placed.ticket.received;
+  statistics_.AddOrdered(placed.late);
   worker->used += attempt.reserved;
   if (job->state == CellJobState::kQueued) {
     job->state = CellJobState::kRunning;
@@ -426,7 +430,7 @@
   order.key = attempt.key;
   order.payload = job->intake.spec.payload;
   order.checkpoint = task.checkpoint;
-  order.ticket = placed.ticket;
+  order.ticket = placed.ticket.text;
   result->orders.emplace_back(placed.worker, std::move(order));
   worker->attempts.emplace(attempt.key, std::move(attempt));
 }
@@ -461,6 +465,7 @@
     }
   }
   result.workers_examined = round.workers_examined;
+  RecordStarts(round, now);
   RecordPoolState(round, now);
   // The attempt number of a gang is derived from the numbers of all its tasks, so attempts of a
   // gang are created in the same round.
@@ -516,8 +521,13 @@
   }
   const std::optional<WorkerTime> lease_end = ExtendLease(id, now);
   if (lease_end.has_value()) {
-    it->second.sent_at = now;
-    it->second.known_since = now;
+    Attempt& attempt = it->second;
+    attempt.sent_at = now;
+    attempt.known_since = now;
+    statistics_.AddSent(now - attempt.ordered_at);
+    if (attempt.ticket_received_at > absl::InfinitePast()) {
+      statistics_.AddTicketAge(now - attempt.ticket_received_at);
+    }
   }
   return lease_end;
 }
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -19,6 +19,7 @@
 #include "cell/job_record.h"
 #include "cell/pool_part.h"
 #include "cell/schedule_round.h"
+#include "cell/start_statistics.h"
 #include "cell/worker_loss.h"
 
 namespace pomelotray {
@@ -200,6 +201,8 @@
   bool IsWaitReportDue(absl::Time now) const;
   // Logs the long-running steps that have waited since the last report.
   void RecordWaits(const std::vector<StepWait>& waits, absl::Time now);
+  // Logs the starts and questions of the last second.
+  void RecordStarts(const RoundResult& round, absl::Time now);
   // Logs a summary of the part, at most once every few seconds.
   void RecordPoolState(const RoundResult& round, absl::Time now);
   // Restarts the measurement of how long each running attempt of the worker has made no progress.
@@ -247,6 +250,7 @@
   // jobs for each open one.
   std::map<JobId, const CellJob*> open_jobs_;
   std::map<WorkerId, CellWorker> workers_;
+  StartStatistics statistics_;
   absl::Time pool_state_recorded_at_ = absl::InfinitePast();
   // A waiting long-running step, identified by its job and its index in CellJob::runs.
   struct WaitingStep {
--- a/packages/cell/pool_scheduler_records.cc
+++ b/packages/cell/pool_scheduler_records.cc
@@ -170,6 +170,15 @@
   waiting_steps_ = std::move(still_waiting);
 }
 
+void PoolScheduler::RecordStarts(const RoundResult& round, absl::Time now) {
+  if (statistics_.IsDue(now)) {
+    statistics_.Log(events_->Record(EventCode::kStartSummary)
+                        .With("part", part_.Name().value())
+                        .With("waiting_tasks", round.waiting_tasks),
+                    now);
+  }
+}
+
 void PoolScheduler::RecordPoolState(const RoundResult& round, absl::Time now) {
   if (now - pool_state_recorded_at_ < kPoolStateInterval) {
     return;
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -518,6 +518,9 @@
     return;
   }
   Attempt& attempt = worker->attempts[key];
+  if (outcome.answer.has_value()) {
+    statistics_.AddAnswered(now - attempt.sent_at, outcome.answer == OrderAnswer::kTicketRefused);
+  }
   if (outcome.answer == OrderAnswer::kAccepted) {
     if (attempt.phase == AttemptPhase::kOrdered) {
       attempt.phase = AttemptPhase::kRunning;
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -395,7 +395,8 @@
   const WorkerId& id = available.worker->description.id;
   const auto ticket = run.advice.allowed.find(id);
   return PlacedTask{TaskRef{candidate.job->intake.id, candidate.run, task}, id,
-                    ticket == run.advice.allowed.end() ? "" : ticket->second.text};
+                    ticket == run.advice.allowed.end() ? StepAdvice::Ticket() : ticket->second,
+                    IsLate(candidate)};
 }
 
 void ScheduleRound::PlaceGang(const Candidate& candidate, const std::vector<int>& waiting) {
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -22,7 +22,10 @@
 struct PlacedTask {
   TaskRef task;
   WorkerId worker;
-  std::string ticket;
+  // Without text if the queue of the job has no adviser.
+  StepAdvice::Ticket ticket;
+  // The job can hardly meet its latency objective any more.
+  bool late = false;
 };
 
 // A decision to ask the adviser which of the workers in `question` may run a step.
--- a/tests/base/event_catalog_test.cc
+++ b/tests/base/event_catalog_test.cc
@@ -11,7 +11,17 @@
 namespace {
 
 std::string LevelName(EventLevel level) {
-  return level == EventLevel::kInfo ? "info" : level == EventLevel::kWarning ? "warning" : "error";
+  switch (level) {
+    case EventLevel::kInfo:
+      return "info";
+    case EventLevel::kNotice:
+      return "notice";
+    case EventLevel::kWarning:
+      return "warning";
+    case EventLevel::kError:
+      return "error";
+  }
+  return "unknown";
 }
 
 BOOST_AUTO_TEST_SUITE(EventCatalogTest)
--- a/tests/base/stream_log_test.cc
+++ b/tests/base/stream_log_test.cc
@@ -42,7 +42,7 @@
 BOOST_FIXTURE_TEST_SUITE(StreamLogTest, LogFixture)
 
 // Guards against a log that grows with the load: informational lines over the rate are dropped and
-// counted, warnings are kept, and the next second has its own lines.
+// counted, notices and warnings are kept, and the next second has its own lines.
 BOOST_AUTO_TEST_CASE(InformationalLinesAreLimited) {
   StreamLog::Limits limits;
   limits.max_lines_per_second = 3;
@@ -52,12 +52,14 @@
     events.Record(EventCode::kTaskEnded).Emit();
   }
   events.Record(EventCode::kWorkerUnreachable).Emit();
+  events.Record(EventCode::kPoolState).Emit();
   clock.Advance(absl::Seconds(1));
   events.Record(EventCode::kTaskEnded).Emit();
   log.Flush();
   const std::string text = Read();
   BOOST_TEST(Count(text, "task_ended") == 4U);
   BOOST_TEST(Count(text, "worker_unreachable") == 1U);
+  BOOST_TEST(Count(text, "pool_state") == 1U);
   BOOST_TEST(Count(text, "\"lines\":2") == 1U);
   BOOST_TEST(log.dropped_lines() == 2);
 }
--- a/tests/cell/schedule_round_test.cc
+++ b/tests/cell/schedule_round_test.cc
@@ -1,37 +1,12 @@
 #include <boost/test/unit_test.hpp>
 
-#include "tests/cell/scheduler_fixture.h"
+#include "tests/cell/advised_fixture.h"
 
 namespace pomelotray {
 namespace {
 
 using Fixture = SchedulerFixture;
 
-// Adds jobs that need tickets from the adviser, and answers its questions.
-class AdvisedFixture : public Fixture {
- public:
-  void AddAdvisedJob(const std::string& id, const StepSpec& step,
-                     absl::Duration base_cost = absl::Milliseconds(15)) {
-    JobIntake job = Job(id, {step});
-    job.policy.advice = AdvicePolicy{base_cost, absl::Milliseconds(1), absl::Seconds(2)};
-    AddJob(std::move(job));
-  }
-  // Runs a round, checks that it sends `count` questions to the adviser, and returns the last one.
-  AdviceRequest RunAdviceRound(size_t count) {
-    const ScheduledOrders scheduled = scheduler().Schedule(Now());
-    BOOST_REQUIRE_EQUAL(scheduled.advice.size(), count);
-    return count > 0 ? scheduled.advice.back() : AdviceRequest();
-  }
-  void AnswerQuestion(const AdviceRequest& request, const std::vector<std::string>& allowed) {
-    Advice advice;
-    advice.validity = absl::Seconds(2);
-    for (const std::string& worker : allowed) {
-      advice.tickets[WorkerId(worker)] = "ticket";
-    }
-    scheduler().AdviceFinished(request, advice, Now());
-  }
-};
-
 BOOST_AUTO_TEST_SUITE(ScheduleRoundTest)
 
 // Guards against starvation of large jobs: if small tasks of lower priority take each accelerator
