cell: Send no start whose ticket has run out

Cause: an owner that is behind keeps starts in the queues of its workers for up to 2.2 s, and the tickets of the adviser are valid for 2 s. Nothing checked a ticket when its start was sent, so the worker refused it, and the task was tried again. The validity was also counted from the receipt of the answer: tickets were refused 1.83 s after it at the earliest.

Change: the ticket is checked before the start is sent, and its validity counts from the earliest time at which the adviser can have decided, but never ends within 300 ms of its receipt. A refusal does not invalidate a newer ticket. start_summary counts such starts.

--- a/packages/cell/advice_dispatcher.cc
+++ b/packages/cell/advice_dispatcher.cc
@@ -55,10 +55,11 @@
 }  // namespace
 
 AdviceDispatcher::AdviceDispatcher(InstanceId self, Adviser* adviser, PeerPort* peers,
-                                   EventLog* events)
+                                   const Clock* clock, EventLog* events)
     : self_(std::move(self)),
       adviser_(adviser),
       peers_(peers),
+      clock_(clock),
       events_(events),
       call_slots_(self_) {}
 
@@ -180,12 +181,15 @@
 std::optional<Advice> AdviceDispatcher::Ask(const CellMember& member,
                                             const AdviceRequest& request) {
   const absl::Duration timeout = request.cost * 2 + kRoundTripAllowance;
-  const Outcome<Advice> advice = Capture([&]() -> Result<Advice> {
+  const absl::Time sent = clock_->Now();
+  Outcome<Advice> advice = Capture([&]() -> Result<Advice> {
     return member.id == self_ ? adviser_->RequestAdvice(request.question, timeout)
                               : AskPeer(member, request, timeout);
   });
   if (advice.ok()) {
-    return advice.value();
+    // The adviser works on the question for its cost before it issues the tickets.
+    advice.value().decided_after = sent + request.cost;
+    return std::move(advice.value());
   }
   events_->Record(EventCode::kAdviceFailed)
       .Job(request.step.job)
--- a/packages/cell/advice_dispatcher.h
+++ b/packages/cell/advice_dispatcher.h
@@ -11,6 +11,7 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
+#include "base/clock.h"
 #include "base/event_log.h"
 #include "cell/advice_call_slots.h"
 #include "cell/cell_ports.h"
@@ -26,7 +27,8 @@
  public:
   using Done = std::function<void(const AdviceRequest&, const std::optional<Advice>&)>;
 
-  AdviceDispatcher(InstanceId self, Adviser* adviser, PeerPort* peers, EventLog* events);
+  AdviceDispatcher(InstanceId self, Adviser* adviser, PeerPort* peers, const Clock* clock,
+                   EventLog* events);
   ~AdviceDispatcher();
 
   void SetMembers(const std::vector<CellMember>& members);
@@ -70,6 +72,7 @@
   const InstanceId self_;
   Adviser* const adviser_;
   PeerPort* const peers_;
+  const Clock* const clock_;
   EventLog* const events_;
   absl::Mutex mutex_;
   absl::CondVar assignment_ready_;
--- a/packages/cell/cell_node.cc
+++ b/packages/cell/cell_node.cc
@@ -43,7 +43,7 @@
 Result<void> CellNode::Start() {
   BOOST_LEAF_CHECK(StartPeers());
   advice_ = std::make_unique<AdviceDispatcher>(context_.id, context_.adviser, peer_client_.get(),
-                                               context_.events);
+                                               context_.clock, context_.events);
   membership_ = std::make_unique<CellMembership>(
       CellMember{context_.id, context_.peer_address, context_.cpu_milli, context_.clock->Now()},
       MakeNonceText(), context_.store, context_.clock, context_.events,
--- a/packages/cell/cell_ports.h
+++ b/packages/cell/cell_ports.h
@@ -179,7 +179,10 @@
 // ticket may not run the step.
 struct Advice {
   std::map<WorkerId, std::string> tickets;
+  // How long the tickets are valid from the adviser's decision on.
   absl::Duration validity;
+  // Time before which the adviser cannot have decided.
+  absl::Time decided_after = absl::InfiniteFuture();
 };
 
 // Asks which of `workers` may run `step`.
--- a/packages/cell/cell_worker.cc
+++ b/packages/cell/cell_worker.cc
@@ -10,8 +10,15 @@
 // A task that crashes its workers does so within this time of its start.
 constexpr absl::Duration kSettleTime = absl::Seconds(10);
 
+// Time that a start takes to reach its worker; a round trip between regions takes 16 ms.
+constexpr absl::Duration kStartTransitTime = absl::Milliseconds(20);
+
 }  // namespace
 
+bool Attempt::TicketRanOut(absl::Time now) const {
+  return ticket_expires <= now + kStartTransitTime;
+}
+
 void Attempt::ApplyCheckpoint(const std::string& reported, absl::Time received) {
   if (!reported.empty() && reported != checkpoint) {
     checkpoint = reported;
--- a/packages/cell/cell_worker.h
+++ b/packages/cell/cell_worker.h
@@ -43,6 +43,7 @@
   // Time at which the adviser's ticket for the start was received; infinite past if the start has
   // none.
   absl::Time ticket_received_at = absl::InfinitePast();
+  absl::Time ticket_expires = absl::InfiniteFuture();
   // Time at which the start order was sent; infinite past if it was not sent by this owner.
   absl::Time sent_at = absl::InfinitePast();
   // Time at which the order was sent or, if an earlier owner sent it, at which this one learned of
@@ -71,6 +72,8 @@
 
   // Takes the checkpoint of a report; does nothing if it is empty or the known one.
   void ApplyCheckpoint(const std::string& reported, absl::Time received);
+  // Whether the ticket would not be valid any more when a start that is sent now arrives.
+  bool TicketRanOut(absl::Time now) const;
   // Returns the expected end of the attempt, extrapolated from its progress or, if it has reported
   // none, from its estimate. Never before `now`: an attempt that exceeds its estimate may end at
   // any time.
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -25,6 +25,9 @@
 constexpr absl::Duration kMaxStaleOwnerDelay = absl::Milliseconds(300);
 // Delay before a failed question to the adviser is retried.
 constexpr absl::Duration kAdviceRetryDelay = absl::Milliseconds(200);
+// A ticket is tried for this long after it was received, even if it may have run out on the way.
+// Otherwise, a step whose answers are always late would ask for ever and never start.
+constexpr absl::Duration kMinTicketUse = absl::Milliseconds(300);
 // Added to a lease for delays in reading clocks and scheduling threads, in addition to clock drift.
 constexpr absl::Duration kLeaseSlack = absl::Milliseconds(300);
 
@@ -352,8 +355,10 @@
   advice_shares_.Record(FindJob(request.step.job)->intake.policy.name, newly_asked, newly_allowed);
   const Resources needed = ReservedFor(FindJob(request.step.job)->Step(*run));
   int64_t usable = 0;
+  const absl::Time expires =
+      std::max(std::min(advice->decided_after, now) + advice->validity, now + kMinTicketUse);
   for (const auto& [id, ticket] : advice->tickets) {
-    run->advice.allowed[id] = StepAdvice::Ticket{ticket, now, now + advice->validity};
+    run->advice.allowed[id] = StepAdvice::Ticket{ticket, now, expires};
     const CellWorker* worker = FindWorker(id);
     usable += worker != nullptr && worker->AcceptsStarts(now) && needed.FitsInto(worker->Free());
   }
@@ -412,6 +417,7 @@
   attempt.checkpoint = task.checkpoint;
   attempt.ordered_at = now;
   attempt.ticket_received_at = placed.ticket.received;
+  attempt.ticket_expires = placed.ticket.expires;
   statistics_.AddOrdered(placed.late);
   worker->used += attempt.reserved;
   if (job->state == CellJobState::kQueued) {
@@ -516,7 +522,7 @@
     return std::nullopt;
   }
   const auto it = worker->attempts.find(key);
-  if (it == worker->attempts.end() || it->second.stop_wanted) {
+  if (it == worker->attempts.end() || it->second.stop_wanted || it->second.TicketRanOut(now)) {
     return std::nullopt;
   }
   const std::optional<WorkerTime> lease_end = ExtendLease(id, now);
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -172,6 +172,8 @@
   // again and `reason` is logged, unless it is null.
   void DropAttempt(CellWorker* worker, const AttemptKey& key, const char* reason,
                    bool avoid_worker);
+  // Lets the step renew the ticket that the attempt used, unless it has a newer one.
+  void ExpireTicket(const WorkerId& id, const Attempt& attempt);
   // Keeps the checkpoint of an attempt that is over for the next start of its task. All tasks of a
   // gang get the checkpoint that was received last, since they must start with the same one.
   void KeepCheckpoint(const Attempt& attempt);
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -518,7 +518,7 @@
     return;
   }
   Attempt& attempt = worker->attempts[key];
-  if (outcome.answer.has_value()) {
+  if (outcome.answer.has_value() && attempt.sent_at > absl::InfinitePast()) {
     statistics_.AddAnswered(now - attempt.sent_at, outcome.answer == OrderAnswer::kTicketRefused);
   }
   if (outcome.answer == OrderAnswer::kAccepted) {
@@ -551,17 +551,33 @@
     DropAttempt(worker, key, "the start was given up before it was sent", false);
     return;
   }
-  if (outcome.answer == OrderAnswer::kTicketRefused && attempt.task.has_value()) {
-    StepRun* run = FindStepRun(*attempt.task);
-    if (run != nullptr) {
-      run->advice.allowed[id].expires = absl::InfinitePast();
-    }
+  const bool ran_out =
+      outcome.never_sent && attempt.sent_at == absl::InfinitePast() && attempt.TicketRanOut(now);
+  if (ran_out || outcome.answer == OrderAnswer::kTicketRefused) {
+    ExpireTicket(id, attempt);
   } else {
     worker->unanswered_at = now;
   }
+  if (ran_out) {
+    statistics_.AddTicketRanOut();
+    DropAttempt(worker, key, "the ticket ran out before the start could be sent", false);
+    return;
+  }
   DropAttempt(worker, key, "the worker refused the start or it could not be sent", true);
 }
 
+void PoolScheduler::ExpireTicket(const WorkerId& id, const Attempt& attempt) {
+  StepRun* run = attempt.task.has_value() ? FindStepRun(*attempt.task) : nullptr;
+  if (run == nullptr) {
+    return;
+  }
+  const auto ticket = run->advice.allowed.find(id);
+  if (ticket != run->advice.allowed.end() &&
+      ticket->second.received == attempt.ticket_received_at) {
+    ticket->second.expires = absl::InfinitePast();
+  }
+}
+
 bool PoolScheduler::ResolveStoppedAttempt(const WorkerId& id, const AttemptKey& key,
                                           const WorkerReport& report, absl::Time sent) {
   CellWorker* worker = FindWorker(id);
--- a/packages/cell/start_statistics.cc
+++ b/packages/cell/start_statistics.cc
@@ -40,7 +40,16 @@
 
 bool StartStatistics::IsDue(absl::Time now) const { return now - logged_at_ >= kSummaryInterval; }
 
+bool StartStatistics::IsEmpty() const {
+  return ordered_ == 0 && queued_.count == 0 && answered_.count == 0 && tickets_ran_out_ == 0 &&
+         advice_.count == 0;
+}
+
 void StartStatistics::Log(EventBuilder summary, absl::Time now) {
+  if (IsEmpty()) {
+    logged_at_ = now;
+    return;
+  }
   summary.With("ordered", ordered_)
       .With("ordered_late", ordered_late_)
       .With("sent", queued_.count)
@@ -51,6 +60,7 @@
       .With("answered", answered_.count)
       .With("answer_ms", answered_.MeanMillis())
       .With("tickets_refused", tickets_refused_)
+      .With("tickets_ran_out", tickets_ran_out_)
       .With("questions", advice_.count)
       .With("question_ms", advice_.MeanMillis())
       .With("question_cost_ms", advice_cost_.MeanMillis())
--- a/tests/cell/advice_dispatcher_test.cc
+++ b/tests/cell/advice_dispatcher_test.cc
@@ -3,7 +3,9 @@
 #include <boost/test/unit_test.hpp>
 #include <set>
 
+#include "absl/synchronization/notification.h"
 #include "base/event_log.h"
+#include "base/manual_clock.h"
 #include "base/system_clock.h"
 
 namespace pomelotray {
@@ -47,6 +49,20 @@
   std::set<std::string> asked_;
 };
 
+// An adviser whose calls take `duration` on a manual clock.
+class SlowAdviser : public Adviser {
+ public:
+  SlowAdviser(ManualClock* clock, absl::Duration duration) : clock_(clock), duration_(duration) {}
+  Result<Advice> RequestAdvice(const AdviceQuestion&, absl::Duration) override {
+    clock_->Advance(duration_);
+    return Advice{};
+  }
+
+ private:
+  ManualClock* const clock_;
+  const absl::Duration duration_;
+};
+
 // Forwards the calls to any instance directly to one adviser.
 class LoopbackPeers : public PeerPort {
  public:
@@ -82,7 +98,7 @@
   EventLog events("test", &hybrid_clock);
   BlockingAdviser adviser;
   LoopbackPeers peers(&adviser);
-  AdviceDispatcher dispatcher(InstanceId("i1"), &adviser, &peers, &events);
+  AdviceDispatcher dispatcher(InstanceId("i1"), &adviser, &peers, &clock, &events);
   dispatcher.SetMembers(
       {{InstanceId("i1"), "a"}, {InstanceId("i2"), "b"}, {InstanceId("i3"), "c"}});
   const AdviceDispatcher::Done ignore = [](const AdviceRequest&, const std::optional<Advice>&) {};
@@ -105,7 +121,7 @@
   EventLog events("test", &hybrid_clock);
   BlockingAdviser adviser;
   LoopbackPeers peers(&adviser);
-  AdviceDispatcher dispatcher(InstanceId("i1"), &adviser, &peers, &events);
+  AdviceDispatcher dispatcher(InstanceId("i1"), &adviser, &peers, &clock, &events);
   dispatcher.SetMembers({{InstanceId("i1"), "a"}, {InstanceId("i2"), "b"}});
   const AdviceDispatcher::Done ignore = [](const AdviceRequest&, const std::optional<Advice>&) {};
   dispatcher.Submit(Question("long", absl::Milliseconds(600), 1), ignore);
@@ -126,7 +142,7 @@
   EventLog events("test", &hybrid_clock);
   BlockingAdviser adviser;
   LoopbackPeers peers(&adviser);
-  AdviceDispatcher dispatcher(InstanceId("i1"), &adviser, &peers, &events);
+  AdviceDispatcher dispatcher(InstanceId("i1"), &adviser, &peers, &clock, &events);
   dispatcher.SetMembers({{InstanceId("i1"), "a"}});
   const absl::Duration cost = absl::Milliseconds(1100);
   dispatcher.Submit(Question("long", cost, 1),
@@ -137,6 +153,29 @@
   dispatcher.Stop();
 }
 
+// Guards against tickets that are used for too long: a call takes longer than the adviser needs if
+// the question or its answer is delayed on the way, for example because this process is busy.
+BOOST_AUTO_TEST_CASE(AdviceTellsWhenItWasDecidedAtTheEarliest) {
+  ManualClock clock;
+  HybridClock hybrid_clock(&clock);
+  EventLog events("test", &hybrid_clock);
+  SlowAdviser adviser(&clock, absl::Milliseconds(350));
+  AdviceDispatcher dispatcher(InstanceId("i1"), &adviser, nullptr, &clock, &events);
+  dispatcher.SetMembers({{InstanceId("i1"), "a"}});
+  absl::Notification answered;
+  const absl::Time sent = clock.Now();
+  absl::Time decided_after;
+  dispatcher.Submit(Question("step", absl::Milliseconds(50), 1),
+                    [&](const AdviceRequest&, const std::optional<Advice>& advice) {
+                      decided_after =
+                          advice.has_value() ? advice->decided_after : absl::InfinitePast();
+                      answered.Notify();
+                    });
+  answered.WaitForNotification();
+  BOOST_TEST((decided_after == sent + absl::Milliseconds(50)));
+  dispatcher.Stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/cell/advised_fixture.h
+++ b/tests/cell/advised_fixture.h
@@ -14,8 +14,10 @@
 class AdvisedFixture : public SchedulerFixture {
  public:
   void AddAdvisedJob(const std::string& id, const StepSpec& step,
-                     absl::Duration base_cost = absl::Milliseconds(15)) {
+                     absl::Duration base_cost = absl::Milliseconds(15),
+                     absl::Time accepted = ManualClock().Now()) {
     JobIntake job = Job(id, {step});
+    job.accepted = accepted;
     job.policy.advice = AdvicePolicy{base_cost, absl::Milliseconds(1), absl::Seconds(2)};
     AddJob(std::move(job));
   }
@@ -25,9 +27,11 @@
     BOOST_REQUIRE_EQUAL(scheduled.advice.size(), count);
     return count > 0 ? scheduled.advice.back() : AdviceRequest();
   }
-  void AnswerQuestion(const AdviceRequest& request, const std::vector<std::string>& allowed) {
+  void AnswerQuestion(const AdviceRequest& request, const std::vector<std::string>& allowed,
+                      absl::Duration age = absl::ZeroDuration()) {
     Advice advice;
     advice.validity = absl::Seconds(2);
+    advice.decided_after = Now() - age;
     for (const std::string& worker : allowed) {
       advice.tickets[WorkerId(worker)] = "ticket";
     }
--- a/tests/cell/hostile_answers_test.cc
+++ b/tests/cell/hostile_answers_test.cc
@@ -47,7 +47,7 @@
   HybridClock hybrid_clock(&clock);
   EventLog events("test", &hybrid_clock);
   WillingAdviser adviser;
-  AdviceDispatcher dispatcher(InstanceId("a"), &adviser, nullptr, &events);
+  AdviceDispatcher dispatcher(InstanceId("a"), &adviser, nullptr, &clock, &events);
   const json good = {{"step", "s"}, {"workers", {"w"}}, {"timeout_ms", 900.5}};
   BOOST_TEST(Capture([&] { return dispatcher.Answer(good); }).ok());
   std::vector<json> bodies = {json(), json(5), json::array()};
--- a/tests/cell/pool_owner_fixture.h
+++ b/tests/cell/pool_owner_fixture.h
@@ -142,7 +142,7 @@
       : task_lease_(task_lease),
         workers_(workers),
         membership_(MakeMembership("1")),
-        advice_(InstanceId("a"), nullptr, nullptr, &events_) {
+        advice_(InstanceId("a"), nullptr, nullptr, &clock_, &events_) {
     store_.Put(cell_keys::PartCount(PoolName("rendering")), "1");
   }
 
