cell: Let late steps yield while the owner is behind with its starts

Cause: with half a core the new owner starts at most 1,000 to 1,450 tasks a second, and it is saturated by the backlog of the takeover. The order of a round prefers jobs that can still meet their objective, but once a start or a question is queued it goes first. So each new job waits behind the starts and questions of the late backlog and becomes late as well, until no more jobs arrive (head-of-line blocking).

Change: while 64 starts are queued or not answered, late steps get four starts in each round. At most 16 questions of late steps are open at a time. Gangs, suspected tasks and tasks that need a large share of each worker do not yield, since they depend on reserved workers; patient steps do not get the capacity of those that yield.

--- a/packages/cell/cell_worker.cc
+++ b/packages/cell/cell_worker.cc
@@ -98,6 +98,12 @@
          unanswered_at < last_report && quarantined_until <= now && !HasUnknownDemand();
 }
 
+size_t CellWorker::OpenStarts() const {
+  return static_cast<size_t>(std::count_if(attempts.begin(), attempts.end(), [](const auto& entry) {
+    return entry.second.phase == AttemptPhase::kOrdered;
+  }));
+}
+
 bool CellWorker::HasUnknownDemand() const {
   return std::any_of(attempts.begin(), attempts.end(),
                      [](const auto& entry) { return entry.second.unknown_demand; });
--- a/packages/cell/cell_worker.h
+++ b/packages/cell/cell_worker.h
@@ -139,6 +139,8 @@
   // Whether new attempts may be started on the worker.
   bool AcceptsStarts(absl::Time now) const;
   bool HasUnknownDemand() const;
+  // Number of starts that are queued for the worker or not answered by it.
+  size_t OpenStarts() const;
   bool HasServing() const;
   bool HasBestEffort() const;
   // Whether the worker is reserved for the job of an isolated attempt.
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -23,6 +23,12 @@
 // on one worker unless the worker is reserved.
 constexpr double kLargeTaskShare = 0.4;
 
+// While this many starts are queued or not answered, the owner rather than the pool is the
+// bottleneck.
+constexpr size_t kMaxOpenStarts = 64;
+// Number of starts that late steps get in a round in any case, so that they do not starve.
+constexpr size_t kMinLateStarts = 4;
+
 // Score of a placement that leaves `left` of `capacity` free; lower is better (best fit). Each kind
 // of resource is measured by its share of the worker's capacity, and the largest share counts.
 double LeftoverScore(const Resources& left, const Resources& capacity) {
@@ -93,8 +99,10 @@
                              const AdviceShares& advice_shares, absl::Time now)
     : jobs_(jobs), advice_shares_(advice_shares), now_(now) {
   Resources capacity;
+  size_t open_starts = 0;
   for (const auto& [id, worker] : workers) {
     if (worker.AcceptsStarts(now)) {
+      open_starts += worker.OpenStarts();
       AvailableWorker available;
       available.worker = &worker;
       available.free = worker.Free();
@@ -112,6 +120,8 @@
     }
   }
   headroom_ = ShareOf(capacity, kHeadroomShare);
+  late_starts_left_ =
+      std::max(kMinLateStarts, kMaxOpenStarts - std::min(open_starts, kMaxOpenStarts));
 }
 
 void ScheduleRound::CollectCandidates(bool inherited_allowed) {
@@ -128,6 +138,8 @@
     for (size_t i = 0; i < job->runs.size(); ++i) {
       if (IsStartable(*job, job->runs[i], now_)) {
         candidates_.push_back(Candidate{job, static_cast<int>(i)});
+        late_questions_ +=
+            job->runs[i].advice.question_pending && IsLate(candidates_.back()) ? 1 : 0;
         result_.waiting_tasks += job->runs[i].waiting;
       } else if (WillStartSoon(*job, job->runs[i])) {
         upcoming_.push_back(Candidate{job, static_cast<int>(i)});
@@ -166,6 +178,12 @@
   return std::move(result_);
 }
 
+bool ScheduleRound::MayYield(const Candidate& candidate) const {
+  const StepRun& run = candidate.job->runs[candidate.run];
+  const StepSpec& step = candidate.job->Step(run);
+  return !step.gang && !HasWaitingSuspects(step, run) && !IsLargeOnAllWorkers(step);
+}
+
 void ScheduleRound::PlaceStep(const Candidate& candidate) {
   const StepRun& run = candidate.job->runs[candidate.run];
   const StepSpec& step = candidate.job->Step(run);
@@ -175,9 +193,18 @@
       waiting.push_back(static_cast<int>(i));
     }
   }
+  const bool late = IsLate(candidate);
+  if (late && waiting.size() > late_starts_left_ && MayYield(candidate)) {
+    // The capacity for the other tasks is not left to patient steps.
+    for (size_t i = late_starts_left_; i < waiting.size(); ++i) {
+      free_capacity_ -= ReservedFor(step);
+    }
+    waiting.resize(late_starts_left_);
+  }
   if (waiting.empty()) {
     return;
   }
+  const size_t placed_before = result_.placed.size();
   // Suspected tasks may wait longer for a worker than the others, which must not wait with them.
   std::stable_partition(waiting.begin(), waiting.end(),
                         [&](int index) { return !NeedsIsolation(step, run.tasks[index]); });
@@ -188,6 +215,9 @@
   } else {
     result_.incomplete_gangs.push_back(TaskRef{candidate.job->intake.id, candidate.run, 0});
   }
+  if (late) {
+    late_starts_left_ -= std::min(late_starts_left_, result_.placed.size() - placed_before);
+  }
 }
 
 bool ScheduleRound::IsValid(const StepAdvice::Ticket& ticket) const {
@@ -359,13 +389,21 @@
          FitsWhereNeeded(ReservedFor(candidate.job->Step(run)), free_capacity_ - headroom_);
 }
 
+bool ScheduleRound::IsLargeOn(const AvailableWorker& available, const StepSpec& step) {
+  return DominantShare(ReservedFor(step), available.worker->description.capacity) >=
+         kLargeTaskShare;
+}
+
 bool ScheduleRound::IsLarge(const StepSpec& step) const {
-  return std::any_of(available_workers_.begin(), available_workers_.end(),
-                     [&step](const AvailableWorker& available) {
-                       return DominantShare(ReservedFor(step),
-                                            available.worker->description.capacity) >=
-                              kLargeTaskShare;
-                     });
+  return std::any_of(
+      available_workers_.begin(), available_workers_.end(),
+      [&step](const AvailableWorker& available) { return IsLargeOn(available, step); });
+}
+
+bool ScheduleRound::IsLargeOnAllWorkers(const StepSpec& step) const {
+  return std::all_of(
+      available_workers_.begin(), available_workers_.end(),
+      [&step](const AvailableWorker& available) { return IsLargeOn(available, step); });
 }
 
 void ScheduleRound::Allocate(const Candidate& candidate, const CellTask& task,
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -66,6 +66,10 @@
 // take it. A gang or a large task that does not fit reserves workers that it could use, since small
 // tasks would otherwise take all capacity that becomes free (starvation of large jobs).
 //
+// The owner can send only so many starts a second. While many are not answered yet, late steps get
+// only a few starts in each round, so that those of steps that can still meet their objective do
+// not queue behind them (head-of-line blocking).
+//
 // A step with enough slack before its latest start is patient unless it is long-running. Patient
 // steps leave headroom in the pool while there are jobs of higher priority: a full pool frees
 // capacity only as fast as its long tasks end, and a burst of short urgent tasks would have to wait
@@ -135,6 +139,9 @@
   // end to be late for.
   bool IsLate(const Candidate& candidate) const;
   void PlaceStep(const Candidate& candidate);
+  // Whether the step may wait while the owner is behind with its starts. Steps that depend on
+  // reserved workers may not, since they would lose their reservations.
+  bool MayYield(const Candidate& candidate) const;
   // Calls PlaceStep() and adds what is left waiting to the result's waits.
   void PlaceAndExplain(const Candidate& candidate);
   void PlaceTasks(const Candidate& candidate, const std::vector<int>& waiting);
@@ -185,6 +192,9 @@
                          const AvailableWorker& available) const;
   // Whether a task of the step needs a large share of at least one worker.
   bool IsLarge(const StepSpec& step) const;
+  // Whether this holds for each available worker, so that the step starts only on reserved ones.
+  bool IsLargeOnAllWorkers(const StepSpec& step) const;
+  static bool IsLargeOn(const AvailableWorker& available, const StepSpec& step);
   // Whether the step may run on the worker, apart from tickets and free capacity.
   bool IsEligible(const StepSpec& step, const AvailableWorker& available) const;
   bool IsValid(const StepAdvice::Ticket& ticket) const;
@@ -222,6 +232,10 @@
   Resources headroom_;
   // Highest priority of all open jobs; the lowest number is the most urgent.
   int highest_priority_ = 0;
+  // Number of starts that late steps may still get in this round.
+  size_t late_starts_left_ = 0;
+  // Number of unanswered questions of late steps.
+  size_t late_questions_ = 0;
   bool explain_waits_ = false;
   RoundResult result_;
 };
--- a/packages/cell/schedule_round_advice.cc
+++ b/packages/cell/schedule_round_advice.cc
@@ -22,6 +22,10 @@
 // yet. Free capacity changes while the adviser answers, and a step that waits for capacity would
 // otherwise send one question for each worker.
 constexpr double kSpareRenewalShare = 0.25;
+// Number of questions of late steps that may be unanswered at a time. The owner spends as much
+// processor time on a question as on several starts.
+constexpr size_t kMaxLateQuestions = 16;
+
 // Number of workers that a question may name so that their cost is at most `share` of its base
 // time.
 size_t MaxWorkersWithinCost(const AdvicePolicy& policy, double share) {
@@ -43,7 +47,8 @@
 bool ScheduleRound::CanRequestAdvice(const Candidate& candidate) const {
   const StepAdvice& advice = candidate.job->runs[candidate.run].advice;
   return candidate.job->intake.policy.advice.has_value() && !advice.question_pending &&
-         advice.retry_at <= now_;
+         advice.retry_at <= now_ &&
+         (late_questions_ < kMaxLateQuestions || !IsLate(candidate) || !MayYield(candidate));
 }
 
 void ScheduleRound::RenewTickets(const Candidate& candidate, std::set<WorkerId> wanted,
@@ -135,6 +140,7 @@
 void ScheduleRound::RequestAdvice(const Candidate& candidate, std::vector<WorkerId> workers) {
   const StepRun& run = candidate.job->runs[candidate.run];
   const AdvicePolicy& policy = *candidate.job->intake.policy.advice;
+  late_questions_ += IsLate(candidate) ? 1 : 0;
   AdviceRequest request;
   request.step = TaskRef{candidate.job->intake.id, candidate.run, 0};
   request.priority = candidate.job->intake.policy.priority;
