cell: Limit the questions of late steps only while the owner is busy

Change: the limit applies from 32 open starts on, half of the number from which late starts are limited.

--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -26,6 +26,8 @@
 // While this many starts are queued or not answered, the owner rather than the pool is the
 // bottleneck.
 constexpr size_t kMaxOpenStarts = 64;
+// From this many on, questions of late steps are limited as well.
+constexpr size_t kBusyOpenStarts = kMaxOpenStarts / 2;
 // Number of starts that late steps get in a round in any case, so that they do not starve.
 constexpr size_t kMinLateStarts = 4;
 
@@ -120,6 +122,7 @@
     }
   }
   headroom_ = ShareOf(capacity, kHeadroomShare);
+  limits_late_questions_ = open_starts >= kBusyOpenStarts;
   late_starts_left_ =
       std::max(kMinLateStarts, kMaxOpenStarts - std::min(open_starts, kMaxOpenStarts));
 }
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -234,8 +234,9 @@
   int highest_priority_ = 0;
   // Number of starts that late steps may still get in this round.
   size_t late_starts_left_ = 0;
-  // Number of unanswered questions of late steps.
+  // Number of unanswered questions of late steps, and whether it is limited.
   size_t late_questions_ = 0;
+  bool limits_late_questions_ = false;
   bool explain_waits_ = false;
   RoundResult result_;
 };
--- a/packages/cell/schedule_round_advice.cc
+++ b/packages/cell/schedule_round_advice.cc
@@ -22,8 +22,8 @@
 // yet. Free capacity changes while the adviser answers, and a step that waits for capacity would
 // otherwise send one question for each worker.
 constexpr double kSpareRenewalShare = 0.25;
-// Number of questions of late steps that may be unanswered at a time. The owner spends as much
-// processor time on a question as on several starts.
+// Number of questions of late steps that may be unanswered at a time while the owner is busy. It
+// spends as much processor time on a question as on several starts.
 constexpr size_t kMaxLateQuestions = 16;
 
 // Number of workers that a question may name so that their cost is at most `share` of its base
@@ -48,7 +48,8 @@
   const StepAdvice& advice = candidate.job->runs[candidate.run].advice;
   return candidate.job->intake.policy.advice.has_value() && !advice.question_pending &&
          advice.retry_at <= now_ &&
-         (late_questions_ < kMaxLateQuestions || !IsLate(candidate) || !MayYield(candidate));
+         (!limits_late_questions_ || late_questions_ < kMaxLateQuestions || !IsLate(candidate) ||
+          !MayYield(candidate));
 }
 
 void ScheduleRound::RenewTickets(const Candidate& candidate, std::set<WorkerId> wanted,
