cell: Continue the waits of long-running tasks after a takeover

Callers saw long-running tasks that waited for tens of seconds. Nothing knew for how long: task_waiting counted anew with each owner, and by step, not by task.

Each long-running task has the time at which its wait began. A start that is refused or not answered does not end the wait; the first report that it runs does.

task_waiting tells workers that the adviser does not allow ("not allowed") from those that it has not been asked about ("no ticket").

--- a/packages/cell/cell_job.h
+++ b/packages/cell/cell_job.h
@@ -54,6 +54,11 @@
   // The workers that were lost under the task's attempts.
   WorkerLossHistory losses;
   std::string checkpoint;
+  // When the current wait of a long-running task began: since then the task could have started and
+  // no attempt of it has run. Infinite if it does not wait.
+  absl::Time waiting_since = absl::InfiniteFuture();
+  // The wait is long enough to be part of the stored progress, so that a later owner knows of it.
+  bool wait_stored = false;
   // Number of consecutive attempts of a long-running task that ended soon after their start, and
   // the time before which the task is not started again because of them.
   int short_attempts = 0;
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -428,7 +428,9 @@
       .Task(TaskId(attempt.key.task))
       .With("run", attempt.key.run.value())
       .Worker(placed.worker)
-      .With("waited_ms", absl::ToInt64Milliseconds(now - job->intake.accepted))
+      .With("waited_ms",
+            absl::ToInt64Milliseconds(now - (step.long_running ? std::min(task.waiting_since, now)
+                                                               : job->intake.accepted)))
       .With("report_age_ms", absl::ToInt64Milliseconds(now - worker->last_report))
       .Emit();
   WorkerOrder order;
@@ -460,6 +462,7 @@
 
 ScheduledOrders PoolScheduler::Schedule(absl::Time now, bool may_start) {
   DropExpiredWorkers(now);
+  NoteWaits(now);
   ScheduledOrders result;
   RoundResult round;
   if (may_start) {
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -166,6 +166,10 @@
   // Marks the attempt to be stopped. Returns false if it is unknown or already marked.
   bool StopAttempt(const WorkerId& id, const AttemptKey& key);
 
+  // Notes when the waits of long-running tasks begin, and stores those that are long.
+  void NoteWaits(absl::Time now);
+  // Ends the wait of the attempt's task, which has begun to run.
+  void EndWait(const TaskRef& task);
   void BeginAttempt(const PlacedTask& placed, absl::Time now, ScheduledOrders* result);
   void StopAttempts(CellWorker* worker, absl::Time now, ScheduledOrders* result);
   // Removes the attempt. If it was the current attempt of its task, the task waits to be started
@@ -256,7 +260,6 @@
   absl::Time pool_state_recorded_at_ = absl::InfinitePast();
   // A waiting long-running step, identified by its job and its index in CellJob::runs.
   struct WaitingStep {
-    absl::Time since;
     WaitReason reason = WaitReason::kCapacity;
     absl::Time reason_since;
     absl::Time recorded_at = absl::InfinitePast();
--- a/packages/cell/pool_scheduler_records.cc
+++ b/packages/cell/pool_scheduler_records.cc
@@ -143,8 +143,7 @@
     const WaitReason reason = wait.MainReason();
     const std::pair<JobId, int> key(wait.task.job, wait.task.run);
     const auto known = waiting_steps_.find(key);
-    WaitingStep step =
-        known == waiting_steps_.end() ? WaitingStep{now, reason, now} : known->second;
+    WaitingStep step = known == waiting_steps_.end() ? WaitingStep{reason, now} : known->second;
     if (step.reason != reason) {
       step.reason = reason;
       step.reason_since = now;
@@ -155,12 +154,15 @@
       ++lines;
       step.recorded_at = now;
       const CellJob& job = *FindJob(wait.task.job);
+      const StepRun& run = job.runs[wait.task.run];
       events_->Record(EventCode::kTaskWaiting)
           .Job(wait.task.job)
-          .Task(TaskId(TaskName(job, job.runs[wait.task.run], wait.task.task)))
+          .Task(TaskId(TaskName(job, run, wait.task.task)))
           .With(event_field::kReason, WaitReasonName(reason))
           .With("reason_ms", absl::ToInt64Milliseconds(now - step.reason_since))
-          .With("waits_ms", absl::ToInt64Milliseconds(now - step.since))
+          .With("waits_ms",
+                absl::ToInt64Milliseconds(
+                    std::max(now - run.tasks[wait.task.task].waiting_since, absl::ZeroDuration())))
           .With("waiting", static_cast<int64_t>(wait.waiting))
           .With("workers", wait.Summary())
           .Emit();
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -202,6 +202,9 @@
   if (!attempt.listed && attempt.task.has_value()) {
     RetractLoss(*attempt.task, attempt.key.run);
   }
+  if (IsCurrent(*worker, attempt)) {
+    EndWait(*attempt.task);
+  }
   attempt.phase = AttemptPhase::kRunning;
   attempt.listed = true;
   attempt.confirmed_at = std::min(attempt.confirmed_at, now);
@@ -239,6 +242,7 @@
       task.phase = TaskPhase::kActive;
       task.worker = worker->description.id;
       task.last_run = attempt->key.run;
+      EndWait(*attempt->task);
       job->state = CellJobState::kRunning;
       job->visible = CellJobState::kRunning;
     }
@@ -526,6 +530,9 @@
       attempt.phase = AttemptPhase::kRunning;
       attempt.confirmed_at = now;
       attempt.progress_at = now;
+      if (IsCurrent(*worker, attempt)) {
+        EndWait(*attempt.task);
+      }
     }
     return;
   }
--- a/packages/cell/progress_record.cc
+++ b/packages/cell/progress_record.cc
@@ -70,6 +70,7 @@
   json failures = json::object();
   json losses = json::object();
   json checkpoints = json::object();
+  json waits = json::object();
   for (size_t i = 0; i < run.tasks.size(); ++i) {
     const CellTask& task = run.tasks[i];
     done.push_back(task.phase == TaskPhase::kSucceeded ? '1' : '0');
@@ -82,6 +83,9 @@
     if (!task.checkpoint.empty() && task.phase != TaskPhase::kSucceeded) {
       checkpoints[std::to_string(i)] = task.checkpoint;
     }
+    if (task.wait_stored) {
+      waits[std::to_string(i)] = absl::ToUnixMillis(task.waiting_since);
+    }
   }
   json value = {{"run", index}, {"done", std::move(done)}};
   if (!failures.empty()) {
@@ -93,6 +97,9 @@
   if (!checkpoints.empty()) {
     value["checkpoints"] = std::move(checkpoints);
   }
+  if (!waits.empty()) {
+    value["waiting_since_ms"] = std::move(waits);
+  }
   if (!run.gang_failed_runs.empty()) {
     value["gang_failures"] = EncodeRunNumbers(run.gang_failed_runs);
   }
@@ -104,7 +111,8 @@
     return true;
   }
   for (const CellTask& task : run.tasks) {
-    if (!task.failed_runs.empty() || !task.losses.empty() || !task.checkpoint.empty()) {
+    if (!task.failed_runs.empty() || !task.losses.empty() || !task.checkpoint.empty() ||
+        task.wait_stored) {
       return true;
     }
   }
@@ -119,6 +127,7 @@
   std::map<size_t, std::set<RunNumber>> failures;
   std::map<size_t, WorkerLossHistory> losses;
   std::map<size_t, std::string> checkpoints;
+  std::map<size_t, absl::Time> waiting_since;
   std::set<RunNumber> gang_failures;
 };
 
@@ -164,6 +173,9 @@
   ForEachTask(value, "checkpoints", task_count, [&record](size_t task, const json& checkpoint) {
     record.checkpoints[task] = checkpoint.get<std::string>();
   });
+  ForEachTask(value, "waiting_since_ms", task_count, [&record](size_t task, const json& since) {
+    record.waiting_since[task] = UnixMillisFromJson(since);
+  });
   record.gang_failures = DecodeRunNumbers(OptionalArray(value, "gang_failures"));
   return record;
 }
@@ -195,6 +207,10 @@
   for (auto& [task, losses] : record.losses) {
     run->tasks[task].losses = std::move(losses);
   }
+  for (const auto& [task, since] : record.waiting_since) {
+    run->tasks[task].waiting_since = since;
+    run->tasks[task].wait_stored = true;
+  }
   ApplyCheckpoints(record.checkpoints, step, run);
   run->gang_failed_runs = std::move(record.gang_failures);
 }
--- a/packages/cell/schedule_round_waits.cc
+++ b/packages/cell/schedule_round_waits.cc
@@ -1,7 +1,9 @@
 // The part of ScheduleRound that explains why long-running tasks do not start.
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 #include "cell/schedule_round.h"
 
@@ -25,7 +27,12 @@
   for (size_t i = 0; explain_waits_ && i < job.runs.size(); ++i) {
     if (job.Step(job.runs[i]).long_running && IsStartable(job, job.runs[i], now_)) {
       StepWait wait;
-      wait.task = TaskRef{job.intake.id, static_cast<int>(i), 0};
+      const std::vector<CellTask>& tasks = job.runs[i].tasks;
+      const auto first = std::find_if(tasks.begin(), tasks.end(), [](const CellTask& task) {
+        return task.phase == TaskPhase::kWaiting;
+      });
+      wait.task = TaskRef{job.intake.id, static_cast<int>(i),
+                          static_cast<int>(std::distance(tasks.begin(), first))};
       wait.waiting = job.runs[i].waiting;
       wait.workers[WaitReason::kInheritedAttempts] = 1;
       result_.waits.push_back(std::move(wait));
@@ -99,7 +106,7 @@
     return WaitReason::kBestEffort;
   }
   if (needs_ticket && !HasTicket(run, id, /*valid=*/false)) {
-    return WaitReason::kNoTicket;
+    return run.advice.asked.count(id) > 0 ? WaitReason::kNotAllowed : WaitReason::kNoTicket;
   }
   if (available.reserved && !EndsBeforeReservation(step, available) &&
       !(step.long_running && MayUseReservation(candidate, task, available))) {
--- a/packages/cell/step_wait.cc
+++ b/packages/cell/step_wait.cc
@@ -22,6 +22,8 @@
       return "reservation";
     case WaitReason::kNoTicket:
       return "no ticket";
+    case WaitReason::kNotAllowed:
+      return "not allowed";
     case WaitReason::kExpiredTicket:
       return "expired ticket";
     case WaitReason::kWorkerLimit:
--- a/packages/cell/step_wait.h
+++ b/packages/cell/step_wait.h
@@ -23,8 +23,10 @@
   kBestEffort,
   // The worker is reserved for another task.
   kReservation,
-  // The adviser has not been asked about the worker, or does not allow it.
+  // The adviser has not answered a question about the worker yet.
   kNoTicket,
+  // The adviser does not allow the worker.
+  kNotAllowed,
   // The ticket for the worker has to be renewed.
   kExpiredTicket,
   // The step already has its maximum number of tasks on the worker.
