cell: Bound the waits of long-running tasks beside workers with capacity

Cause: each rule that withholds a worker (order of steps, reservation, isolation, suspicion, tickets) is right alone, and none has a bound in time. The waits add up, and the next rule starts from the beginning.

StartUrgency is the one place that knows for how long a long-running task has waited. Order, reservation, isolation and suspicion ask it and give way, last the suspicion after 1 s; its comment has the table of what gives way when and why that is safe. A suspect then starts beside the least work at stake, and closes the worker to other jobs as far as workers may be isolated. Steps that have waited go first, and capacity is held for each of their tasks on the allowed worker that should have room first, whatever the size of the task.

Answers of the adviser came when the capacity that they were about had gone to other work. While a question of a long-running step is open, capacity is held on the workers that it names, by the share that the adviser allows. Questions of tasks that have waited name full workers too; each question of a long-running step takes along all workers with capacity for which it has no valid ticket, since a step has one question at a time; and tickets are renewed while the worker of a task does not answer, so that the task starts in the round in which the loss is certain.

--- a/packages/cell/cell_job.h
+++ b/packages/cell/cell_job.h
@@ -76,8 +76,9 @@
   std::map<WorkerId, Ticket> allowed;
   // Workers named in the questions that the adviser has answered.
   std::set<WorkerId> asked;
-  // A question is waiting for its answer since `asked_at`.
+  // A question about `pending_workers` is waiting for its answer since `asked_at`.
   bool question_pending = false;
+  std::vector<WorkerId> pending_workers;
   absl::Time asked_at = absl::InfinitePast();
   // After a failed question, the time before which no other one is sent.
   absl::Time retry_at = absl::InfinitePast();
--- a/packages/cell/cell_worker.cc
+++ b/packages/cell/cell_worker.cc
@@ -66,6 +66,16 @@
   return needed.FitsInto(free) ? at : absl::InfiniteFuture();
 }
 
+absl::Duration CellWorker::WorkAtStake(absl::Time now) const {
+  absl::Duration work;
+  for (const auto& [key, attempt] : attempts) {
+    if (attempt.known_since <= now && !attempt.IsSettled(now)) {
+      work += (now - attempt.known_since) * DominantShare(attempt.reserved, description.capacity);
+    }
+  }
+  return work;
+}
+
 bool CellWorker::IsOpenToSuspects(absl::Time now) const {
   return std::all_of(attempts.begin(), attempts.end(),
                      [now](const auto& entry) { return entry.second.IsSettled(now); });
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -335,6 +335,7 @@
     return;
   }
   run->advice.question_pending = false;
+  run->advice.pending_workers.clear();
   statistics_.AddAdvice(now - run->advice.asked_at, request.cost);
   if (!advice.has_value()) {
     run->advice.retry_at = now + kAdviceRetryDelay;
@@ -413,7 +414,7 @@
   attempt.key = AttemptKey{TaskName(*job, *run, placed.task.task), task.last_run};
   attempt.task = placed.task;
   SetDemand(step, &attempt);
-  attempt.isolated = NeedsIsolation(step, task);
+  attempt.isolated = placed.isolated;
   attempt.checkpoint = task.checkpoint;
   attempt.ordered_at = now;
   attempt.ticket_received_at = placed.ticket.received;
@@ -494,6 +495,7 @@
       continue;
     }
     run->advice.question_pending = true;
+    run->advice.pending_workers = request.question.workers;
     run->advice.asked_at = now;
     result.advice.push_back(std::move(request));
   }
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -139,12 +139,13 @@
       continue;
     }
     for (size_t i = 0; i < job->runs.size(); ++i) {
-      if (IsStartable(*job, job->runs[i], now_)) {
-        candidates_.push_back(Candidate{job, static_cast<int>(i)});
-        late_questions_ +=
-            job->runs[i].advice.question_pending && IsLate(candidates_.back()) ? 1 : 0;
-        result_.waiting_tasks += job->runs[i].waiting;
-      } else if (WillStartSoon(*job, job->runs[i])) {
+      const StepRun& run = job->runs[i];
+      if (IsStartable(*job, run, now_)) {
+        candidates_.push_back(
+            Candidate{job, static_cast<int>(i), UrgentSince(job->Step(run), run, now_)});
+        late_questions_ += run.advice.question_pending && IsLate(candidates_.back()) ? 1 : 0;
+        result_.waiting_tasks += run.waiting;
+      } else if (WillStartSoon(*job, run) || MayHaveToRestart(*job, run)) {
         upcoming_.push_back(Candidate{job, static_cast<int>(i)});
       }
     }
@@ -152,9 +153,9 @@
   // The key holds a reference to the job id, since copying the ids would dominate the cost of
   // sorting.
   const auto key = [this](const Candidate& c) {
-    return std::tuple<bool, int, bool, absl::Time, const JobId&, int>(
-        c.job->no_value_after < now_, c.job->intake.policy.priority, IsLate(c), c.job->objective,
-        c.job->intake.id, c.run);
+    return std::tuple<absl::Time, bool, int, bool, absl::Time, const JobId&, int>(
+        c.urgent_since, c.job->no_value_after < now_, c.job->intake.policy.priority, IsLate(c),
+        c.job->objective, c.job->intake.id, c.run);
   };
   std::sort(candidates_.begin(), candidates_.end(),
             [&key](const Candidate& a, const Candidate& b) { return key(a) < key(b); });
@@ -233,8 +234,7 @@
 }
 
 bool ScheduleRound::IsEligible(const StepSpec& step, const AvailableWorker& available) const {
-  return (!available.reserved || EndsBeforeReservation(step, available) ||
-          (step.long_running && available.reserved_for_large)) &&
+  return (!available.reserved || EndsBeforeReservation(step, available) || step.long_running) &&
          !(available.has_serving && step.best_effort) &&
          !(available.has_best_effort && IsServing(step)) &&
          available.worker->HasLabel(step.required_label);
@@ -274,7 +274,9 @@
                                       const AvailableWorker& available) const {
   const bool may_have_run = task.last_run > RunNumber(0) || candidate.job->inherited;
   const bool late = candidate.job->runs[candidate.run].latest_start < now_;
-  return available.reserved_for_large && (may_have_run || late);
+  return (available.reserved_for_large && (may_have_run || late)) ||
+         StartUrgency(candidate.job->Step(candidate.job->runs[candidate.run]), task, now_)
+             .Overrides(WithholdingRule::kReservation);
 }
 
 bool ScheduleRound::HasReachedWorkerLimit(const StepSpec& step, const WorkerId& worker,
@@ -290,7 +292,7 @@
   const StepSpec& step = candidate.job->Step(candidate.job->runs[candidate.run]);
   const Resources needed = ReservedFor(step);
   AvailableWorker* best = nullptr;
-  std::tuple<bool, bool, bool, bool, double> best_score;
+  std::tuple<bool, bool, bool, absl::Duration, bool, bool, double> best_score;
   const bool suspected = NeedsIsolation(step, task);
   result_.workers_examined += static_cast<int64_t>(eligible_workers.size());
   for (const EligibleWorker& eligible : eligible_workers) {
@@ -303,8 +305,10 @@
         !MayShareWorker(candidate, task, *available)) {
       continue;
     }
-    const std::tuple<bool, bool, bool, bool, double> score(
-        step.long_running && available->reserved, suspected && !available->empty,
+    const std::tuple<bool, bool, bool, absl::Duration, bool, bool, double> score(
+        step.long_running && available->reserved, step.long_running && available->isolated,
+        suspected && !available->empty,
+        suspected ? available->worker->WorkAtStake(now_) : absl::ZeroDuration(),
         worker.id == task.avoided_worker, !available->worker->HasLabel(step.preferred_rack),
         LeftoverScore(available->free - needed, worker.capacity));
     if (best == nullptr || score < best_score) {
@@ -321,8 +325,8 @@
   TaskCounts per_worker = CountActiveTasks(step, run);
   const std::vector<EligibleWorker> eligible_workers = FindEligibleWorkers(candidate);
   bool require_valid_ticket = true;
-  const CellTask* unplaced_task = nullptr;
-  size_t unplaced = waiting.size();
+  size_t allocated = 0;
+  std::vector<int> unplaced;
   std::set<WorkerId> to_renew;
   for (const int index : waiting) {
     if (!LeavesHeadroom(candidate)) {
@@ -336,30 +340,43 @@
       result_.placed.push_back(MakePlacement(candidate, index, *available));
     } else {
       // Allocates the capacity that the step will use once its tickets are renewed, so that later
-      // steps do not take it.
-      require_valid_ticket = false;
+      // steps do not take it. Tasks of a long-running step may be kept from different workers, so
+      // all of them are tried.
+      require_valid_ticket = step.long_running;
       available = FindWorker(candidate, task, eligible_workers, false, per_worker);
       if (available == nullptr) {
-        unplaced_task = &task;
+        unplaced.push_back(index);
+        if (step.long_running) {
+          continue;
+        }
         break;
       }
       to_renew.insert(available->worker->description.id);
     }
     Allocate(candidate, task, available);
     ++per_worker[available->worker->description.id.value()];
-    --unplaced;
+    ++allocated;
   }
+  HoldCapacity(candidate, unplaced, &per_worker, &to_renew);
   if (!to_renew.empty()) {
     RenewTickets(candidate, std::move(to_renew), per_worker);
-  } else if (unplaced_task != nullptr) {
-    RequestAdviceAboutNewWorkers(candidate);
-    if (NeedsIsolation(step, *unplaced_task)) {
-      ReserveWorkerForSuspect(candidate);
-    } else if (IsServing(step)) {
-      ChooseWorkerToClear(candidate);
-    } else if (IsLarge(step)) {
-      ReserveWorkers(candidate, unplaced);
-    }
+  } else if (!unplaced.empty()) {
+    RequestCapacity(candidate, unplaced.front(), waiting.size() - allocated);
+  }
+  HoldCapacityAskedAbout(candidate, unplaced.size());
+}
+
+void ScheduleRound::RequestCapacity(const Candidate& candidate, int first_unplaced,
+                                    size_t unplaced) {
+  const StepRun& run = candidate.job->runs[candidate.run];
+  const StepSpec& step = candidate.job->Step(run);
+  RequestAdviceAboutNewWorkers(candidate);
+  if (NeedsIsolation(step, run.tasks[first_unplaced])) {
+    ReserveWorkerForSuspect(candidate);
+  } else if (IsServing(step)) {
+    ChooseWorkerToClear(candidate);
+  } else if (IsLarge(step)) {
+    ReserveWorkers(candidate, unplaced);
   }
 }
 
@@ -419,11 +436,11 @@
     available->sole_job = nullptr;
   }
   available->empty = false;
-  available->open_to_suspects = false;
-  if (NeedsIsolation(step, task) && !available->isolated) {
+  if (IsIsolatedOn(candidate, task, *available) && !available->isolated) {
     available->isolated = true;
     ++isolated_workers_;
   }
+  available->open_to_suspects = false;
   available->free -= ReservedFor(step);
   free_capacity_ -= ReservedFor(step);
   available->has_serving = available->has_serving || IsServing(step);
@@ -437,7 +454,7 @@
   const auto ticket = run.advice.allowed.find(id);
   return PlacedTask{TaskRef{candidate.job->intake.id, candidate.run, task}, id,
                     ticket == run.advice.allowed.end() ? StepAdvice::Ticket() : ticket->second,
-                    IsLate(candidate)};
+                    IsLate(candidate), IsIsolatedOn(candidate, run.tasks[task], available)};
 }
 
 void ScheduleRound::PlaceGang(const Candidate& candidate, const std::vector<int>& waiting) {
@@ -456,10 +473,10 @@
       if (available == nullptr) {
         break;
       }
+      placed.push_back(MakePlacement(candidate, index, *available));
       Allocate(candidate, run.tasks[index], available);
       ++per_worker[available->worker->description.id.value()];
       used.insert(available->worker->description.id);
-      placed.push_back(MakePlacement(candidate, index, *available));
     }
     if (placed.size() == waiting.size() && require_valid_ticket) {
       result_.placed.insert(result_.placed.end(), placed.begin(), placed.end());
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -14,6 +14,7 @@
 #include "cell/advice_shares.h"
 #include "cell/cell_job.h"
 #include "cell/cell_worker.h"
+#include "cell/start_urgency.h"
 #include "cell/step_wait.h"
 
 namespace pomelotray {
@@ -26,6 +27,8 @@
   StepAdvice::Ticket ticket;
   // The job can hardly meet its latency objective any more.
   bool late = false;
+  // No other job may start attempts on the worker: the task is suspected of crashing its workers.
+  bool isolated = false;
 };
 
 // A decision to ask the adviser which of the workers in `question` may run a step.
@@ -62,6 +65,10 @@
 // that can still meet their objective go first; ordered by objective alone, every job would be late
 // during an overload (domino effect). Jobs whose results no longer have any value go last.
 //
+// Long-running tasks are out of service while they wait. The rules above give way to those that
+// have waited (StartUrgency): their steps go first, and capacity that becomes free is held for
+// them.
+//
 // A step that waits for renewed tickets reserves the capacity it needs, so that later steps do not
 // take it. A gang or a large task that does not fit reserves workers that it could use, since small
 // tasks would otherwise take all capacity that becomes free (starvation of large jobs).
@@ -90,6 +97,9 @@
   struct Candidate {
     const CellJob* job = nullptr;
     int run = 0;
+    // Since when the step has waited for so long that it goes before all others; infinite if it has
+    // not.
+    absl::Time urgent_since = absl::InfiniteFuture();
   };
   // A worker that accepts starts, with the capacity left after the decisions made so far.
   struct AvailableWorker {
@@ -113,6 +123,8 @@
     const JobId* sole_job = nullptr;
     // The worker runs a suspected task and takes tasks of `sole_job` only.
     bool isolated = false;
+    // Capacity of the worker is held for a task that waits for it.
+    bool held = false;
   };
 
   // A worker on which a step may run.
@@ -145,6 +157,25 @@
   // Calls PlaceStep() and adds what is left waiting to the result's waits.
   void PlaceAndExplain(const Candidate& candidate);
   void PlaceTasks(const Candidate& candidate, const std::vector<int>& waiting);
+  // Requests what the step lacks, of which `unplaced` tasks fit on no worker: advice, or workers
+  // that are reserved for it.
+  void RequestCapacity(const Candidate& candidate, int first_unplaced, size_t unplaced);
+  // Keeps capacity from later steps for those of the tasks that have waited for long, on the
+  // workers that should have room for them first. Adds these workers to `to_renew` if their tickets
+  // have expired.
+  void HoldCapacity(const Candidate& candidate, const std::vector<int>& unplaced,
+                    TaskCounts* per_worker, std::set<WorkerId>* to_renew);
+  // Returns the worker that should have capacity for the task first, and when, or null.
+  std::pair<AvailableWorker*, absl::Time> FindWorkerToHold(
+      const Candidate& candidate, const CellTask& task,
+      const std::vector<EligibleWorker>& eligible_workers, const TaskCounts& per_worker);
+  // Keeps free capacity from later steps while the adviser answers a question of a long-running
+  // step about it, enough for `tasks` tasks by the share that the adviser allows.
+  void HoldCapacityAskedAbout(const Candidate& candidate, size_t tasks);
+  // Returns the workers named in the step's unanswered question, also if this round asks it.
+  const std::vector<WorkerId>* FindWorkersAskedAbout(const Candidate& candidate) const;
+  // Whether capacity of further workers may be held.
+  bool MayHold() const { return held_slots_ < MaxReservedWorkers(); }
   void PlaceGang(const Candidate& candidate, const std::vector<int>& waiting);
   // Whether the pool still has its headroom for more urgent work after one more task of the step
   // starts. Always true for steps that are not patient.
@@ -153,8 +184,14 @@
   void ChooseWorkerToClear(const Candidate& candidate);
   // Reserves the least loaded eligible workers for `tasks` tasks that currently fit on none.
   void ReserveWorkers(const Candidate& candidate, size_t tasks);
-  // Requests advice in advance for a step whose dependencies are all running and short.
+  // Requests advice in advance for a step that should start soon: its dependencies are all running
+  // and short, or it is long-running and the worker of one of its tasks is leaving or may be lost.
   void RequestAdviceAhead(const Candidate& candidate);
+  // Whether a task of a long-running run is on a worker that accepts no starts, for example because
+  // it does not answer or is leaving.
+  bool MayHaveToRestart(const CellJob& job, const StepRun& run) const;
+  // Whether a task of the step could start now on a worker for which it has a valid ticket.
+  bool HasUsableTicket(const Candidate& candidate) const;
 
   // Deducts one task of the step from the free capacity.
   void Allocate(const Candidate& candidate, const CellTask& task, AvailableWorker* available);
@@ -162,6 +199,10 @@
   // crashing its workers shares them with its own job only.
   bool MayShareWorker(const Candidate& candidate, const CellTask& task,
                       const AvailableWorker& available) const;
+  // Whether the worker is closed to other jobs while the task runs there. A suspected task that
+  // starts beside others because it has waited is not isolated when too many workers are already.
+  bool IsIsolatedOn(const Candidate& candidate, const CellTask& task,
+                    const AvailableWorker& available) const;
   // Reserves a worker that is to run a suspected task of the step alone, unless too many workers
   // are reserved or isolated already.
   void ReserveWorkerForSuspect(const Candidate& candidate);
@@ -195,7 +236,8 @@
   // Whether this holds for each available worker, so that the step starts only on reserved ones.
   bool IsLargeOnAllWorkers(const StepSpec& step) const;
   static bool IsLargeOn(const AvailableWorker& available, const StepSpec& step);
-  // Whether the step may run on the worker, apart from tickets and free capacity.
+  // Whether the step may run on the worker, apart from tickets, free capacity and what depends on
+  // the single task.
   bool IsEligible(const StepSpec& step, const AvailableWorker& available) const;
   bool IsValid(const StepAdvice::Ticket& ticket) const;
   // Whether the step has a ticket for the worker; with `valid`, one that has not expired.
@@ -213,6 +255,10 @@
   // named.
   size_t WorkersToName(const Candidate& candidate,
                        const std::vector<std::pair<double, WorkerId>>& ranked) const;
+  // Adds the other workers with capacity for the step that it has no valid ticket for, within twice
+  // the cost of the call. A step has one question at a time, so a worker that is left out would
+  // have to wait for this answer and the next.
+  void CompleteQuestion(const Candidate& candidate, std::vector<WorkerId>* workers) const;
   void RequestAdvice(const Candidate& candidate, std::vector<WorkerId> workers);
 
   const std::map<JobId, const CellJob*>& jobs_;
@@ -226,6 +272,8 @@
   std::vector<Candidate> upcoming_;
   size_t reserved_workers_ = 0;
   size_t isolated_workers_ = 0;
+  // Number of tasks for which capacity is held.
+  size_t held_slots_ = 0;
   // Free capacity of all available workers, and the amount of it that patient steps must leave
   // free.
   Resources free_capacity_;
--- a/packages/cell/schedule_round_advice.cc
+++ b/packages/cell/schedule_round_advice.cc
@@ -39,9 +39,45 @@
 }  // namespace
 
 void ScheduleRound::RequestAdviceAhead(const Candidate& candidate) {
-  if (candidate.job->runs[candidate.run].advice.asked.empty()) {
+  const StepRun& run = candidate.job->runs[candidate.run];
+  const StepSpec& step = candidate.job->Step(run);
+  if (run.advice.asked.empty()) {
     RequestAdviceAboutNewWorkers(candidate);
+    return;
   }
+  if (!step.long_running || HasUsableTicket(candidate)) {
+    return;
+  }
+  const TaskCounts per_worker = CountActiveTasks(step, run);
+  std::set<WorkerId> with_capacity;
+  for (const auto& [id, ticket] : run.advice.allowed) {
+    const auto index = available_index_.find(id.value());
+    if (index != available_index_.end() && !HasReachedWorkerLimit(step, id, per_worker) &&
+        ReservedFor(step).FitsInto(available_workers_[index->second].free)) {
+      with_capacity.insert(id);
+    }
+  }
+  if (!with_capacity.empty()) {
+    RenewTickets(candidate, std::move(with_capacity), per_worker);
+  }
+}
+
+bool ScheduleRound::MayHaveToRestart(const CellJob& job, const StepRun& run) const {
+  return job.Step(run).long_running && job.intake.policy.advice.has_value() &&
+         std::any_of(run.tasks.begin(), run.tasks.end(), [this](const CellTask& task) {
+           return task.phase == TaskPhase::kActive &&
+                  available_index_.count(task.worker.value()) == 0;
+         });
+}
+
+bool ScheduleRound::HasUsableTicket(const Candidate& candidate) const {
+  const StepRun& run = candidate.job->runs[candidate.run];
+  const Resources needed = ReservedFor(candidate.job->Step(run));
+  return std::any_of(run.advice.allowed.begin(), run.advice.allowed.end(), [&](const auto& entry) {
+    const auto index = available_index_.find(entry.first.value());
+    return index != available_index_.end() && IsValid(entry.second) &&
+           needed.FitsInto(available_workers_[index->second].free);
+  });
 }
 
 bool ScheduleRound::CanRequestAdvice(const Candidate& candidate) const {
@@ -84,11 +120,13 @@
   const StepSpec& step = candidate.job->Step(run);
   const Resources needed = ReservedFor(step);
   // The first question includes workers without free capacity, and so do all questions for gangs,
-  // large and suspected tasks, which need workers that can be reserved. Any other question is sent
-  // only for workers on which the step could start at once; otherwise, every waiting step would ask
-  // again while the pool is full.
+  // large and suspected tasks, which need workers that can be reserved, and those for tasks that
+  // have waited, for which capacity is held as soon as the adviser allows a worker. Any other
+  // question is sent only for workers on which the step could start at once; otherwise, every
+  // waiting step would ask again while the pool is full.
   const bool first = run.advice.asked.empty();
-  const bool include_full = first || step.gang || IsLarge(step) || HasWaitingSuspects(step, run);
+  const bool include_full = first || step.gang || IsLarge(step) || HasWaitingSuspects(step, run) ||
+                            candidate.urgent_since < absl::InfiniteFuture();
   std::vector<std::pair<double, WorkerId>> not_asked;
   for (const AvailableWorker& available : available_workers_) {
     const WorkerDescription& worker = available.worker->description;
@@ -138,13 +176,35 @@
   return count;
 }
 
+void ScheduleRound::CompleteQuestion(const Candidate& candidate,
+                                     std::vector<WorkerId>* workers) const {
+  const StepRun& run = candidate.job->runs[candidate.run];
+  const StepSpec& step = candidate.job->Step(run);
+  const size_t max_workers = MaxWorkersWithinCost(*candidate.job->intake.policy.advice, 1);
+  for (const AvailableWorker& available : available_workers_) {
+    const WorkerId& id = available.worker->description.id;
+    const bool known = run.advice.asked.count(id) > 0;
+    if (workers->size() < max_workers && ReservedFor(step).FitsInto(available.free) &&
+        available.worker->HasLabel(step.required_label) &&
+        (!known || (HasTicket(run, id, false) && !HasTicket(run, id, true))) &&
+        std::find(workers->begin(), workers->end(), id) == workers->end()) {
+      workers->push_back(id);
+    }
+  }
+}
+
 void ScheduleRound::RequestAdvice(const Candidate& candidate, std::vector<WorkerId> workers) {
   const StepRun& run = candidate.job->runs[candidate.run];
   const AdvicePolicy& policy = *candidate.job->intake.policy.advice;
+  if (candidate.job->Step(run).long_running && !run.advice.asked.empty()) {
+    CompleteQuestion(candidate, &workers);
+  }
   late_questions_ += IsLate(candidate) ? 1 : 0;
   AdviceRequest request;
   request.step = TaskRef{candidate.job->intake.id, candidate.run, 0};
-  request.priority = candidate.job->intake.policy.priority;
+  request.priority = candidate.urgent_since < absl::InfiniteFuture()
+                         ? highest_priority_
+                         : candidate.job->intake.policy.priority;
   request.cost = policy.base + policy.per_worker * static_cast<int64_t>(workers.size());
   request.question = AdviceQuestion{StepName(*candidate.job, run), std::move(workers)};
   result_.advice.push_back(std::move(request));
--- /dev/null
+++ b/packages/cell/start_urgency.cc
@@ -0,0 +1,49 @@
+#include "cell/start_urgency.h"
+
+#include <algorithm>
+
+namespace pomelotray {
+namespace {
+
+// How long a task waits before the rule gives way.
+absl::Duration WaitBeforeOverride(WithholdingRule rule, bool restart) {
+  switch (rule) {
+    case WithholdingRule::kOrder:
+      return restart ? absl::Milliseconds(500) : absl::Seconds(1);
+    case WithholdingRule::kReservation:
+      return restart ? absl::Milliseconds(500) : absl::Seconds(2);
+    case WithholdingRule::kIsolation:
+    case WithholdingRule::kSuspicion:
+      return restart ? absl::Seconds(1) : absl::Seconds(2);
+  }
+  return absl::InfiniteDuration();
+}
+
+}  // namespace
+
+StartUrgency::StartUrgency(const StepSpec& step, const CellTask& task, absl::Time now)
+    : waiting_since_(step.long_running && task.phase == TaskPhase::kWaiting
+                         ? task.waiting_since
+                         : absl::InfiniteFuture()),
+      waited_(now - waiting_since_),
+      restart_(task.last_run > RunNumber(0)) {}
+
+bool StartUrgency::Overrides(WithholdingRule rule) const {
+  return waited_ >= WaitBeforeOverride(rule, restart_);
+}
+
+absl::Time UrgentSince(const StepSpec& step, const StepRun& run, absl::Time now) {
+  absl::Time since = absl::InfiniteFuture();
+  if (!step.long_running) {
+    return since;
+  }
+  for (const CellTask& task : run.tasks) {
+    const StartUrgency urgency(step, task, now);
+    if (urgency.Overrides(WithholdingRule::kOrder)) {
+      since = std::min(since, urgency.waiting_since());
+    }
+  }
+  return since;
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/packages/cell/start_urgency.h
@@ -0,0 +1,68 @@
+#ifndef POMELOTRAY_CELL_START_URGENCY_H_
+#define POMELOTRAY_CELL_START_URGENCY_H_
+
+#include "absl/time/time.h"
+#include "cell/cell_job.h"
+
+namespace pomelotray {
+
+// A rule of the scheduling round that keeps a waiting long-running task from a worker that has, or
+// will have, capacity for it.
+enum class WithholdingRule {
+  // Steps start in the order of priority and objective, so a step may find no capacity that is
+  // left.
+  kOrder,
+  // The worker is reserved for another task.
+  kReservation,
+  // The worker is isolated for a task that is suspected of crashing its workers.
+  kIsolation,
+  // The waiting task itself is suspected, and the worker runs attempts of other jobs.
+  kSuspicion,
+};
+
+// Bounds the time for which a long-running task waits while a worker that may run it has capacity.
+//
+// Each rule gives way once the task has waited for some time, so that the task starts within
+// kMaxWait after its owner learned that it has to run. That leaves one question to the adviser, by
+// which the expired ticket for the chosen worker is renewed.
+//
+// | rule        | gives way after    | why that is safe | |             | restart | 1st start| |
+// |-------------|---------|----------|-------------------------------------------------------------|
+// | order       | 0.5 s   | 1 s      | a task takes its capacity once; later steps take the rest |
+// | reservation | 0.5 s   | 2 s      | reserved workers are used last, and only while they have |
+// |             |         |          | room; large tasks wait for new long-running ones otherwise |
+// | isolation   | 1 s     | 2 s      | isolated workers are used last; a crash there still counts |
+// |             |         |          | against the suspect, but it is given up one crash later | |
+// suspicion   | 1 s     |          | the worker with the least work at stake is chosen, and no   |
+// |             |         |          | other job joins until the task has proved harmless |
+//
+// The other rules never give way, since more than a delay depends on them: capacity, labels, the
+// limit of tasks per worker, tickets, leases of earlier attempts, quarantine and the delay of tasks
+// that end as soon as they start.
+class StartUrgency {
+ public:
+  // Longest wait beside a worker with capacity.
+  static constexpr absl::Duration kMaxWait = absl::Seconds(3);
+
+  // The urgency of a task at `now`. Tasks that end by themselves are never urgent.
+  StartUrgency(const StepSpec& step, const CellTask& task, absl::Time now);
+
+  // Whether the task has waited for so long that the rule does not apply to it.
+  bool Overrides(WithholdingRule rule) const;
+  // When the wait began; the infinite future if the task is not long-running or does not wait.
+  absl::Time waiting_since() const { return waiting_since_; }
+
+ private:
+  absl::Time waiting_since_;
+  absl::Duration waited_;
+  // The task has been started before.
+  bool restart_;
+};
+
+// Returns the beginning of the longest wait among the run's waiting tasks that override the order
+// of steps, or the infinite future if there is none.
+absl::Time UrgentSince(const StepSpec& step, const StepRun& run, absl::Time now);
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_CELL_START_URGENCY_H_
