cell: Count no loss of a worker in a wave of losses against its tasks

After waves of crashes, jobs whose long-running tasks had lost three workers were withheld from workers with capacity, and jobs were given up because three waves had hit a task after similar run times. Three losses counted whatever else the pool had lost at the time.

The owner now keeps when it lost its workers, and compares: the share of the other workers that were lost while an attempt ran is the probability that its worker was among them by chance. From an eighth on, and from three workers on, the loss is no evidence. Losses of attempts that an earlier owner started raise no suspicion of a long-running task, since this owner does not know the rate.

--- a/packages/cell/cell_worker.cc
+++ b/packages/cell/cell_worker.cc
@@ -7,9 +7,6 @@
 namespace pomelotray {
 namespace {
 
-// A task that crashes its workers does so within this time of its start.
-constexpr absl::Duration kSettleTime = absl::Seconds(10);
-
 // Time that a start takes to reach its worker; a round trip between regions takes 16 ms.
 constexpr absl::Duration kStartTransitTime = absl::Milliseconds(20);
 
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -384,6 +384,10 @@
                    now);
     }
     if (!worker.listed && IsLeaseExpired(worker, now)) {
+      // The loss of a worker without attempts is part of a wave as well.
+      if (!worker.description.draining && worker.unreachable_since < now) {
+        RememberLoss(worker, worker.unreachable_since);
+      }
       it = workers_.erase(it);
     } else {
       ++it;
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -186,6 +186,12 @@
   void StopGang(const TaskRef& task, std::optional<RunNumber> run);
   // Requeues the tasks of all attempts on a worker that is gone.
   void LoseAttempts(CellWorker* worker, WorkerLossCause cause, absl::Time now);
+  // Keeps the certain loss of the worker at `lost_at` for the judgement of other losses.
+  void RememberLoss(const CellWorker& worker, absl::Time lost_at);
+  // Returns the times at which other workers were lost: of those whose loss is certain, and of
+  // those that do not answer, since the loss of one becomes certain before that of the next.
+  std::vector<absl::Time> LossesOfOthers(const CellWorker& worker) const;
+  size_t CountListedWorkers() const;
   // Describes what the loss of the worker says about the task of one of its attempts.
   static LostAttempt DescribeLoss(const CellWorker& worker, const Attempt& attempt,
                                   absl::Time lost_at);
@@ -268,6 +274,8 @@
   absl::Time waits_recorded_at_ = absl::InfinitePast();
   AdviceShares advice_shares_;
   absl::flat_hash_set<JobId> changed_;
+  // When the workers whose loss was certain were lost, as far as it matters to later losses.
+  std::map<WorkerId, absl::Time> lost_workers_;
   // Workers of the inherited roster that have not reported yet.
   std::set<WorkerId> unreported_workers_;
   // Workers of the inherited roster whose reports so far may have omitted ended attempts.
--- a/packages/cell/pool_scheduler_losses.cc
+++ b/packages/cell/pool_scheduler_losses.cc
@@ -17,6 +17,10 @@
 constexpr double kStartedLastFactor = 2;
 constexpr absl::Duration kStartedLastMargin = absl::Milliseconds(50);
 
+// Time for which a certain loss is kept for the judgement of others: IsInWave() goes back by
+// kSettleTime from the time at which a worker was lost, which is certain up to a lease later.
+constexpr absl::Duration kLossMemory = absl::Seconds(30);
+
 // Returns for how long the attempt can have run before the worker was lost at `lost_at`.
 absl::Duration RunTime(const Attempt& attempt, absl::Time lost_at) {
   return std::max(lost_at - attempt.sent_at, absl::ZeroDuration());
@@ -52,8 +56,42 @@
   return lost;
 }
 
+void PoolScheduler::RememberLoss(const CellWorker& worker, absl::Time lost_at) {
+  absl::Time& remembered = lost_workers_[worker.description.id];
+  remembered = std::max(remembered, lost_at);
+  for (auto it = lost_workers_.begin(); it != lost_workers_.end();) {
+    it = it->second < lost_at - kLossMemory ? lost_workers_.erase(it) : std::next(it);
+  }
+}
+
+std::vector<absl::Time> PoolScheduler::LossesOfOthers(const CellWorker& worker) const {
+  std::vector<absl::Time> losses;
+  for (const auto& [id, lost_at] : lost_workers_) {
+    if (id != worker.description.id) {
+      losses.push_back(lost_at);
+    }
+  }
+  for (const auto& [id, other] : workers_) {
+    if (id != worker.description.id && other.unreachable_since < absl::InfiniteFuture() &&
+        lost_workers_.count(id) == 0) {
+      losses.push_back(other.unreachable_since);
+    }
+  }
+  return losses;
+}
+
+size_t PoolScheduler::CountListedWorkers() const {
+  return static_cast<size_t>(std::count_if(workers_.begin(), workers_.end(),
+                                           [](const auto& entry) { return entry.second.listed; }));
+}
+
 void PoolScheduler::RecordLosses(CellWorker* worker, absl::Time now, bool certain) {
+  if (worker->attempts.empty()) {
+    return;
+  }
   const absl::Time lost_at = std::min(worker->unreachable_since, now);
+  const std::vector<absl::Time> others = LossesOfOthers(*worker);
+  const size_t workers = CountListedWorkers();
   for (auto& [key, attempt] : worker->attempts) {
     // A worker that did not confirm the start may have been lost before the order arrived.
     // A settled attempt outlives many workers.
@@ -63,12 +101,17 @@
     }
     CellJob* job = FindJob(attempt.task->job);
     StepRun* run = FindStepRun(*attempt.task);
-    const LostAttempt lost = DescribeLoss(*worker, attempt, lost_at);
+    LostAttempt lost = DescribeLoss(*worker, attempt, lost_at);
+    lost.in_wave = IsInWave(lost.ran_for, lost_at, others, workers);
     WorkerLossHistory& losses = run->tasks[attempt.task->task].losses;
     const bool suspect = lost.started_last || !losses.empty();
     if ((certain || suspect) && losses.Add(lost)) {
       worker->losses_expected = !certain;
       MarkChanged(job);
+    } else if (lost.ran_for < absl::InfiniteDuration() &&
+               losses.SetInWave(lost.run, lost.in_wave)) {
+      // Otherwise an earlier owner saw the loss, and knew more of the losses at that time.
+      MarkChanged(job);
     }
   }
 }
@@ -101,6 +144,7 @@
       .With("unreachable_ms", absl::ToInt64Milliseconds(now - lost_at))
       .Emit();
   if (MayBeCausedByTask(cause)) {
+    RememberLoss(*worker, lost_at);
     RecordLosses(worker, now, /*certain=*/true);
   } else {
     RetractLosses(worker);
@@ -130,6 +174,10 @@
   };
   const LostAttempt lost = DescribeLoss(worker, attempt, lost_at);
   const WorkerLossHistory& losses = FindStepRun(*attempt.task)->tasks[attempt.task->task].losses;
+  const auto recorded =
+      std::find_if(losses.attempts().begin(), losses.attempts().end(),
+                   [&lost](const LostAttempt& known) { return known.run == lost.run; });
+  const bool in_wave = recorded != losses.attempts().end() && recorded->in_wave;
   events_->Record(EventCode::kTaskWorkerLost)
       .Job(attempt.task->job)
       .Task(TaskId(attempt.key.task))
@@ -143,6 +191,7 @@
       .With("beside", static_cast<int64_t>(std::count_if(worker.attempts.begin(),
                                                          worker.attempts.end(), of_other_job)))
       .With("started_last", lost.started_last ? 1 : 0)
+      .With("in_wave", in_wave ? 1 : 0)
       .With("losses", static_cast<int64_t>(losses.attempts().size()))
       .With("suspected", losses.IsSuspected() ? 1 : 0)
       .Emit();
--- a/packages/cell/worker_loss.cc
+++ b/packages/cell/worker_loss.cc
@@ -1,6 +1,7 @@
 #include "cell/worker_loss.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace pomelotray {
 namespace {
@@ -21,6 +22,10 @@
 // A clearing attempt must run longer than the lost ones by this factor and time.
 constexpr double kProbationFactor = 2;
 constexpr absl::Duration kProbationMargin = absl::Milliseconds(500);
+// A loss is in a wave if at least this share of the other workers, and at least this number of
+// them, were lost while the attempt ran.
+constexpr double kWaveShare = 0.125;
+constexpr size_t kMinWaveLosses = 3;
 
 bool AreSimilar(const LostAttempt& a, const LostAttempt& b) {
   const auto [shorter, longer] = std::minmax(a.ran_for, b.ran_for);
@@ -36,6 +41,17 @@
   return attempt.started_last && attempt.ran_for <= kStartTime;
 }
 
+int CountAtStart(const std::vector<LostAttempt>& losses) {
+  return static_cast<int>(std::count_if(losses.begin(), losses.end(), IsAtStart));
+}
+
+// Number of losses after about the same run time as the last one, which is among them.
+int CountSimilarToLast(const std::vector<LostAttempt>& losses) {
+  return static_cast<int>(std::count_if(
+      losses.begin(), losses.end(),
+      [&losses](const LostAttempt& attempt) { return AreSimilar(attempt, losses.back()); }));
+}
+
 }  // namespace
 
 const char* WorkerLossCauseName(WorkerLossCause cause) {
@@ -56,6 +72,19 @@
   return cause == WorkerLossCause::kCrashed || cause == WorkerLossCause::kVanished;
 }
 
+bool IsInWave(absl::Duration ran_for, absl::Time lost_at,
+              const std::vector<absl::Time>& losses_of_others, size_t workers) {
+  // Two losses at the same moment may be noticed at times that differ by kNoticeDelay.
+  const absl::Time begin = lost_at - std::min(ran_for, kSettleTime) - kNoticeDelay;
+  const absl::Time end = lost_at + kNoticeDelay;
+  const auto lost = static_cast<size_t>(
+      std::count_if(losses_of_others.begin(), losses_of_others.end(),
+                    [begin, end](absl::Time at) { return begin <= at && at <= end; }));
+  const size_t others = std::max<size_t>(workers, 1) - 1;
+  return lost >= kMinWaveLosses &&
+         static_cast<double>(lost) >= kWaveShare * static_cast<double>(others);
+}
+
 bool WorkerLossHistory::Add(const LostAttempt& attempt) {
   if (Contains(attempt.run)) {
     return false;
@@ -79,31 +108,50 @@
                      [run](const LostAttempt& attempt) { return attempt.run == run; });
 }
 
-int WorkerLossHistory::CountSimilarToLast() const {
-  return static_cast<int>(std::count_if(
-      attempts_.begin(), attempts_.end(),
-      [this](const LostAttempt& attempt) { return AreSimilar(attempt, attempts_.back()); }));
+bool WorkerLossHistory::SetInWave(RunNumber run, bool in_wave) {
+  const auto it = std::find_if(attempts_.begin(), attempts_.end(),
+                               [run](const LostAttempt& attempt) { return attempt.run == run; });
+  if (it == attempts_.end() || it->in_wave == in_wave) {
+    return false;
+  }
+  it->in_wave = in_wave;
+  return true;
 }
 
-int WorkerLossHistory::CountAtStart() const {
-  return static_cast<int>(std::count_if(attempts_.begin(), attempts_.end(), IsAtStart));
+std::vector<LostAttempt> WorkerLossHistory::Evidence() const {
+  std::vector<LostAttempt> evidence;
+  std::copy_if(attempts_.begin(), attempts_.end(), std::back_inserter(evidence),
+               [](const LostAttempt& attempt) { return !attempt.in_wave; });
+  return evidence;
 }
 
 bool WorkerLossHistory::IsLongRunningTaskSuspected() const {
-  return CountAtStart() > 0 || attempts_.size() >= kLossesToSuspect;
+  if (attempts_.empty()) {
+    return false;
+  }
+  const std::vector<LostAttempt> evidence = Evidence();
+  const auto known = std::count_if(
+      evidence.begin(), evidence.end(),
+      [](const LostAttempt& attempt) { return attempt.ran_for < absl::InfiniteDuration(); });
+  return CountAtStart(evidence) > 0 || static_cast<size_t>(known) >= kLossesToSuspect;
 }
 
 bool WorkerLossHistory::IsSuspected() const {
-  return IsLongRunningTaskSuspected() ||
-         (attempts_.size() > 1 && MayBeSimilar(attempts_.front(), attempts_.back()));
+  if (attempts_.empty()) {
+    return false;
+  }
+  const std::vector<LostAttempt> evidence = Evidence();
+  return CountAtStart(evidence) > 0 || evidence.size() >= kLossesToSuspect ||
+         (evidence.size() > 1 && MayBeSimilar(evidence.front(), evidence.back()));
 }
 
 bool WorkerLossHistory::CrashesWorkers() const {
-  if (attempts_.empty() || !attempts_.back().alone) {
+  if (attempts_.empty() || attempts_.back().in_wave || !attempts_.back().alone) {
     return false;
   }
-  return CountSimilarToLast() >= kLossesToGiveUp ||
-         (IsAtStart(attempts_.back()) && CountAtStart() >= kLossesAtStartToGiveUp);
+  const std::vector<LostAttempt> evidence = Evidence();
+  return CountSimilarToLast(evidence) >= kLossesToGiveUp ||
+         (IsAtStart(evidence.back()) && CountAtStart(evidence) >= kLossesAtStartToGiveUp);
 }
 
 absl::Duration WorkerLossHistory::Probation() const {
--- a/packages/cell/worker_loss.h
+++ b/packages/cell/worker_loss.h
@@ -1,6 +1,7 @@
 #ifndef POMELOTRAY_CELL_WORKER_LOSS_H_
 #define POMELOTRAY_CELL_WORKER_LOSS_H_
 
+#include <cstddef>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -8,6 +9,10 @@
 
 namespace pomelotray {
 
+// A task that crashes its workers does so within this time of its start. So a long-running attempt
+// that has run for longer says nothing against its task when its worker is lost.
+constexpr absl::Duration kSettleTime = absl::Seconds(10);
+
 // How the owner knows that a worker and all attempts on it are gone.
 enum class WorkerLossCause {
   // Another process answers in place of the worker: the worker's process ended without notice.
@@ -35,18 +40,41 @@
   bool alone = false;
   // Hardly any other attempt was started on the worker between this one and the loss.
   bool started_last = false;
+  // The worker was lost in a wave of losses, as IsInWave() defines it.
+  bool in_wave = false;
 };
 
+// Whether the loss of a worker at `lost_at` says nothing about an attempt that had run there for
+// `ran_for`, since ordinary losses explain it. `losses_of_others` contains the times at which
+// other workers of the pool were lost, each worker once, and `workers` is the size of the pool.
+//
+// Losses from other causes hit each worker alike, so the share of the other workers that were lost
+// while the attempt ran is the probability that its worker is among them by chance. The loss is in
+// a wave if that share is an eighth at least, so that the three losses that raise a suspicion are
+// not rare among the many tasks of a pool. Fewer than three other losses are never a wave: a task
+// or two that crash their workers at the same moment must not hide one another. For losses right
+// after the start of an attempt this leaves only those that happened at the same moment; the longer
+// an attempt has run, the more it takes to make its loss remarkable.
+//
+// If the run time is unknown, since an earlier owner started the attempt, the losses of the last
+// kSettleTime count, as far as this owner has noticed them.
+bool IsInWave(absl::Duration ran_for, absl::Time lost_at,
+              const std::vector<absl::Time>& losses_of_others, size_t workers);
+
 // The workers that were lost while they ran attempts of one task, and what follows from them.
 //
 // A task that crashes its workers does so each time after about the same run time. Any number of
 // losses is possible for a task that was merely on the same worker as such a task, or whose workers
 // were lost for other causes. So a task is suspected first and then started only on workers that
 // run no other job; it is given up only if a worker is lost then, too, after a similar run time.
+// Losses in a wave are kept but are no evidence.
 class WorkerLossHistory {
  public:
   // Adds the attempt unless one with the same number is known. Returns whether it was added.
   bool Add(const LostAttempt& attempt);
+  // Replaces what is known of whether the attempt was lost in a wave: other losses may be noticed
+  // later. Returns whether that is a change.
+  bool SetInWave(RunNumber run, bool in_wave);
   // Removes an attempt that turned out not to be lost. Returns whether it was known.
   bool Remove(RunNumber run);
   void Clear() { attempts_.clear(); }
@@ -58,7 +86,9 @@
   // Whether the task may start only on workers that run no attempts of other jobs.
   bool IsSuspected() const;
   // The same for a long-running task, which is suspected later: it is out of service while it waits
-  // for a worker of its own, and there may be more suspected tasks than workers to isolate.
+  // for a worker of its own, and there may be more suspected tasks than workers to isolate. Losses
+  // of attempts that an earlier owner started do not count, since this owner cannot tell how many
+  // workers the pool lost while they ran.
   bool IsLongRunningTaskSuspected() const;
   // Whether the task crashes its workers.
   bool CrashesWorkers() const;
@@ -66,10 +96,8 @@
   absl::Duration Probation() const;
 
  private:
-  // Number of losses after about the same run time as the last one, which is among them.
-  int CountSimilarToLast() const;
-  // Number of losses that happened at the start of an attempt.
-  int CountAtStart() const;
+  // The losses that were not in a wave.
+  std::vector<LostAttempt> Evidence() const;
 
   // In the order in which they were added.
   std::vector<LostAttempt> attempts_;
--- a/tests/cell/crashing_tasks_test.cc
+++ b/tests/cell/crashing_tasks_test.cc
@@ -2,6 +2,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "tests/cell/scheduler_fixture.h"
 
 namespace pomelotray {
@@ -276,6 +277,71 @@
   BOOST_TEST(Starts(fixture.Round()).size() == 2U);
 }
 
+// Guards against a task that is withheld from workers with capacity, or given up, because it lost
+// its workers in waves of crashes that took many others as well.
+BOOST_AUTO_TEST_CASE(LossesInWavesOfCrashesAreNoEvidence) {
+  for (const bool long_running : {true, false}) {
+    constexpr int kWorkers = 12;
+    constexpr int kWaves = 3;
+    Fixture fixture;
+    std::vector<WorkerDescription> workers;
+    workers.reserve(kWorkers);
+    for (int i = 0; i < kWorkers; ++i) {
+      workers.push_back(Fixture::Worker(WorkerName(i), 1000));
+    }
+    fixture.AddWorkers(workers);
+    StepSpec step = Fixture::Step(1, 1000);
+    step.long_running = long_running;
+    fixture.AddJob(Fixture::Job("a", {step}));
+    for (int wave = 0; wave < kWaves; ++wave) {
+      const std::vector<SentOrder> started = Starts(fixture.Round());
+      BOOST_REQUIRE_EQUAL(started.size(), 1U);
+      fixture.Advance(absl::Milliseconds(800));
+      std::vector<std::string> lost = {started[0].worker.value()};
+      for (const auto& [id, worker] : fixture.scheduler().workers()) {
+        if (worker.listed && lost.size() < kWorkers / 3 && id != started[0].worker) {
+          lost.push_back(id.value());
+        }
+      }
+      for (const std::string& id : lost) {
+        fixture.scheduler().HoldFailed(WorkerId(id), fixture.Now());
+        fixture.Advance(absl::Milliseconds(50));
+      }
+      for (size_t i = 0; i < lost.size(); ++i) {
+        fixture.Crash(lost[i], absl::StrCat("w", wave + 1, "-", i));
+      }
+      fixture.CommitAll();
+    }
+    BOOST_TEST((fixture.State("a") == CellJobState::kRunning));
+    const CellJob& job = fixture.scheduler().jobs().at(JobId("a"));
+    BOOST_TEST(!NeedsIsolation(job.Step(job.runs[0]), job.runs[0].tasks[0]));
+  }
+}
+
+// Guards against an owner that suspects a long-running task for losses about which it knows
+// nothing: earlier owners started the attempts, so it may have been a wave.
+BOOST_AUTO_TEST_CASE(LossesOfInheritedAttemptsRaiseNoSuspicionOfLongRunningTasks) {
+  StepSpec lasting = Fixture::Step(1, 1000);
+  lasting.long_running = true;
+  const JobIntake job = Fixture::Job("a", {lasting});
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w0", 1000)});
+  fixture.AddJob(job);
+  for (int i = 0; i < 3; ++i) {
+    const SentOrder started = Starts(fixture.Round()).at(0);
+    const std::vector<WorkerDescription> workers = {Fixture::Worker(WorkerName(i), 1000)};
+    fixture.TakeOver({job}, workers);
+    fixture.AddWorkers(workers);
+    fixture.Report(WorkerName(i), {Fixture::Running(started.order.key)});
+    fixture.Advance(absl::Seconds(2));
+    fixture.Crash(WorkerName(i), WorkerName(i + 1));
+    fixture.CommitAll();
+  }
+  const CellTask& task = fixture.scheduler().jobs().at(JobId("a")).runs[0].tasks[0];
+  BOOST_TEST(task.losses.attempts().size() == 3U);
+  BOOST_TEST(!NeedsIsolation(lasting, task));
+}
+
 // Guards against a gang that is started for ever because one of its members crashes its workers,
 // and against a gang that never starts whole again after one of its members became suspected.
 BOOST_AUTO_TEST_CASE(GangOfACrashingMemberIsGivenUp) {
--- a/tests/cell/worker_loss_test.cc
+++ b/tests/cell/worker_loss_test.cc
@@ -1,6 +1,7 @@
 #include "cell/worker_loss.h"
 
 #include <boost/test/unit_test.hpp>
+#include <vector>
 
 namespace pomelotray {
 namespace {
@@ -98,6 +99,74 @@
   BOOST_TEST(!losses.IsSuspected());
 }
 
+// Guards against losses in waves that add up to a suspicion, hide other losses or end a job.
+BOOST_AUTO_TEST_CASE(LossesInWavesAreNoEvidence) {
+  WorkerLossHistory losses;
+  for (int run = 1; run <= 20; ++run) {
+    LostAttempt lost = Lost(run, absl::Milliseconds(20), /*alone=*/true, /*started_last=*/true);
+    lost.in_wave = true;
+    losses.Add(lost);
+  }
+  BOOST_TEST(!losses.IsSuspected());
+  BOOST_TEST(!losses.IsLongRunningTaskSuspected());
+  BOOST_TEST(!losses.CrashesWorkers());
+  losses.Add(Lost(21, absl::Milliseconds(20), true, true));
+  BOOST_TEST(losses.IsLongRunningTaskSuspected());
+  BOOST_TEST(!losses.CrashesWorkers());
+  losses.Add(Lost(22, absl::Milliseconds(20), true, true));
+  BOOST_TEST(losses.CrashesWorkers());
+}
+
+// Guards against a wave that is noticed only in part when the first of its losses is recorded.
+BOOST_AUTO_TEST_CASE(LossBecomesPartOfAWaveLater) {
+  WorkerLossHistory losses;
+  losses.Add(Lost(1, absl::Milliseconds(20), true, true));
+  BOOST_TEST(losses.IsSuspected());
+  BOOST_TEST(losses.SetInWave(RunNumber(1), true));
+  BOOST_TEST(!losses.SetInWave(RunNumber(1), true));
+  BOOST_TEST(!losses.SetInWave(RunNumber(2), true));
+  BOOST_TEST(!losses.IsSuspected());
+}
+
+// Guards against three losses of unknown run time that make a long-running task wait.
+BOOST_AUTO_TEST_CASE(LossesAfterUnknownTimesRaiseNoSuspicionOfLongRunningTasks) {
+  WorkerLossHistory losses;
+  for (int run = 1; run <= 3; ++run) {
+    losses.Add(Lost(run, absl::InfiniteDuration(), false, false));
+  }
+  BOOST_TEST(!losses.IsLongRunningTaskSuspected());
+  BOOST_TEST(losses.IsSuspected());
+}
+
+std::vector<absl::Time> LossesAt(int count, absl::Time at) {
+  return std::vector<absl::Time>(count, at);
+}
+
+// Guards against tasks that crash their workers at the same moment and hide one another.
+BOOST_AUTO_TEST_CASE(FewLossesAtTheSameMomentAreNoWave) {
+  const absl::Time at = absl::UnixEpoch();
+  const absl::Duration ran_for = absl::Milliseconds(20);
+  BOOST_TEST(!IsInWave(ran_for, at, {}, 1));
+  BOOST_TEST(!IsInWave(ran_for, at, LossesAt(2, at), 7));
+  BOOST_TEST(IsInWave(ran_for, at, LossesAt(3, at), 7));
+  BOOST_TEST(!IsInWave(ran_for, at, LossesAt(11, at), 97));
+  BOOST_TEST(IsInWave(ran_for, at, LossesAt(12, at), 97));
+}
+
+// Guards against losses over some time that excuse a crash right after the start, and against a
+// long run that is blamed for a loss although the pool lost many workers meanwhile.
+BOOST_AUTO_TEST_CASE(LossesDuringTheRunCount) {
+  const absl::Time at = absl::UnixEpoch();
+  const std::vector<absl::Time> others = LossesAt(6, at - absl::Seconds(2));
+  BOOST_TEST(!IsInWave(absl::Milliseconds(20), at, others, 12));
+  BOOST_TEST(!IsInWave(absl::Seconds(1), at, others, 12));
+  BOOST_TEST(IsInWave(absl::Seconds(3), at, others, 12));
+  BOOST_TEST(IsInWave(absl::InfiniteDuration(), at, others, 12));
+  BOOST_TEST(!IsInWave(absl::Seconds(30), at, LossesAt(6, at - absl::Seconds(15)), 12));
+  // The same loss may be noticed a little later on another worker.
+  BOOST_TEST(IsInWave(absl::Milliseconds(20), at, LossesAt(6, at + absl::Milliseconds(200)), 12));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
