cell: Clear long-running tasks of suspicion after 10 s at most

A worker on which a suspected long-running task ran was closed to other jobs for twice the task's longest lost run: 60.5 s after a run of 30 s. A long-running task that was not isolated kept its losses for as long as it ran, so that losses minutes apart added up to a suspicion.

The probation of a long-running task is now at most kSettleTime, after which its attempts count as settled everywhere else, and it clears a task that is not isolated as well. The forecast of when a worker opens to suspects uses the same bound instead of never.

LongRunningSuspectSharesItsWorkerOnceItHasSettled and LongRunningTaskThatRunsOnIsCleared failed before.

--- a/packages/cell/cell_worker.cc
+++ b/packages/cell/cell_worker.cc
@@ -82,9 +82,9 @@
   absl::Time open = now;
   for (const auto& [key, attempt] : attempts) {
     if (!attempt.IsSettled(now)) {
-      const absl::Time settled =
-          attempt.isolated ? absl::InfiniteFuture() : attempt.known_since + kSettleTime;
       const absl::Time end = attempt.ExpectedEnd(now);
+      // The isolation of a long-running attempt ends by then as well.
+      const absl::Time settled = attempt.known_since + kSettleTime;
       open = std::max(open, end < absl::InfiniteFuture() ? end : settled);
     }
   }
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -205,7 +205,9 @@
                             absl::Time lost_at);
   // Ends the job as failed if the task crashes its workers. Returns whether the job has ended.
   bool GiveUpIfItCrashesWorkers(const TaskRef& task, absl::Time now);
-  // Ends the isolation of suspected tasks that have run long enough without crashing the worker.
+  // Clears tasks that have run long enough without crashing the worker of their losses, and ends
+  // their isolation. Long-running tasks are cleared whether they are isolated or not: they may have
+  // started beside others, and their losses would add up for as long as they run.
   void ClearSurvivors(CellWorker* worker);
   static void MarkUnreachable(CellWorker* worker, absl::Time now);
   void DropExpiredWorkers(absl::Time now);
--- a/packages/cell/pool_scheduler_losses.cc
+++ b/packages/cell/pool_scheduler_losses.cc
@@ -216,11 +216,15 @@
 
 void PoolScheduler::ClearSurvivors(CellWorker* worker) {
   for (auto& [key, attempt] : worker->attempts) {
-    if (!attempt.isolated || !IsCurrent(*worker, attempt)) {
+    const bool long_running = attempt.estimate == absl::InfiniteDuration();
+    if ((!attempt.isolated && !long_running) || !attempt.listed || !IsCurrent(*worker, attempt)) {
       continue;
     }
     WorkerLossHistory& losses = FindStepRun(*attempt.task)->tasks[attempt.task->task].losses;
-    if (attempt.listed && worker->last_report - attempt.known_since >= losses.Probation()) {
+    const absl::Duration probation =
+        long_running ? losses.LongRunningTaskProbation() : losses.Probation();
+    const bool suspicious = attempt.isolated || !losses.empty();
+    if (suspicious && worker->last_report - attempt.known_since >= probation) {
       attempt.isolated = false;
       losses.Clear();
       MarkChanged(FindJob(attempt.task->job));
--- a/packages/cell/worker_loss.cc
+++ b/packages/cell/worker_loss.cc
@@ -164,4 +164,8 @@
   return longest * kProbationFactor + kProbationMargin;
 }
 
+absl::Duration WorkerLossHistory::LongRunningTaskProbation() const {
+  return std::min(Probation(), kSettleTime);
+}
+
 }  // namespace pomelotray
--- a/packages/cell/worker_loss.h
+++ b/packages/cell/worker_loss.h
@@ -94,6 +94,9 @@
   bool CrashesWorkers() const;
   // How long an attempt has to run without the loss of its worker to clear the task of suspicion.
   absl::Duration Probation() const;
+  // The same for a long-running task. Never longer than kSettleTime, since its worker is isolated
+  // meanwhile.
+  absl::Duration LongRunningTaskProbation() const;
 
  private:
   // The losses that were not in a wave.
--- a/tests/cell/crashing_tasks_test.cc
+++ b/tests/cell/crashing_tasks_test.cc
@@ -342,6 +342,66 @@
   BOOST_TEST(!NeedsIsolation(lasting, task));
 }
 
+// Starts the long-running task `job` on its only worker, lets it run for `duration` and crashes the
+// worker. Returns the name of the next one.
+std::string RunAndCrash(Fixture* fixture, int worker, int seconds) {
+  const SentOrder started = Starts(fixture->Round()).at(0);
+  for (int second = 0; second < seconds; ++second) {
+    fixture->Report(WorkerName(worker), {Fixture::Running(started.order.key, second)});
+    fixture->Advance(absl::Seconds(1));
+  }
+  fixture->Crash(WorkerName(worker), WorkerName(worker + 1));
+  fixture->CommitAll();
+  return WorkerName(worker + 1);
+}
+
+// Guards against a long-running suspect that keeps its worker isolated for twice its longest run,
+// far longer than a task takes to crash its worker.
+BOOST_AUTO_TEST_CASE(LongRunningSuspectSharesItsWorkerOnceItHasSettled) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w0", 2000)});
+  StepSpec lasting = Fixture::Step(1, 1000);
+  lasting.long_running = true;
+  fixture.AddJob(Fixture::Job("a", {lasting}));
+  for (int i = 0; i < 3; ++i) {
+    // Run times that are not similar, so that the job is not given up.
+    RunAndCrash(&fixture, i, 9 - 3 * i);
+  }
+  const SentOrder started = Starts(fixture.Round()).at(0);
+  fixture.AddJob(Fixture::Job("b", {Fixture::Step(1, 1000)}));
+  for (int second = 0; second < 9; ++second) {
+    fixture.Report("w3", {Fixture::Running(started.order.key, second)});
+    BOOST_TEST(Starts(fixture.Round()).empty());
+    fixture.Advance(absl::Seconds(1));
+  }
+  const CellWorker& worker = fixture.scheduler().workers().at(WorkerId("w3"));
+  BOOST_TEST(worker.HasIsolated());
+  BOOST_TEST((worker.ExpectedOpenToSuspects(fixture.Now()) <= fixture.Now() + absl::Seconds(2)));
+  fixture.Advance(absl::Seconds(1));
+  fixture.Report("w3", {Fixture::Running(started.order.key, 100)});
+  BOOST_TEST(Starts(fixture.Round()).size() == 1U);
+}
+
+// Guards against losses of a long-running task that count although it has run on without harm
+// since, not isolated: with further losses they add up to a suspicion.
+BOOST_AUTO_TEST_CASE(LongRunningTaskThatRunsOnIsCleared) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w0", 2000)});
+  StepSpec lasting = Fixture::Step(1, 1000);
+  lasting.long_running = true;
+  fixture.AddJob(Fixture::Job("a", {lasting}));
+  const std::string next = RunAndCrash(&fixture, 0, 3);
+  const WorkerLossHistory& losses =
+      fixture.scheduler().jobs().at(JobId("a")).runs[0].tasks[0].losses;
+  const SentOrder started = Starts(fixture.Round()).at(0);
+  for (int second = 0; second < 8; ++second) {
+    BOOST_TEST(!losses.empty());
+    fixture.Report(next, {Fixture::Running(started.order.key, second)});
+    fixture.Advance(absl::Seconds(1));
+  }
+  BOOST_TEST(losses.empty());
+}
+
 // Guards against a gang that is started for ever because one of its members crashes its workers,
 // and against a gang that never starts whole again after one of its members became suspected.
 BOOST_AUTO_TEST_CASE(GangOfACrashingMemberIsGivenUp) {
--- a/tests/cell/worker_loss_test.cc
+++ b/tests/cell/worker_loss_test.cc
@@ -138,6 +138,17 @@
   BOOST_TEST(losses.IsSuspected());
 }
 
+// Guards against a long-running task that isolates its worker for longer than any task takes to
+// crash its worker.
+BOOST_AUTO_TEST_CASE(ProbationOfLongRunningTasksIsBounded) {
+  WorkerLossHistory losses;
+  losses.Add(Lost(1, absl::Seconds(2), false, false));
+  BOOST_TEST((losses.LongRunningTaskProbation() == losses.Probation()));
+  losses.Add(Lost(2, absl::Seconds(30), false, false));
+  BOOST_TEST((losses.Probation() == absl::Milliseconds(60'500)));
+  BOOST_TEST((losses.LongRunningTaskProbation() == kSettleTime));
+}
+
 std::vector<absl::Time> LossesAt(int count, absl::Time at) {
   return std::vector<absl::Time>(count, at);
 }
