cell: Require more evidence for crashes long after the start of a task

A job was shown as failed after three crashes of its worker at a regular interval, 2.5 s after each start, although none of its runs had ended `failed`. Three losses after similar run times ended a job, the last one on a worker that ran no other job. Run times of a few seconds are similar easily, most of all for tasks that need a whole worker.

Losses more than a second after the start now take five similar ones, which still keeps a task that does crash its workers at two starts after the third crash. A suspected long-running task that starts beside others because it has waited is never alone on its worker. It is given up at the third similar loss in the first second after its start if the attempts of other jobs there had run for much longer; losses that another start explains as well count half.

ThirdLossAfterASimilarRunTimeSuffices pinned three losses after 3 s; it now has losses in the first second, and LateLossesNeedMoreEvidence checks that four late ones are too few and five suffice.

--- a/packages/cell/pool_scheduler_losses.cc
+++ b/packages/cell/pool_scheduler_losses.cc
@@ -16,6 +16,10 @@
 // the loss: up to this factor and time longer, since start orders are answered one by one.
 constexpr double kStartedLastFactor = 2;
 constexpr absl::Duration kStartedLastMargin = absl::Milliseconds(50);
+// An attempt of another job that ran longer by this factor and time has not caused the loss if the
+// loss followed a start: a loss may be noticed 250 ms late.
+constexpr double kStartedApartFactor = 2;
+constexpr absl::Duration kStartedApartMargin = absl::Milliseconds(250);
 
 // Time for which a certain loss is kept for the judgement of others: IsInWave() goes back by
 // kSettleTime from the time at which a worker was lost, which is certain up to a lease later.
@@ -53,6 +57,13 @@
       std::min(ShortestRunTime(worker, lost_at) * kStartedLastFactor + kStartedLastMargin,
                kMaxCrashDelayAfterStart);
   lost.started_last = lost.ran_for <= limit;
+  lost.started_apart =
+      std::all_of(worker.attempts.begin(), worker.attempts.end(), [&](const auto& entry) {
+        const Attempt& other = entry.second;
+        const bool same_job = other.task.has_value() && other.task->job == attempt.task->job;
+        return same_job ||
+               RunTime(other, lost_at) > lost.ran_for * kStartedApartFactor + kStartedApartMargin;
+      });
   return lost;
 }
 
@@ -191,6 +202,7 @@
       .With("beside", static_cast<int64_t>(std::count_if(worker.attempts.begin(),
                                                          worker.attempts.end(), of_other_job)))
       .With("started_last", lost.started_last ? 1 : 0)
+      .With("started_apart", lost.started_apart ? 1 : 0)
       .With("in_wave", in_wave ? 1 : 0)
       .With("losses", static_cast<int64_t>(losses.attempts().size()))
       .With("suspected", losses.IsSuspected() ? 1 : 0)
@@ -208,9 +220,8 @@
     return false;
   }
   Finish(job, CellJobState::kFailed, now,
-         absl::StrCat(TaskName(*job, *run, task.task),
-                      " crashes its workers: ", losses.attempts().size(),
-                      " were lost, the last one while it ran no other job"));
+         absl::StrCat(TaskName(*job, *run, task.task), " crashes its workers: ",
+                      losses.attempts().size(), " were lost while they ran it"));
   return true;
 }
 
--- a/packages/cell/progress_record.cc
+++ b/packages/cell/progress_record.cc
@@ -38,15 +38,16 @@
   return runs;
 }
 
-// A row is [attempt number, run time in ms or -1 if it is unknown, alone, started last, in a wave].
+// A row is [attempt number, run time in ms or -1 if it is unknown, alone, started last, in a wave,
+// started apart].
 json EncodeLosses(const WorkerLossHistory& losses) {
   json rows = json::array();
   for (const LostAttempt& attempt : losses.attempts()) {
     const int64_t ran_ms = attempt.ran_for < absl::InfiniteDuration()
                                ? absl::ToInt64Milliseconds(attempt.ran_for)
                                : -1;
-    rows.push_back(json::array(
-        {attempt.run.value(), ran_ms, attempt.alone, attempt.started_last, attempt.in_wave}));
+    rows.push_back(json::array({attempt.run.value(), ran_ms, attempt.alone, attempt.started_last,
+                                attempt.in_wave, attempt.started_apart}));
   }
   return rows;
 }
@@ -61,7 +62,10 @@
     attempt.alone = row.at(2).get<bool>();
     attempt.started_last = row.at(3).get<bool>();
     // Earlier versions stored no more.
-    attempt.in_wave = row.size() > 4 && row.at(4).get<bool>();
+    if (row.size() > 4) {
+      attempt.in_wave = row.at(4).get<bool>();
+      attempt.started_apart = row.at(5).get<bool>();
+    }
     losses.Add(attempt);
   }
   return losses;
--- a/packages/cell/worker_loss.cc
+++ b/packages/cell/worker_loss.cc
@@ -12,10 +12,17 @@
 constexpr double kSimilarFactor = 1.25;
 // Number of similar losses after which a task is given up, the last of them on a worker of its own.
 // Fewer are needed if the workers were lost at the start, since a loss for another cause rarely
-// falls into that time.
+// falls into that time, and more if they were lost late: run times of more than a second are
+// similar if they differ by half a second and more, and three ordinary crashes, 4.5 s apart, hit a
+// task after 2.5 s of each run. Five keep the number of starts of a task that does crash its
+// workers at what it is allowed: two after the third crash.
+constexpr int kLateLossesToGiveUp = 5;
 constexpr int kLossesToGiveUp = 3;
+constexpr absl::Duration kEarlyTime = absl::Seconds(1);
 constexpr int kLossesAtStartToGiveUp = 2;
 constexpr absl::Duration kStartTime = absl::Milliseconds(100);
+// The same for losses in the first second on workers that ran other jobs, too, started before.
+constexpr int kLossesApartToGiveUp = 3;
 // A task is suspected after this many losses, even if none happened at its start and no two are
 // similar.
 constexpr size_t kLossesToSuspect = 3;
@@ -45,6 +52,30 @@
   return static_cast<int>(std::count_if(losses.begin(), losses.end(), IsAtStart));
 }
 
+// Whether the loss followed the start closely.
+bool IsEarly(const LostAttempt& attempt) {
+  return attempt.ran_for <= kEarlyTime && attempt.started_last;
+}
+
+// Whether no start of another job explains the loss as well.
+bool IsApart(const LostAttempt& attempt) { return attempt.started_apart || attempt.alone; }
+
+// Number of early losses similar to the last one. Those that another start explains as well count
+// half, rounded down.
+int CountEarlySimilarToLast(const std::vector<LostAttempt>& losses) {
+  int halves = 0;
+  for (const LostAttempt& attempt : losses) {
+    if (IsEarly(attempt) && AreSimilar(attempt, losses.back())) {
+      halves += IsApart(attempt) ? 2 : 1;
+    }
+  }
+  return halves / 2;
+}
+
+int LossesToGiveUp(const LostAttempt& last) {
+  return last.ran_for <= kEarlyTime ? kLossesToGiveUp : kLateLossesToGiveUp;
+}
+
 // Number of losses after about the same run time as the last one, which is among them.
 int CountSimilarToLast(const std::vector<LostAttempt>& losses) {
   return static_cast<int>(std::count_if(
@@ -146,12 +177,16 @@
 }
 
 bool WorkerLossHistory::CrashesWorkers() const {
-  if (attempts_.empty() || attempts_.back().in_wave || !attempts_.back().alone) {
+  if (attempts_.empty() || attempts_.back().in_wave) {
     return false;
   }
   const std::vector<LostAttempt> evidence = Evidence();
-  return CountSimilarToLast(evidence) >= kLossesToGiveUp ||
-         (IsAtStart(evidence.back()) && CountAtStart(evidence) >= kLossesAtStartToGiveUp);
+  const LostAttempt& last = evidence.back();
+  if (IsEarly(last) && IsApart(last) && CountEarlySimilarToLast(evidence) >= kLossesApartToGiveUp) {
+    return true;
+  }
+  return last.alone && (CountSimilarToLast(evidence) >= LossesToGiveUp(last) ||
+                        (IsAtStart(last) && CountAtStart(evidence) >= kLossesAtStartToGiveUp));
 }
 
 absl::Duration WorkerLossHistory::Probation() const {
--- a/packages/cell/worker_loss.h
+++ b/packages/cell/worker_loss.h
@@ -40,6 +40,9 @@
   bool alone = false;
   // Hardly any other attempt was started on the worker between this one and the loss.
   bool started_last = false;
+  // All attempts of other jobs on the worker had run for so much longer than this one that their
+  // starts do not explain the loss.
+  bool started_apart = false;
   // The worker was lost in a wave of losses, as IsInWave() defines it.
   bool in_wave = false;
 };
@@ -67,7 +70,12 @@
 // losses is possible for a task that was merely on the same worker as such a task, or whose workers
 // were lost for other causes. So a task is suspected first and then started only on workers that
 // run no other job; it is given up only if a worker is lost then, too, after a similar run time.
-// Losses in a wave are kept but are no evidence.
+// Losses in a wave are kept but are no evidence. The later after the start the losses happen, the
+// more of them it takes, since ordinary crashes at a regular interval look the same.
+//
+// A suspected long-running task that finds no such worker starts beside others after a wait. It is
+// given up after the third similar loss in the first second of an attempt that was started apart;
+// other losses in the first second count half.
 class WorkerLossHistory {
  public:
   // Adds the attempt unless one with the same number is known. Returns whether it was added.
--- a/tests/cell/crashing_tasks_test.cc
+++ b/tests/cell/crashing_tasks_test.cc
@@ -402,6 +402,43 @@
   BOOST_TEST(losses.empty());
 }
 
+// Guards against a job that ends as failed because crashes at a regular interval, which have
+// nothing to do with its task, hit the task's worker three times, and against a task that crashes
+// its workers late and is never given up.
+BOOST_AUTO_TEST_CASE(ThreeRegularCrashesLongAfterTheStartDoNotCondemn) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w0", 1000)});
+  fixture.AddJob(Fixture::Job("a", {Fixture::Step(1, 1000)}));
+  for (int i = 0; i < kMaxStartsOfCrashingTask; ++i) {
+    BOOST_TEST((fixture.State("a") != CellJobState::kFailed));
+    RunAndCrash(&fixture, i, 2);
+  }
+  BOOST_TEST((fixture.State("a") == CellJobState::kFailed));
+}
+
+// Guards against a long-running task that crashes its workers right at its start and is never given
+// up, since it finds no worker of its own and starts beside other work each time.
+BOOST_AUTO_TEST_CASE(LongRunningTaskThatCrashesSharedWorkersAtItsStartIsGivenUp) {
+  constexpr int kWorkers = 6;
+  constexpr absl::Duration kRound = absl::Milliseconds(200);
+  CrashingPool pool(kWorkers, 2000, "crashing.0.0.0");
+  StepSpec occupied = Fixture::Step(kWorkers, 1000);
+  occupied.max_per_worker = 1;
+  occupied.estimate = absl::Minutes(10);
+  pool.fixture().AddJob(Fixture::Job("other", {occupied}, 2, /*priority=*/0));
+  pool.Step(absl::Seconds(2));
+  StepSpec lasting = Fixture::Step(1, 1000);
+  lasting.long_running = true;
+  pool.fixture().AddJob(Fixture::Job("crashing", {lasting}));
+  for (int i = 0; i < 100 && pool.fixture().State("crashing") != CellJobState::kFailed; ++i) {
+    pool.Step(absl::Milliseconds(20));
+    pool.fixture().Advance(kRound);
+  }
+  BOOST_TEST((pool.fixture().State("crashing") == CellJobState::kFailed));
+  BOOST_TEST((pool.fixture().State("other") == CellJobState::kRunning));
+  BOOST_TEST(pool.starts_of_crashing_task() <= kMaxStartsOfCrashingTask);
+}
+
 // Guards against a gang that is started for ever because one of its members crashes its workers,
 // and against a gang that never starts whole again after one of its members became suspected.
 BOOST_AUTO_TEST_CASE(GangOfACrashingMemberIsGivenUp) {
--- a/tests/cell/worker_loss_test.cc
+++ b/tests/cell/worker_loss_test.cc
@@ -51,15 +51,61 @@
   BOOST_TEST(losses.CrashesWorkers());
 }
 
-// Guards against a late crash that is never attributed to its task.
+// Guards against a crash in the first second that is never attributed to its task.
 BOOST_AUTO_TEST_CASE(ThirdLossAfterASimilarRunTimeSuffices) {
+  WorkerLossHistory losses;
+  losses.Add(Lost(1, absl::Milliseconds(800), false, false));
+  BOOST_TEST(!losses.IsSuspected());
+  losses.Add(Lost(2, absl::Milliseconds(950), false, false));
+  BOOST_TEST(losses.IsSuspected());
+  BOOST_TEST(!losses.CrashesWorkers());
+  losses.Add(Lost(3, absl::Milliseconds(850), true, false));
+  BOOST_TEST(losses.CrashesWorkers());
+}
+
+// Guards against giving up a task for ordinary crashes at a regular interval, and against a late
+// crash that is never attributed to its task.
+BOOST_AUTO_TEST_CASE(LateLossesNeedMoreEvidence) {
   WorkerLossHistory losses;
   losses.Add(Lost(1, absl::Milliseconds(3000), false, false));
   BOOST_TEST(!losses.IsSuspected());
   losses.Add(Lost(2, absl::Milliseconds(3400), false, false));
   BOOST_TEST(losses.IsSuspected());
-  BOOST_TEST(!losses.CrashesWorkers());
   losses.Add(Lost(3, absl::Milliseconds(3100), true, false));
+  losses.Add(Lost(4, absl::Milliseconds(3200), true, false));
+  BOOST_TEST(!losses.CrashesWorkers());
+  losses.Add(Lost(5, absl::Milliseconds(3100), true, false));
+  BOOST_TEST(losses.CrashesWorkers());
+}
+
+// Guards against a task that always starts beside others and is never given up, and against giving
+// up one that was merely started together with such a task.
+BOOST_AUTO_TEST_CASE(ThirdLossRightAfterTheOnlyRecentStartSuffices) {
+  WorkerLossHistory losses;
+  for (int run = 1; run <= 3; ++run) {
+    BOOST_TEST(!losses.CrashesWorkers());
+    LostAttempt lost = Lost(run, absl::Milliseconds(20), /*alone=*/false, /*started_last=*/true);
+    lost.started_apart = true;
+    losses.Add(lost);
+  }
+  BOOST_TEST(losses.CrashesWorkers());
+}
+
+// Guards against the same if another start explains some of the losses as well, and against giving
+// up a task for too few of them.
+BOOST_AUTO_TEST_CASE(EarlyLossesThatAnotherStartExplainsCountHalf) {
+  WorkerLossHistory losses;
+  for (int run = 1; run <= 3; ++run) {
+    losses.Add(Lost(run, absl::Milliseconds(200), /*alone=*/false, /*started_last=*/true));
+  }
+  LostAttempt apart = Lost(4, absl::Milliseconds(200), false, true);
+  apart.started_apart = true;
+  losses.Add(apart);
+  BOOST_TEST(!losses.CrashesWorkers());
+  losses.Add(Lost(5, absl::Milliseconds(200), false, true));
+  BOOST_TEST(!losses.CrashesWorkers());
+  apart.run = RunNumber(6);
+  losses.Add(apart);
   BOOST_TEST(losses.CrashesWorkers());
 }
 
