cell: Move long-running tasks away from workers that leave

What callers saw: a long-running task on a worker that had announced that it leaves ran there until the worker was gone, and was then out of service until the worker's lease was over (5.5 to 7.0 s).

Cause: a draining worker only got no new starts. Its attempts were left alone, also those that never end by themselves.

If there is one, the attempt is stopped, the capacity is held for the time of the stop (2 s at most), and the task starts before all others once its attempt is known to be over. If the ticket would not last for the stop, it is renewed first, and the capacity is held meanwhile. If there is no place, the task stays. Eight tasks at most are moved at a time. Gangs, tasks that end by themselves, attempts that are being stopped, tasks on workers that do not answer and inherited tasks that may not start yet are not moved.

Weighed against it: starting the task elsewhere before the stop would run it twice; moving all tasks at once without a place for each leaves them out of service while others still run; a second eligibility rule outside of the round would have to be kept equal to it; ending the lease sooner needs proof that the process is gone, which neither the removed entry (a worker that is silent towards the store for three heartbeats is removed, too, while it runs) nor the time since the announcement (workers may stay for many seconds longer) gives.

--- a/packages/cell/cell_job.h
+++ b/packages/cell/cell_job.h
@@ -59,6 +59,10 @@
   absl::Time waiting_since = absl::InfiniteFuture();
   // The wait is long enough to be part of the stored progress, so that a later owner knows of it.
   bool wait_stored = false;
+  // The worker on which capacity is held for the task while its attempt on a leaving worker is
+  // stopped, and when that stop was decided. Empty if the task was not moved since its last start.
+  WorkerId moving_to;
+  absl::Time moving_since = absl::InfinitePast();
   // Number of consecutive attempts of a long-running task that ended soon after their start, and
   // the time before which the task is not started again because of them.
   int short_attempts = 0;
--- a/packages/cell/cell_worker.cc
+++ b/packages/cell/cell_worker.cc
@@ -105,6 +105,10 @@
          unanswered_at < last_report && quarantined_until <= now && !HasUnknownDemand();
 }
 
+bool CellWorker::IsLeaving() const {
+  return description.draining && fenced && unanswered_at < last_report;
+}
+
 size_t CellWorker::OpenStarts() const {
   return static_cast<size_t>(std::count_if(attempts.begin(), attempts.end(), [](const auto& entry) {
     return entry.second.phase == AttemptPhase::kOrdered;
--- a/packages/cell/cell_worker.h
+++ b/packages/cell/cell_worker.h
@@ -138,6 +138,9 @@
   bool IsDescriptionCurrent() const;
   // Whether new attempts may be started on the worker.
   bool AcceptsStarts(absl::Time now) const;
+  // Whether the worker has announced that it leaves and still answers, so that its attempts can be
+  // stopped.
+  bool IsLeaving() const;
   bool HasUnknownDemand() const;
   // Number of starts that are queued for the worker or not answered by it.
   size_t OpenStarts() const;
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -413,6 +413,7 @@
   task.last_run = last + RunNumber(1);
   task.phase = TaskPhase::kActive;
   task.worker = placed.worker;
+  task.moving_to = WorkerId();
   --run->waiting;
   Attempt attempt;
   attempt.key = AttemptKey{TaskName(*job, *run, placed.task.task), task.last_run};
@@ -503,6 +504,7 @@
     run->advice.asked_at = now;
     result.advice.push_back(std::move(request));
   }
+  BeginMoves(round.moves, now);
   for (const WorkerId& id : round.workers_to_clear) {
     for (auto& [key, attempt] : workers_[id].attempts) {
       attempt.stop_wanted = attempt.stop_wanted || attempt.best_effort;
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -171,6 +171,8 @@
   // Ends the wait of the attempt's task, which has begun to run.
   void EndWait(const TaskRef& task);
   void BeginAttempt(const PlacedTask& placed, absl::Time now, ScheduledOrders* result);
+  // Stops the attempts of tasks that are moved away from leaving workers.
+  void BeginMoves(const std::vector<TaskMove>& moves, absl::Time now);
   void StopAttempts(CellWorker* worker, absl::Time now, ScheduledOrders* result);
   // Removes the attempt. If it was the current attempt of its task, the task waits to be started
   // again and `reason` is logged, unless it is null.
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -119,6 +119,8 @@
       available_workers_.push_back(available);
       capacity += worker.description.capacity;
       free_capacity_ += available.free;
+    } else if (worker.IsLeaving()) {
+      leaving_workers_.push_back(&worker);
     }
   }
   headroom_ = ShareOf(capacity, kHeadroomShare);
@@ -169,13 +171,23 @@
 RoundResult ScheduleRound::Run(bool inherited_allowed, bool explain_waits) {
   explain_waits_ = explain_waits;
   CollectCandidates(inherited_allowed);
+  CollectLeavingTasks(inherited_allowed);
+  bool moves_planned = false;
   for (const Candidate& candidate : candidates_) {
+    // Tasks that have waited are out of service already, so they go before those that may be soon.
+    if (!moves_planned && candidate.urgent_since == absl::InfiniteFuture()) {
+      PlanMoves();
+      moves_planned = true;
+    }
     if (explain_waits_ && candidate.job->Step(candidate.job->runs[candidate.run]).long_running) {
       PlaceAndExplain(candidate);
     } else {
       PlaceStep(candidate);
     }
   }
+  if (!moves_planned) {
+    PlanMoves();
+  }
   for (const Candidate& candidate : upcoming_) {
     RequestAdviceAhead(candidate);
   }
@@ -309,7 +321,8 @@
         step.long_running && available->reserved, step.long_running && available->isolated,
         suspected && !available->empty,
         suspected ? available->worker->WorkAtStake(now_) : absl::ZeroDuration(),
-        worker.id == task.avoided_worker, !available->worker->HasLabel(step.preferred_rack),
+        task.moving_to.empty() ? worker.id == task.avoided_worker : worker.id != task.moving_to,
+        !available->worker->HasLabel(step.preferred_rack),
         LeftoverScore(available->free - needed, worker.capacity));
     if (best == nullptr || score < best_score) {
       best = available;
@@ -323,6 +336,7 @@
   const StepRun& run = candidate.job->runs[candidate.run];
   const StepSpec& step = candidate.job->Step(run);
   TaskCounts per_worker = CountActiveTasks(step, run);
+  CountDecidedTasks(candidate, &per_worker);
   const std::vector<EligibleWorker> eligible_workers = FindEligibleWorkers(candidate);
   bool require_valid_ticket = true;
   size_t allocated = 0;
--- a/packages/cell/schedule_round.h
+++ b/packages/cell/schedule_round.h
@@ -31,6 +31,16 @@
   bool isolated = false;
 };
 
+// A decision to stop the attempt of a long-running task on a worker that is leaving. The task
+// starts again as soon as the attempt is over; until then, capacity is held for it on another
+// worker.
+struct TaskMove {
+  TaskRef task;
+  AttemptKey attempt;
+  WorkerId from;
+  WorkerId to;
+};
+
 // A decision to ask the adviser which of the workers in `question` may run a step.
 struct AdviceRequest {
   TaskRef step;
@@ -44,6 +54,7 @@
 struct RoundResult {
   std::vector<PlacedTask> placed;
   std::vector<AdviceRequest> advice;
+  std::vector<TaskMove> moves;
   // Workers whose best-effort attempts have to be stopped because no other worker has capacity for
   // a serving task.
   std::vector<WorkerId> workers_to_clear;
@@ -65,6 +76,9 @@
 // that can still meet their objective go first; ordered by objective alone, every job would be late
 // during an overload (domino effect). Jobs whose results no longer have any value go last.
 //
+// Long-running tasks on workers that are leaving are moved while there is capacity for them
+// elsewhere: they wait only for a stop then, and not for the end of the worker's lease.
+//
 // Long-running tasks are out of service while they wait. The rules above give way to those that
 // have waited (StartUrgency): their steps go first, and capacity that becomes free is held for
 // them.
@@ -127,6 +141,14 @@
     bool held = false;
   };
 
+  // A running attempt of a long-running task on a worker that is leaving.
+  struct LeavingTask {
+    Candidate candidate;
+    int task = 0;
+    const CellWorker* worker = nullptr;
+    AttemptKey attempt;
+  };
+
   // A worker on which a step may run.
   struct EligibleWorker {
     AvailableWorker* available = nullptr;
@@ -137,6 +159,23 @@
   using TaskCounts = absl::flat_hash_map<std::string, int>;
 
   void CollectCandidates(bool inherited_allowed);
+  // Finds the long-running tasks that may be moved away from leaving workers, and holds the
+  // capacity for those that are being moved.
+  void CollectLeavingTasks(bool inherited_allowed);
+  // Returns the task of the attempt if it is long-running and may be moved.
+  std::optional<LeavingTask> FindLeavingTask(const CellWorker& worker, const Attempt& attempt,
+                                             bool inherited_allowed) const;
+  // Holds the capacity that the task is moved to.
+  void HoldPlaceOfMove(const LeavingTask& leaving);
+  // Decides which tasks on leaving workers are stopped, since they could start elsewhere at once.
+  void PlanMoves();
+  void PlanMove(const LeavingTask& leaving);
+  // Returns the workers on which the task may run. Tickets count as valid only if they last for as
+  // long as a stop may take.
+  std::vector<EligibleWorker> FindWorkersToMoveTo(const Candidate& candidate);
+  // Adds the step's tasks that this round starts on a worker or moves there, and those that earlier
+  // rounds move there.
+  void CountDecidedTasks(const Candidate& candidate, TaskCounts* per_worker) const;
   // Adds the long-running steps of a job that may not start any task yet to the result's waits.
   void ExplainInheritedWaits(const CellJob& job);
   // Returns what keeps the step's task from starting now.
@@ -265,6 +304,11 @@
   const AdviceShares& advice_shares_;
   const absl::Time now_;
   std::vector<AvailableWorker> available_workers_;
+  // Workers that have announced that they leave, and that still answer.
+  std::vector<const CellWorker*> leaving_workers_;
+  std::vector<LeavingTask> leaving_tasks_;
+  // Number of tasks that are being moved, or for which capacity is held until they can be moved.
+  size_t moves_ = 0;
   // Maps worker ids to indices in available_workers_.
   absl::flat_hash_map<std::string_view, size_t> available_index_;
   std::vector<Candidate> candidates_;
--- a/packages/cell/schedule_round_advice.cc
+++ b/packages/cell/schedule_round_advice.cc
@@ -82,6 +82,13 @@
 
 bool ScheduleRound::CanRequestAdvice(const Candidate& candidate) const {
   const StepAdvice& advice = candidate.job->runs[candidate.run].advice;
+  const auto asks = [&candidate](const AdviceRequest& request) {
+    return request.step.run == candidate.run && request.step.job == candidate.job->intake.id;
+  };
+  // A step that waits and has tasks on a leaving worker may come to its question twice in a round.
+  if (!leaving_tasks_.empty() && std::any_of(result_.advice.begin(), result_.advice.end(), asks)) {
+    return false;
+  }
   return candidate.job->intake.policy.advice.has_value() && !advice.question_pending &&
          advice.retry_at <= now_ &&
          (!limits_late_questions_ || late_questions_ < kMaxLateQuestions || !IsLate(candidate) ||
--- a/packages/cell/start_urgency.cc
+++ b/packages/cell/start_urgency.cc
@@ -38,6 +38,10 @@
     return since;
   }
   for (const CellTask& task : run.tasks) {
+    // A task that was stopped to be moved takes the capacity that was held for it.
+    if (task.phase == TaskPhase::kWaiting && !task.moving_to.empty()) {
+      return absl::InfinitePast();
+    }
     const StartUrgency urgency(step, task, now);
     if (urgency.Overrides(WithholdingRule::kOrder)) {
       since = std::min(since, urgency.waiting_since());
