cell: Simulate full pools, slow advisers and workers that come and go

Callers saw long-running tasks that waited for tens of seconds although workers that may run them had capacity.

A strict form of the check of waits asks for one worker with capacity, which may be another one at each moment, and counts only workers that a start order can be sent to: listed, reachable and not draining. New options keep the pool full of short tasks, let the adviser answer within 0.3 to 1.5 s, vary the share of the workers that a wave crashes, and let workers leave after an announcement, shrink and be lost for good. A start on a worker that announced 1 s ago that it leaves is a violation.

--- a/tests/cell/pool_fault_run_test.cc
+++ b/tests/cell/pool_fault_run_test.cc
@@ -9,17 +9,18 @@
 namespace {
 
 constexpr int kSeeds = 20;
+// About 25 jobs of short tasks end per second in a full pool, and each waits for about a second for
+// the adviser.
+constexpr int kShortJobs = 50;
 
 int Setting(const char* name, int fallback) {
   const char* value = std::getenv(name);  // NOLINT(concurrency-mt-unsafe)
   return value == nullptr ? fallback : std::atoi(value);
 }
 
-// Runs the simulation for all seeds and reports each violation with its seed.
-void CheckSeeds(const PoolSimulation::Faults& faults,
-                const PoolSimulation::Load& load = PoolSimulation::Load()) {
-  const int first = Setting("POMELOTRAY_FAULT_FIRST_SEED", 1);
-  const int count = Setting("POMELOTRAY_FAULT_SEEDS", kSeeds);
+// Runs the simulation for the given seeds and reports each violation with its seed.
+void CheckSeedsFrom(int first, int count, const PoolSimulation::Faults& faults,
+                    const PoolSimulation::Load& load) {
   int crashing_jobs = 0;
   int bystanders = 0;
   int restarts = 0;
@@ -52,6 +53,13 @@
                            << " checked waits, the longest " << absl::FormatDuration(longest_wait));
 }
 
+// Runs the simulation for all seeds.
+void CheckSeeds(const PoolSimulation::Faults& faults,
+                const PoolSimulation::Load& load = PoolSimulation::Load()) {
+  CheckSeedsFrom(Setting("POMELOTRAY_FAULT_FIRST_SEED", 1),
+                 Setting("POMELOTRAY_FAULT_SEEDS", kSeeds), faults, load);
+}
+
 // Few faults apart from the waves, so that the check of waits, which allows for the time of each
 // fault, applies for most of the run.
 PoolSimulation::Faults FaultsWithCrashWaves() {
@@ -75,6 +83,26 @@
   return load;
 }
 
+// Waves of different sizes, and workers that leave, shrink and are lost for good.
+PoolSimulation::Faults FaultsWithWorkerChanges() {
+  PoolSimulation::Faults faults = FaultsWithCrashWaves();
+  faults.min_wave_percent = 14;
+  faults.max_wave_percent = 40;
+  faults.owner_changes = 0;
+  faults.departures = 1.5;
+  faults.shrinks = 1.5;
+  faults.final_losses = 1.5;
+  return faults;
+}
+
+PoolSimulation::Load ManyLongRunningTasksWithSlowAdviser() {
+  PoolSimulation::Load load = ManyLongRunningTasks();
+  load.adviser = true;
+  load.slow_adviser = true;
+  load.strict_waits = true;
+  return load;
+}
+
 BOOST_AUTO_TEST_SUITE(PoolFaultRunTest)
 
 // Guards against tasks that crash workers without end, and against giving up others, when no other
@@ -115,6 +143,39 @@
   CheckSeeds(FaultsWithCrashWaves(), load);
 }
 
+// Guards against the waits of suspected tasks that these seeds of the case above showed: all
+// allowed workers with capacity run other work, so that none is ever open to the task.
+BOOST_AUTO_TEST_CASE(SuspectedTasksRunWhileAllowedWorkersHaveCapacity) {
+  PoolSimulation::Load load = ManyLongRunningTasks();
+  load.adviser = true;
+  for (const int seed : {55, 117}) {
+    CheckSeedsFrom(seed, 1, FaultsWithCrashWaves(), load);
+  }
+}
+
+// Guards against long-running tasks that wait because short tasks take the capacity of the allowed
+// workers whenever some becomes free, in particular while the adviser answers.
+BOOST_AUTO_TEST_CASE(LongRunningTasksRunInAPoolFullOfShortTasks) {
+  PoolSimulation::Faults faults = FaultsWithCrashWaves();
+  faults.owner_changes = 0;
+  PoolSimulation::Load load = ManyLongRunningTasksWithSlowAdviser();
+  load.short_jobs = kShortJobs;
+  CheckSeeds(faults, load);
+}
+
+// Guards against long-running tasks that wait although one allowed worker has capacity, while the
+// workers that may run them crash in waves, leave, shrink and are lost for good.
+BOOST_AUTO_TEST_CASE(LongRunningTasksRunWhileWorkersComeAndGo) {
+  CheckSeeds(FaultsWithWorkerChanges(), ManyLongRunningTasksWithSlowAdviser());
+}
+
+// Guards against the same when the wait of a task starts anew with each owner.
+BOOST_AUTO_TEST_CASE(LongRunningTasksRunWhileWorkersAndOwnersChange) {
+  PoolSimulation::Faults faults = FaultsWithWorkerChanges();
+  faults.owner_changes = 2;
+  CheckSeeds(faults, ManyLongRunningTasksWithSlowAdviser());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/cell/pool_simulation.cc
+++ b/tests/cell/pool_simulation.cc
@@ -30,6 +30,12 @@
 // drift of clocks and a slack.
 constexpr absl::Duration kMaxLease = absl::Milliseconds(6540);
 constexpr double kJobsPerStep = 0.02;
+constexpr double kDefaultWaveShare = 1.0 / 3;
+// Jobs of short tasks are submitted for this time, so that the pool is full for some time after the
+// last fault.
+constexpr absl::Duration kShortJobsTime = absl::Seconds(40);
+// Covers the jobs of low priority that have waited behind them.
+constexpr absl::Duration kBacklogTime = absl::Seconds(30);
 
 }  // namespace
 
@@ -89,6 +95,7 @@
 std::vector<std::string> PoolSimulation::Run() {
   while (Now() < begin_ + kFaultTime) {
     SubmitJobs();
+    SubmitShortJobs();
     InjectFaults();
     Step();
   }
@@ -96,6 +103,7 @@
     SetCapacity(&worker, nominal_cpu_.at(worker.description.address));
   }
   while (Now() < begin_ + kFaultTime + kRestartTime) {
+    SubmitShortJobs();
     Step();
   }
   // CheckWaits() replaces this check: crashing tasks crash workers until then, and a task may wait
@@ -109,7 +117,8 @@
       Cancel(JobId(id));
     }
   }
-  while (Now() < begin_ + kFaultTime + kQuietTime) {
+  const absl::Duration backlog = load_.short_jobs > 0 ? kBacklogTime : absl::ZeroDuration();
+  while (Now() < begin_ + kFaultTime + kQuietTime + backlog) {
     Step();
   }
   CheckFinalStates();
@@ -124,6 +133,7 @@
     action();
   }
   RestartWorkers();
+  EndDrainedWorkers();
   for (auto& [id, worker] : workers_) {
     AdvanceRuns(&worker);
   }
@@ -144,19 +154,26 @@
   }
 }
 
+QueuePolicy PoolSimulation::MakePolicy() {
+  QueuePolicy policy;
+  policy.name = "queue";
+  policy.pool = PoolName(kPool);
+  policy.max_attempts = 3;
+  policy.priority = Below(3);
+  policy.stretch = 2;
+  policy.target_latency = absl::Seconds(1);
+  if (load_.slow_adviser) {
+    policy.advice = AdvicePolicy{absl::Milliseconds(300), absl::Milliseconds(15), kTicketValidity};
+  } else if (load_.adviser) {
+    policy.advice = AdvicePolicy{absl::Milliseconds(60), absl::Milliseconds(3), kTicketValidity};
+  }
+  return policy;
+}
+
 JobIntake PoolSimulation::MakeJob() {
   JobIntake intake;
   intake.id = JobId(absl::StrCat("j", next_job_++));
-  intake.policy.name = "queue";
-  intake.policy.pool = PoolName(kPool);
-  intake.policy.max_attempts = 3;
-  intake.policy.priority = Below(3);
-  intake.policy.stretch = 2;
-  intake.policy.target_latency = absl::Seconds(1);
-  if (load_.adviser) {
-    intake.policy.advice =
-        AdvicePolicy{absl::Milliseconds(60), absl::Milliseconds(3), kTicketValidity};
-  }
+  intake.policy = MakePolicy();
   intake.spec.payload = "payload";
   intake.accepted = Now();
   const int steps = 1 + Below(2);
@@ -189,6 +206,39 @@
   step->max_per_worker = Below(3) == 0 ? 1 : 0;
 }
 
+JobIntake PoolSimulation::MakeShortJob() {
+  JobIntake intake;
+  intake.id = JobId(absl::StrCat("j", next_job_++));
+  intake.policy = MakePolicy();
+  intake.spec.payload = "payload";
+  intake.accepted = Now();
+  StepSpec step;
+  step.task_count = 1 + Below(6);
+  step.demand.cpu = MilliCores(500 + Below(3500));
+  step.demand.memory = MebiBytes(100);
+  step.estimate = Millis(100, 800);
+  intake.spec.steps.push_back(step);
+  return intake;
+}
+
+void PoolSimulation::SubmitShortJobs() {
+  if (load_.short_jobs == 0 || Now() >= begin_ + kShortJobsTime) {
+    return;
+  }
+  for (auto it = open_short_jobs_.begin(); it != open_short_jobs_.end();) {
+    const std::optional<CellJobState> state = scheduler_->VisibleState(*it);
+    it = state.has_value() && IsFinal(*state) ? open_short_jobs_.erase(it) : std::next(it);
+  }
+  while (static_cast<int>(open_short_jobs_.size()) < load_.short_jobs) {
+    JobTruth job;
+    job.intake = MakeShortJob();
+    const JobId id = job.intake.id;
+    scheduler_->AddJob(job.intake, Now());
+    jobs_.emplace(id.value(), std::move(job));
+    open_short_jobs_.insert(id);
+  }
+}
+
 void PoolSimulation::SubmitJobs() {
   if (Below(1000) >= kJobsPerStep * 1000) {
     return;
@@ -221,35 +271,36 @@
   scheduler_->CancelJob(id, Now());
 }
 
+bool PoolSimulation::Happens(double mean) {
+  constexpr int kPrecision = 1'000'000;
+  return Below(kPrecision) < mean / absl::FDivDuration(kFaultTime, kStep) * kPrecision;
+}
+
 void PoolSimulation::InjectFaults() {
-  const double steps = absl::FDivDuration(kFaultTime, kStep);
-  const auto happens = [this, steps](double mean) {
-    constexpr int kPrecision = 1'000'000;
-    return Below(kPrecision) < mean / steps * kPrecision;
-  };
-  if (happens(faults_.worker_crashes)) {
+  if (Happens(faults_.worker_crashes)) {
     CrashRandomWorker();
   }
   if (Now() >= next_wave_) {
     next_wave_ += kFaultTime / faults_.crash_waves;
-    CrashThirdOfWorkers();
+    CrashWorkers(DrawWaveShare());
   }
-  if (happens(faults_.cut_offs)) {
+  if (Happens(faults_.cut_offs)) {
     const absl::Time until = Now() + Millis(500, 9000);
     const WorkerEntry it = std::next(workers_.begin(), Below(static_cast<int>(workers_.size())));
     it->second.cut_until = until;
     Note(absl::StrCat("cut off ", it->first));
   }
-  if (happens(faults_.store_outages)) {
+  if (Happens(faults_.store_outages)) {
     store_down_until_ = Now() + Millis(300, 5000);
     Note("the store is down");
   }
-  if (happens(faults_.owner_changes)) {
+  if (Happens(faults_.owner_changes)) {
     ChangeOwner();
   }
-  if (happens(faults_.capacity_changes)) {
+  if (Happens(faults_.capacity_changes)) {
     ChangeCapacityOfRandomWorker();
   }
+  InjectWorkerChanges();
 }
 
 void PoolSimulation::CrashRandomWorker() {
@@ -259,7 +310,15 @@
   }
 }
 
-void PoolSimulation::CrashThirdOfWorkers() {
+double PoolSimulation::DrawWaveShare() {
+  if (faults_.max_wave_percent == 0) {
+    return kDefaultWaveShare;
+  }
+  const int range = faults_.max_wave_percent - faults_.min_wave_percent + 1;
+  return (faults_.min_wave_percent + Below(range)) / 100.0;
+}
+
+void PoolSimulation::CrashWorkers(double share) {
   std::vector<Worker*> up;
   for (auto& [id, worker] : workers_) {
     if (worker.up) {
@@ -267,7 +326,7 @@
     }
   }
   std::shuffle(up.begin(), up.end(), random_);
-  up.resize(up.size() / 3);
+  up.resize(static_cast<size_t>(share * static_cast<double>(up.size())));
   for (Worker* worker : up) {
     CrashWorker(worker, "");
   }
@@ -331,6 +390,7 @@
     Worker next;
     next.description = worker.description;
     next.description.started_at = Now();
+    next.description.draining = false;
     next.published = worker.published;
     next.started_at = Now();
     next.next_hold = Now();
@@ -352,6 +412,9 @@
                                    ? std::max(worker.lower_counts_at, Now() + kCapacityNotice)
                                    : worker.lower_counts_at;
       worker.last_beat = Now();
+      worker.draining_counts_at = worker.draining_counts_at < absl::InfiniteFuture()
+                                      ? std::max(worker.draining_counts_at, Now() + kDrainNotice)
+                                      : worker.draining_counts_at;
     } else if (worker.up && worker.next_beat <= Now()) {
       worker.published = worker.description;
       worker.last_beat = Now();
@@ -368,9 +431,10 @@
     return;
   }
   std::vector<WorkerDescription> listed;
-  for (const auto& [id, worker] : workers_) {
+  for (auto& [id, worker] : workers_) {
     if (Now() - worker.last_beat <= 3 * kBeatInterval) {
       listed.push_back(worker.published);
+      worker.listed = worker.published.started_at == worker.description.started_at;
     }
   }
   scheduler_->UpdateDirectory(listed, Now());
--- a/tests/cell/pool_simulation.h
+++ b/tests/cell/pool_simulation.h
@@ -30,6 +30,16 @@
     // Number of waves, each of which crashes a third of the workers at once. They are spread evenly
     // over the first part of the run, so that tasks have to start again between them.
     int crash_waves = 0;
+    // If the maximum is not zero, each wave crashes a share of the workers between these, in
+    // percent.
+    int min_wave_percent = 0;
+    int max_wave_percent = 0;
+    // Workers that announce that they leave, and leave some seconds later.
+    double departures = 0;
+    // Workers that lose a half to three quarters of their CPU capacity.
+    double shrinks = 0;
+    // Workers that crash without a next process at their address. Half of the machines stay.
+    double final_losses = 0;
     double cut_offs = 3;
     double owner_changes = 3;
     double store_outages = 2;
@@ -51,6 +61,14 @@
     bool adviser = false;
     // Checks at any time of the run that long-running tasks run if workers have capacity for them.
     bool check_waits = false;
+    // With `check_waits`: one worker with capacity is enough, which may be another one at each
+    // moment, and only the workers that a start order can be sent to count.
+    bool strict_waits = false;
+    // Number of unfinished jobs of short tasks that callers keep in the pool; they submit another
+    // one for each that ends, so that capacity is free for moments only.
+    int short_jobs = 0;
+    // The answers of the adviser take 0.3 to 1.5 s.
+    bool slow_adviser = false;
   };
 
   using Trace = std::function<void(const std::string&)>;
@@ -89,6 +107,12 @@
     WorkerDescription published;
     bool up = true;
     absl::Time back_at = absl::InfiniteFuture();
+    // When the worker that drains leaves.
+    absl::Time leaves_at = absl::InfiniteFuture();
+    // An owner must have noticed by then that the worker drains.
+    absl::Time draining_counts_at = absl::InfiniteFuture();
+    // The directory that the owner read last has an entry of this process.
+    bool listed = false;
     absl::Time cut_until = absl::InfinitePast();
     absl::Time started_at;
     absl::Time lease_end = absl::InfinitePast();
@@ -125,6 +149,9 @@
     bool checked = false;
     bool reported = false;
   };
+  // An owner must have noticed this long after the entry says so that a worker drains: the
+  // directory is read every 500 ms, and orders can be under way.
+  static constexpr absl::Duration kDrainNotice = absl::Seconds(1);
   // How long the tickets of the adviser are valid.
   static constexpr absl::Duration kTicketValidity = absl::Seconds(2);
   using WorkerEntry = std::map<std::string, Worker>::iterator;
@@ -139,7 +166,22 @@
   void SubmitJobs();
   void InjectFaults();
   void CrashRandomWorker();
-  void CrashThirdOfWorkers();
+  // Crashes the given part of the workers that are up.
+  void CrashWorkers(double share);
+  double DrawWaveShare();
+  // Draws whether a fault happens in this step that happens `mean` times in the first part of the
+  // run.
+  bool Happens(double mean);
+  // Lets workers leave, shrink and be lost for good. Draws no random numbers for faults that are
+  // off, so that the runs without them stay as they are.
+  void InjectWorkerChanges();
+  // Returns a random worker that is up and does not drain, or null if the first choice is not.
+  Worker* ChooseStayingWorker();
+  void DrainRandomWorker();
+  void ShrinkRandomWorker();
+  void LoseRandomWorker();
+  // Ends the processes of the workers that have drained for long enough.
+  void EndDrainedWorkers();
   void ChangeCapacityOfRandomWorker();
   void SetCapacity(Worker* worker, int64_t cpu);
   void CrashWorker(Worker* worker, const std::string& cause);
@@ -150,6 +192,10 @@
   void AdvanceGangs();
   JobIntake MakeJob();
   void MakeLongRunning(StepSpec* step);
+  JobIntake MakeShortJob();
+  QueuePolicy MakePolicy();
+  // Replaces the jobs of short tasks that have ended.
+  void SubmitShortJobs();
   void Cancel(const JobId& id);
   void Publish();
   void UpdateDirectory();
@@ -158,6 +204,8 @@
   void SendOrders();
   void SendQuestion(const AdviceRequest& request);
   Advice Answer(const AdviceQuestion& question) const;
+  // Writes which of the named workers the adviser allows to the trace.
+  void NoteAnswer(const AdviceQuestion& question, const Advice& advice) const;
   bool Allows(const std::string& step, const std::string& worker) const;
   // Whether the ticket permits the task to start on the worker now.
   bool AcceptsTicket(const Worker& worker, const WorkerOrder& order) const;
@@ -176,6 +224,8 @@
   // Returns the number of workers on which a task of the step could start now.
   int CountWorkersWithCapacity(const std::string& job, const StepSpec& step) const;
   bool HasCapacity(const Worker& worker, const std::string& job, const StepSpec& step) const;
+  // Whether an owner can send a start order to the worker.
+  bool AcceptsOrders(const Worker& worker) const;
   // Checks that no long-running task waits for long while workers have capacity for it.
   void CheckWaits();
   void CheckWait(const std::string& name, LongRunningTask* task);
@@ -217,6 +267,8 @@
   std::map<std::string, int64_t> nominal_cpu_;
   std::map<std::string, JobTruth> jobs_;
   int next_job_ = 0;
+  std::set<JobId> open_short_jobs_;
+  int lost_machines_ = 0;
   std::multimap<absl::Time, std::function<void()>> actions_;
   absl::Time next_wave_ = absl::InfiniteFuture();
   absl::Time store_down_until_ = absl::InfinitePast();
--- a/tests/cell/pool_simulation_adviser.cc
+++ b/tests/cell/pool_simulation_adviser.cc
@@ -25,8 +25,11 @@
 }
 
 void PoolSimulation::SendQuestion(const AdviceRequest& request) {
-  After(request.cost + Millis(5, 100), [this, request, owner = owner_] {
+  const absl::Duration time =
+      load_.slow_adviser ? Millis(300, 1500) : request.cost + Millis(5, 100);
+  After(time, [this, request, owner = owner_] {
     const Advice advice = Answer(request.question);
+    NoteAnswer(request.question, advice);
     After(Millis(1, 15), [this, request, advice, owner] {
       if (owner == owner_) {
         scheduler_->AdviceFinished(request, advice, Now());
@@ -35,6 +38,18 @@
   });
 }
 
+void PoolSimulation::NoteAnswer(const AdviceQuestion& question, const Advice& advice) const {
+  if (trace_ == nullptr) {
+    return;
+  }
+  std::string text = absl::StrCat("advice about ", question.step, ":");
+  for (const WorkerId& worker : question.workers) {
+    const bool allowed = advice.tickets.count(worker) > 0;
+    absl::StrAppend(&text, " ", worker.value(), allowed ? "" : " (refused)");
+  }
+  Note(text);
+}
+
 Advice PoolSimulation::Answer(const AdviceQuestion& question) const {
   Advice advice;
   advice.validity = kTicketValidity;
--- a/tests/cell/pool_simulation_checks.cc
+++ b/tests/cell/pool_simulation_checks.cc
@@ -19,8 +19,12 @@
 // No task has to run again sooner after its last run: the owner may be sure of the end of the run
 // only when the worker has restarted, which takes up to 4 s.
 constexpr absl::Duration kMinWait = absl::Seconds(6);
-// Number of workers that must have capacity for the task.
+// Number of workers that must have capacity for the task, and the number in the strict form.
 constexpr int kMinWorkers = 2;
+constexpr int kStrictMinWorkers = 1;
+// A job need not complete if the only workers that it may use have been up for less than this,
+// which covers the time to list the worker, two answers of the adviser and the tasks of a step.
+constexpr absl::Duration kStepTime = absl::Seconds(10);
 
 }  // namespace
 
@@ -68,12 +72,13 @@
 
 void PoolSimulation::CheckWaits() {
   NoteFaults();
+  const int min_workers = load_.strict_waits ? kStrictMinWorkers : kMinWorkers;
   const bool quiet = last_fault_ + kFaultNotice <= Now() && inherited_leases_end_ <= Now();
   for (auto& [name, task] : long_running_) {
     const bool may_wait = !quiet || task.runs > 0 || task.job->cancelled ||
                           !task.job->crashing_task.empty() ||
                           CountWorkersWithCapacity(task.job->intake.id.value(),
-                                                   task.job->intake.spec.steps[0]) < kMinWorkers;
+                                                   task.job->intake.spec.steps[0]) < min_workers;
     if (may_wait) {
       task.could_run_since = absl::InfiniteFuture();
       task.checked = false;
@@ -188,7 +193,7 @@
 
 bool PoolSimulation::HasCapacity(const Worker& worker, const std::string& job,
                                  const StepSpec& step) const {
-  if (!worker.up) {
+  if (!worker.up || (load_.strict_waits && !AcceptsOrders(worker))) {
     return false;
   }
   Resources used = step.demand;
@@ -202,6 +207,10 @@
          Allows(absl::StrCat(job, ".0.0"), worker.description.id.value());
 }
 
+bool PoolSimulation::AcceptsOrders(const Worker& worker) const {
+  return worker.listed && !worker.description.draining && worker.cut_until <= Now();
+}
+
 bool PoolSimulation::CanComplete(const std::string& id, const JobTruth& job) const {
   const std::vector<StepSpec>& steps = job.intake.spec.steps;
   const int occurrences = std::max(job.intake.spec.occurrences, 1);
@@ -211,7 +220,8 @@
     const std::string name = absl::StrCat(id, ".", occurrence, ".", i % steps.size());
     int64_t places = 0;
     for (const auto& [worker_id, worker] : workers_) {
-      if (worker.up && Allows(name, worker_id)) {
+      const bool counts = !load_.strict_waits || worker.started_at + kStepTime <= Now();
+      if (worker.up && counts && Allows(name, worker_id)) {
         places += worker.description.capacity.cpu.value() / step.demand.cpu.value();
       }
     }
--- a/tests/cell/pool_simulation_workers.cc
+++ b/tests/cell/pool_simulation_workers.cc
@@ -142,6 +142,10 @@
     used += run.demand;
   }
   const std::string& task = started.key.task;
+  if (worker.draining_counts_at <= Now()) {
+    Violation(absl::StrCat(task, " is started on ", worker.description.id.value(),
+                           ", which is about to leave"));
+  }
   if (!used.FitsInto(CapacityThatCounts(worker))) {
     Violation(absl::StrCat(task, " exceeds the capacity of ", worker.description.id.value(), ": ",
                            used.cpu.value(), " of ", CapacityThatCounts(worker).cpu.value()));
