--- a/tests/cell/pool_simulation.h
+++ b/tests/cell/pool_simulation.h
@@ -61,8 +61,9 @@
     bool adviser = false;
     // Checks at any time of the run that long-running tasks run if workers have capacity for them.
     bool check_waits = false;
-    // With `check_waits`: one worker with capacity is enough, which may be another one at each
-    // moment, and only the workers that a start order can be sent to count.
+    // With `check_waits`: the time with capacity counts from the start of the job, or from 6 s
+    // after the last run of the task on; one worker with capacity is enough, which may be another
+    // one at each moment, and only the workers that a start order can be sent to count.
     bool strict_waits = false;
     // Number of unfinished jobs of short tasks that callers keep in the pool; they submit another
     // one for each that ends, so that capacity is free for moments only.
@@ -229,6 +230,9 @@
   // Checks that no long-running task waits for long while workers have capacity for it.
   void CheckWaits();
   void CheckWait(const std::string& name, LongRunningTask* task);
+  // Returns for how long the task may wait before the time with capacity counts. In the strict
+  // form, a task that has never run has to start as soon as workers have capacity.
+  absl::Duration MayWait(const LongRunningTask& task) const;
   // Describes what the scheduler holds against starting the task on the workers with capacity.
   std::string DescribeWait(const std::string& name, const LongRunningTask& task) const;
   std::string DescribeWorker(const CellWorker& worker, const std::string& job) const;
@@ -238,6 +242,7 @@
   void NoteEnd(const TaskRun& run);
   // Whether the workers that may run the job's steps have capacity for each of them.
   bool CanComplete(const std::string& id, const JobTruth& job) const;
+  bool HaveAllJobsEnded() const;
   void CheckFinalStates();
   // Writes a line with the time to the trace, if there is one.
   void Note(const std::string& text) const;
