cell: Start suspects that have waited where a crash shows its cause

A suspect that has waited starts beside other jobs, on the worker with the least work at stake: the one whose tasks have started last. Its crash is then explained by their starts as well, and is no evidence.

Workers without a start in the last 0.5 s come first for suspects, and in the first half second after the suspicion gives way only these are used.

--- a/packages/cell/cell_worker.cc
+++ b/packages/cell/cell_worker.cc
@@ -7,6 +7,10 @@
 namespace pomelotray {
 namespace {
 
+// A start is recent for this time: tasks that crash their workers do so within 0.2 s, and a crash
+// is noticed up to 250 ms late.
+constexpr absl::Duration kRecentStart = absl::Milliseconds(500);
+
 // Time that a start takes to reach its worker; a round trip between regions takes 16 ms.
 constexpr absl::Duration kStartTransitTime = absl::Milliseconds(20);
 
@@ -63,6 +67,12 @@
   return needed.FitsInto(free) ? at : absl::InfiniteFuture();
 }
 
+bool CellWorker::HasRecentStarts(absl::Time now) const {
+  return std::any_of(attempts.begin(), attempts.end(), [now](const auto& entry) {
+    return now - entry.second.known_since < kRecentStart;
+  });
+}
+
 absl::Duration CellWorker::WorkAtStake(absl::Time now) const {
   absl::Duration work;
   for (const auto& [key, attempt] : attempts) {
--- a/packages/cell/cell_worker.h
+++ b/packages/cell/cell_worker.h
@@ -154,6 +154,9 @@
   // Returns the time at which `needed` is expected to be free as running attempts end, or the
   // infinite future if it never will be.
   absl::Time ExpectedFree(const Resources& needed, absl::Time now) const;
+  // Whether attempts were started so lately that a crash that they cause could not be told from one
+  // that another start causes now.
+  bool HasRecentStarts(absl::Time now) const;
   // Returns the work that a crash of the worker would waste: the run times of its attempts,
   // weighted by the share of the worker that they use.
   absl::Duration WorkAtStake(absl::Time now) const;
--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -304,7 +304,7 @@
   const StepSpec& step = candidate.job->Step(candidate.job->runs[candidate.run]);
   const Resources needed = ReservedFor(step);
   AvailableWorker* best = nullptr;
-  std::tuple<bool, bool, bool, absl::Duration, bool, bool, double> best_score;
+  std::tuple<bool, bool, bool, bool, absl::Duration, bool, bool, double> best_score;
   const bool suspected = NeedsIsolation(step, task);
   result_.workers_examined += static_cast<int64_t>(eligible_workers.size());
   for (const EligibleWorker& eligible : eligible_workers) {
@@ -317,9 +317,9 @@
         !MayShareWorker(candidate, task, *available)) {
       continue;
     }
-    const std::tuple<bool, bool, bool, absl::Duration, bool, bool, double> score(
+    const std::tuple<bool, bool, bool, bool, absl::Duration, bool, bool, double> score(
         step.long_running && available->reserved, step.long_running && available->isolated,
-        suspected && !available->empty,
+        suspected && !available->empty, suspected && available->worker->HasRecentStarts(now_),
         suspected ? available->worker->WorkAtStake(now_) : absl::ZeroDuration(),
         task.moving_to.empty() ? worker.id == task.avoided_worker : worker.id != task.moving_to,
         !available->worker->HasLabel(step.preferred_rack),
--- a/packages/cell/schedule_round_reservations.cc
+++ b/packages/cell/schedule_round_reservations.cc
@@ -30,7 +30,9 @@
   }
   return !NeedsIsolation(step, task) || own_job ||
          (available.open_to_suspects && isolated_workers_ < MaxReservedWorkers()) ||
-         urgency.Overrides(WithholdingRule::kSuspicion);
+         urgency.Overrides(available.worker->HasRecentStarts(now_)
+                               ? WithholdingRule::kSuspicionAmongRecentStarts
+                               : WithholdingRule::kSuspicion);
 }
 
 bool ScheduleRound::IsIsolatedOn(const Candidate& candidate, const CellTask& task,
--- a/packages/cell/start_urgency.cc
+++ b/packages/cell/start_urgency.cc
@@ -15,6 +15,8 @@
     case WithholdingRule::kIsolation:
     case WithholdingRule::kSuspicion:
       return restart ? absl::Seconds(1) : absl::Seconds(2);
+    case WithholdingRule::kSuspicionAmongRecentStarts:
+      return restart ? absl::Milliseconds(1500) : absl::Seconds(2);
   }
   return absl::InfiniteDuration();
 }
--- a/packages/cell/start_urgency.h
+++ b/packages/cell/start_urgency.h
@@ -18,6 +18,9 @@
   kIsolation,
   // The waiting task itself is suspected, and the worker runs attempts of other jobs.
   kSuspicion,
+  // The same, and one of these attempts was started lately, so that a crash would not show which
+  // task causes it.
+  kSuspicionAmongRecentStarts,
 };
 
 // Bounds the time for which a long-running task waits while a worker that may run it has capacity.
@@ -26,15 +29,15 @@
 // kMaxWait after its owner learned that it has to run. That leaves one question to the adviser, by
 // which the expired ticket for the chosen worker is renewed.
 //
-// | rule        | gives way after    | why that is safe | |             | restart | 1st start| |
-// |-------------|---------|----------|-------------------------------------------------------------|
-// | order       | 0.5 s   | 1 s      | a task takes its capacity once; later steps take the rest |
-// | reservation | 0.5 s   | 2 s      | reserved workers are used last, and only while they have |
-// |             |         |          | room; large tasks wait for new long-running ones otherwise |
-// | isolation   | 1 s     | 2 s      | isolated workers are used last; a crash there still counts |
-// |             |         |          | against the suspect, but it is given up one crash later | |
-// suspicion   | 1 s     |          | the worker with the least work at stake is chosen, and no   |
-// |             |         |          | other job joins until the task has proved harmless |
+// - Order: after 0.5 s, or 1 s before the first start. A task takes its capacity once, and later
+//   steps take the rest.
+// - Reservation: after 0.5 s, or 2 s before the first start, since new tasks could keep large ones
+//   waiting. Reserved workers are used last, and only while they have room.
+// - Isolation: after 1 s, or 2 s before the first start. Isolated workers are used last. A crash
+//   there still counts against the suspect, which is given up one crash later.
+// - Suspicion: after 1 s, and 1.5 s on workers with recent starts, where a task that does crash its
+//   workers is given up later. The worker with the least work at stake is chosen, and no other job
+//   joins until the task has proved harmless, as far as workers may be isolated.
 //
 // The other rules never give way, since more than a delay depends on them: capacity, labels, the
 // limit of tasks per worker, tickets, leases of earlier attempts, quarantine and the delay of tasks
