cell: Keep best-effort tasks away from a worker that is being cleared

It uses no reserved capacity, so it fits, and the serving task waits without a bound.

The new case fails without the change.

--- a/packages/cell/schedule_round.cc
+++ b/packages/cell/schedule_round.cc
@@ -246,7 +246,8 @@
 }
 
 bool ScheduleRound::IsEligible(const StepSpec& step, const AvailableWorker& available) const {
-  return (!available.reserved || EndsBeforeReservation(step, available) || step.long_running) &&
+  return (!available.reserved || EndsBeforeReservation(step, available) ||
+          (step.long_running && (available.reserved_for_large || !step.best_effort))) &&
          !(available.has_serving && step.best_effort) &&
          !(available.has_best_effort && IsServing(step)) &&
          available.worker->HasLabel(step.required_label);
--- a/tests/cell/start_urgency_test.cc
+++ b/tests/cell/start_urgency_test.cc
@@ -144,6 +144,32 @@
   BOOST_TEST(CountStarts(fixture.Round(), "watch") == 1);
 }
 
+// Guards against best-effort tasks that have waited and refill a worker whose best-effort attempts
+// are being stopped for a serving task.
+BOOST_AUTO_TEST_CASE(BestEffortTasksStayAwayFromAWorkerThatIsCleared) {
+  Fixture fixture;
+  fixture.AddWorkers({Fixture::Worker("w1", 4000)});
+  StepSpec best_effort = LongRunningStep(1, 1000);
+  best_effort.best_effort = true;
+  fixture.AddJob(Fixture::Job("fill", {best_effort}));
+  const std::vector<SentOrder> running = Starts(fixture.Round());
+  BOOST_REQUIRE_EQUAL(running.size(), 1U);
+  const auto report = [&fixture, &running] {
+    fixture.Report("w1", {Fixture::Running(running[0].order.key, 100)});
+  };
+  report();
+  StepSpec serving = LongRunningStep(1, 1000);
+  serving.latency_target = absl::Milliseconds(10);
+  fixture.AddJob(Fixture::Job("serve", {serving}, 2, /*priority=*/0));
+  BOOST_REQUIRE_EQUAL(Stops(fixture.Round()).size(), 1U);
+  fixture.AddJob(Fixture::Job("more", {best_effort}));
+  for (int i = 0; i < 30; ++i) {
+    fixture.Advance(absl::Milliseconds(100));
+    report();
+    BOOST_TEST(CountStarts(fixture.Round(), "more") == 0);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
