--- a/tests/cell/leaving_workers_test.cc
+++ b/tests/cell/leaving_workers_test.cc
@@ -78,6 +78,7 @@
     std::vector<AttemptKey>& keys = running_.at(stop.worker.value());
     keys.erase(std::remove(keys.begin(), keys.end(), stop.order.key), keys.end());
     std::vector<RunningAttempt> attempts;
+    attempts.reserve(keys.size());
     for (const AttemptKey& key : keys) {
       attempts.push_back(Running(key));
     }
