soak: Play long-running tasks, an adviser and workers that stay away

The soak had no long-running task, no adviser, and its workers were back within two seconds, so it could not show a long-running task that stays without a run. The new run checks, from what the workers see, that no such task is without a run for more than 9 s while a worker could take it, and that none runs twice.

The code that starts and stops instances and calls them moves out of SoakRun so that both soaks use it.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -141,7 +141,7 @@
   TIMEOUT 300)
 pomelotray_tests(cell DEPENDS pomelotray_cell pomelotray_fakes TIMEOUT 600)
 pomelotray_tests(platform DEPENDS pomelotray_platform)
-pomelotray_tests(soak DEPENDS pomelotray_cell PkgConfig::HTTPLIB TIMEOUT 300)
+pomelotray_tests(soak DEPENDS pomelotray_cell PkgConfig::HTTPLIB TIMEOUT 420)
 target_sources(test_soak PRIVATE ${CMAKE_SOURCE_DIR}/tests/processes/child_process.cc)
 pomelotray_tests(history DEPENDS pomelotray_history)
 pomelotray_tests(api DEPENDS pomelotray_api)
--- a/tests/soak/run_history.cc
+++ b/tests/soak/run_history.cc
@@ -1,8 +1,11 @@
 #include "tests/soak/run_history.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
 
 namespace pomelotray {
 namespace {
@@ -11,8 +14,16 @@
 constexpr int kMaxCrashes = 3;
 constexpr int kMaxStartsAfterCrashes = 2;
 
+constexpr char kLongRunningPayload[] = "long-running payload of ";
+
 }  // namespace
 
+bool IsLongRunning(const std::string& payload) {
+  return absl::StartsWith(payload, kLongRunningPayload);
+}
+
+std::string LongRunningPayload(const std::string& job) { return kLongRunningPayload + job; }
+
 void RunHistory::AddViolationLocked(std::string text) { violations_.push_back(std::move(text)); }
 
 void RunHistory::Submitted(const std::string& job, const std::string& payload) {
@@ -54,6 +65,14 @@
     AddViolationLocked(
         absl::StrCat(task, " run ", run, " started after ", crashes_[task], " crashes"));
   }
+  if (IsLongRunning(payload)) {
+    long_running_tasks_.insert(task);
+  }
+  const auto stopped = stopped_long_running_.find(task);
+  if (stopped != stopped_long_running_.end()) {
+    long_running_gaps_.push_back(absl::Now() - stopped->second);
+    stopped_long_running_.erase(stopped);
+  }
   std::set<std::string>& workers = running_[task];
   workers.insert(worker);
   if (workers.size() > 1) {
@@ -65,6 +84,35 @@
 void RunHistory::Ended(const std::string& worker, const std::string& task, int64_t) {
   absl::MutexLock lock(&mutex_);
   running_[task].erase(worker);
+  if (running_[task].empty() && IsLongRunning(payloads_[task.substr(0, task.find('.'))])) {
+    stopped_long_running_[task] = absl::Now();
+  }
+}
+
+std::vector<StoppedTask> RunHistory::StoppedLongRunningTasks() const {
+  absl::MutexLock lock(&mutex_);
+  std::vector<StoppedTask> stopped;
+  for (const auto& [task, ended] : stopped_long_running_) {
+    stopped.push_back(StoppedTask{task, ended});
+  }
+  return stopped;
+}
+
+std::vector<std::string> RunHistory::LongRunningTasks() const {
+  absl::MutexLock lock(&mutex_);
+  return {long_running_tasks_.begin(), long_running_tasks_.end()};
+}
+
+size_t RunHistory::LongRunningTasksStarted() const {
+  absl::MutexLock lock(&mutex_);
+  return long_running_tasks_.size();
+}
+
+std::vector<absl::Duration> RunHistory::LongRunningGaps() const {
+  absl::MutexLock lock(&mutex_);
+  std::vector<absl::Duration> gaps = long_running_gaps_;
+  std::sort(gaps.rbegin(), gaps.rend());
+  return gaps;
 }
 
 void RunHistory::CrashedBy(const std::string& task) {
--- a/tests/soak/run_history.h
+++ b/tests/soak/run_history.h
@@ -8,9 +8,20 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
 
 namespace pomelotray {
 
+// Whether tasks with this payload are long-running, by its first words.
+bool IsLongRunning(const std::string& payload);
+std::string LongRunningPayload(const std::string& job);
+
+// A long-running task that has run and does not run now.
+struct StoppedTask {
+  std::string task;
+  absl::Time last_run_ended;
+};
+
 // Records the jobs and task runs that the callers and workers of a soak test observe, and checks
 // them for violations of the guarantees to callers. Thread-safe.
 class RunHistory {
@@ -33,6 +44,12 @@
   void AddViolation(const std::string& text);
 
   std::vector<std::string> violations() const;
+  std::vector<StoppedTask> StoppedLongRunningTasks() const;
+  // The long-running tasks that have started, and their number.
+  std::vector<std::string> LongRunningTasks() const;
+  size_t LongRunningTasksStarted() const;
+  // Returns how long each long-running task was without a run between two runs, the longest first.
+  std::vector<absl::Duration> LongRunningGaps() const;
   // The runs that were recorded with GangIncomplete(), as "<task>#<run>".
   std::vector<std::string> incomplete_gangs() const;
   std::set<std::string> accepted() const;
@@ -47,6 +64,10 @@
   std::set<std::string> started_jobs_ ABSL_GUARDED_BY(mutex_);
   // Workers that currently run a task, by task.
   std::map<std::string, std::set<std::string>> running_ ABSL_GUARDED_BY(mutex_);
+  std::set<std::string> long_running_tasks_ ABSL_GUARDED_BY(mutex_);
+  // When the last run of each long-running task that does not run now ended.
+  std::map<std::string, absl::Time> stopped_long_running_ ABSL_GUARDED_BY(mutex_);
+  std::vector<absl::Duration> long_running_gaps_ ABSL_GUARDED_BY(mutex_);
   std::set<std::string> succeeded_ ABSL_GUARDED_BY(mutex_);
   // The workers that each task has crashed, and its starts since the third crash.
   std::map<std::string, int> crashes_ ABSL_GUARDED_BY(mutex_);
--- /dev/null
+++ b/tests/soak/soak_caller.cc
@@ -0,0 +1,60 @@
+#include "tests/soak/soak_caller.h"
+
+#include <httplib.h>
+
+#include "absl/time/clock.h"
+
+namespace pomelotray {
+namespace {
+
+using nlohmann::json;
+
+constexpr absl::Duration kCallTimeout = absl::Seconds(3);
+constexpr int kMaxAttempts = 4;
+
+}  // namespace
+
+int RandomBelow(std::mt19937* random, int below) {
+  return static_cast<int>((*random)() % static_cast<unsigned>(below));
+}
+
+void SoakCaller::Submit(const std::string& prefix, const std::string& id,
+                        const std::string& payload, const json& steps, std::mt19937* random) const {
+  history_->Submitted(id, payload);
+  bool never_stored = true;
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    const int instance = RandomBelow(random, instances_->size());
+    httplib::Client client("http://" + instances_->front_address(instance));
+    client.set_connection_timeout(absl::ToChronoMicroseconds(kCallTimeout));
+    client.set_read_timeout(absl::ToChronoMicroseconds(kCallTimeout));
+    const httplib::Result result =
+        client.Post(prefix + id, {{"Host", kSoakHost}},
+                    json{{"spec", payload}, {"steps", steps}}.dump(), "application/json");
+    if (result && result->status == 200) {
+      history_->Accepted(id);
+      return;
+    }
+    const bool refused = result && (result->status == 503 || result->status == 429);
+    const bool not_sent = !result && result.error() == httplib::Error::Connection;
+    never_stored = never_stored && (refused || not_sent);
+    absl::SleepFor(absl::Milliseconds(200));
+  }
+  if (never_stored) {
+    history_->Refused(id);
+  }
+}
+
+std::string SoakCaller::StateOf(const std::string& prefix, const std::string& id,
+                                int instance) const {
+  httplib::Client client("http://" + instances_->front_address(instance));
+  client.set_read_timeout(absl::ToChronoMicroseconds(kCallTimeout));
+  const httplib::Result result = client.Get(prefix + id, {{"Host", kSoakHost}});
+  if (!result) {
+    return "no answer";
+  }
+  const json body = json::parse(result->body, nullptr, /*allow_exceptions=*/false);
+  return result->status == 200 && body.is_object() ? body.value("state", "")
+                                                   : std::to_string(result->status);
+}
+
+}  // namespace pomelotray
--- /dev/null
+++ b/tests/soak/soak_caller.h
@@ -0,0 +1,39 @@
+#ifndef POMELOTRAY_TESTS_SOAK_SOAK_CALLER_H_
+#define POMELOTRAY_TESTS_SOAK_SOAK_CALLER_H_
+
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+
+#include "tests/soak/instance_group.h"
+#include "tests/soak/run_history.h"
+
+namespace pomelotray {
+
+// The host that the routes of a soak run name.
+inline constexpr char kSoakHost[] = "soak.example";
+
+// Calls the instances of a soak run as callers do, and records the answers. Thread-safe.
+class SoakCaller {
+ public:
+  SoakCaller(const InstanceGroup* instances, RunHistory* history)
+      : instances_(instances), history_(history) {}
+
+  // Submits a job to random instances until it is accepted, a few times at most. `prefix` selects
+  // the route.
+  void Submit(const std::string& prefix, const std::string& id, const std::string& payload,
+              const nlohmann::json& steps, std::mt19937* random) const;
+  // Returns the state of the job as the instance shows it, "no answer" or the status of the answer.
+  std::string StateOf(const std::string& prefix, const std::string& id, int instance) const;
+
+ private:
+  const InstanceGroup* const instances_;
+  RunHistory* const history_;
+};
+
+// Returns a random number from 0 to `below` - 1.
+int RandomBelow(std::mt19937* random, int below);
+
+}  // namespace pomelotray
+
+#endif  // POMELOTRAY_TESTS_SOAK_SOAK_CALLER_H_
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -1,13 +1,6 @@
 #include "tests/soak/soak_run.h"
 
-#include <httplib.h>
-#include <stdlib.h>
-#include <unistd.h>
-
 #include <algorithm>
-#include <csignal>
-#include <fstream>
-#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
@@ -18,42 +11,24 @@
 
 using nlohmann::json;
 
-constexpr char kHost[] = "soak.example";
+constexpr char kPrefix[] = "/jobs/";
 constexpr int64_t kWorkerCpu = 4000;
 constexpr absl::Duration kStartDelay = absl::Seconds(4);
 constexpr absl::Duration kFaultInterval = absl::Milliseconds(700);
-constexpr absl::Duration kCallTimeout = absl::Seconds(3);
-constexpr int kMaxAttempts = 4;
 // One job out of this many is a gang.
 constexpr uint64_t kGangInterval = 3;
 // Longer than a gang runs and an owner waits for the store before it sends its next hold.
 constexpr absl::Duration kGangOutage = absl::Seconds(2);
-constexpr absl::Duration kStopTimeout = absl::Seconds(6);
 // By then an instance that reaches the store has learned of a worker's capacity: the time in which
 // it has to notice changes, and one interval in which the worker publishes it.
 constexpr absl::Duration kCapacityNotice = absl::Milliseconds(4500);
 
-std::string MakeFolder() {
-  std::string pattern = "/tmp/pomelotray-soak-XXXXXX";
-  return mkdtemp(pattern.data()) == nullptr ? "/tmp" : pattern;
-}
-
-// The ports are below the ephemeral range, so outgoing connections cannot occupy them.
-constexpr int kFrontPort = 21'001;
-constexpr int kReadyPort = 21'002;
-constexpr int kFirstInternalPort = 21'010;
-
-// Returns a loopback address that depends on the process id and the index of the instance.
-std::string InstanceIp(int index) {
-  return absl::StrCat("127.", 1 + getpid() % 200, ".", 1 + getpid() / 200 % 200, ".", 10 + index);
-}
-
 std::string Configuration() {
   return json{{"version", 7},
               {"routes",
                {{{"name", "r"},
-                 {"host", kHost},
-                 {"prefix", "/jobs/"},
+                 {"host", kSoakHost},
+                 {"prefix", kPrefix},
                  {"service", "work"},
                  {"priority", 1},
                  {"max-attempts", 4},
@@ -69,14 +44,13 @@
   return StableHash("gang" + id) % kGangInterval == 0 && !HasCrashingTask(id);
 }
 
-int RandomBelow(std::mt19937* random, int below) {
-  return static_cast<int>((*random)() % static_cast<unsigned>(below));
-}
-
 }  // namespace
 
 SoakRun::SoakRun(int seed, Limits limits)
-    : seed_(seed), limits_(limits), random_(static_cast<unsigned>(seed)), folder_(MakeFolder()) {
+    : seed_(seed),
+      limits_(limits),
+      random_(static_cast<unsigned>(seed)),
+      instances_(limits.instances, store_.address(), /*adviser_address=*/"", &history_) {
   store_.Put("op/config", Configuration());
   for (int i = 0; i < limits_.workers; ++i) {
     workers_.push_back(
@@ -84,11 +58,6 @@
     workers_.back()->RefuseStarts(limits_.refusal_interval);
     store_.Put(absl::StrCat("servers/w-", i), workers_.back()->Entry());
   }
-  instances_.resize(limits_.instances);
-  for (int i = 0; i < limits_.instances; ++i) {
-    WriteSettings(i);
-    StartInstance(&instances_[i]);
-  }
 }
 
 SoakRun::~SoakRun() {
@@ -100,53 +69,18 @@
   }
 }
 
-void SoakRun::WriteSettings(int index) {
-  Instance& instance = instances_[index];
-  const std::string ip = InstanceIp(index);
-  instance.front_address = absl::StrCat(ip, ":", kFrontPort);
-  instance.settings_file = absl::StrCat(folder_, "/node-", index, ".conf");
-  std::ofstream file(instance.settings_file);
-  file << "node-name=node-" << index << "\nip=" << ip
-       << "\nzone=a\nlisten-addrs.front=" << instance.front_address << "\nlisten-addrs.ready=" << ip
-       << ":" << kReadyPort << "\nport-range=" << kFirstInternalPort << ","
-       << kFirstInternalPort + 15 << "\nplatform.address=" << store_.address()
-       << "\nbounds.max-hold-ms=6000\nlimits.cpu-share=1\nlimits.cores=1\n";
-}
-
-void SoakRun::StartInstance(Instance* instance) {
-  const char* bin = std::getenv("POMELOTRAY_BIN_DIR");  // NOLINT(concurrency-mt-unsafe)
-  instance->process = std::make_unique<ChildProcess>(
-      std::vector<std::string>{absl::StrCat(bin == nullptr ? "build/bin" : bin, "/pomelotrayd"),
-                               "platform"},
-      std::vector<std::string>{"POMELOTRAY_NODE_FILE=" + instance->settings_file},
-      instance->settings_file + absl::StrCat(".log.", absl::ToUnixMillis(absl::Now())),
-      instance->settings_file + ".err");
-  instance->paused = false;
-  instance->resume_at = absl::InfinitePast();
-}
-
 void SoakRun::InjectInstanceFault() {
-  Instance& instance = instances_[RandomBelow(&random_, limits_.instances)];
-  if (instance.process == nullptr || instance.paused) {
+  const int index = RandomBelow(&random_, limits_.instances);
+  if (!instances_.IsUp(index)) {
     return;
   }
   const int kind = RandomBelow(&random_, 3);
   if (kind == 0) {
-    instance.process->Signal(SIGKILL);
-    instance.process->Wait(kStopTimeout);
-    instance.process.reset();
-    instance.resume_at = absl::Now() + absl::Milliseconds(200 + RandomBelow(&random_, 3000));
+    instances_.Kill(index, absl::Milliseconds(200 + RandomBelow(&random_, 3000)));
   } else if (kind == 1) {
-    instance.process->Signal(SIGSTOP);
-    instance.paused = true;
-    instance.resume_at = absl::Now() + absl::Milliseconds(300 + RandomBelow(&random_, 4000));
+    instances_.Pause(index, absl::Milliseconds(300 + RandomBelow(&random_, 4000)));
   } else {
-    instance.process->Signal(SIGTERM);
-    if (!instance.process->Wait(kStopTimeout).has_value()) {
-      history_.AddViolation("an instance did not exit in time after SIGTERM");
-    }
-    instance.process.reset();
-    instance.resume_at = absl::Now();
+    instances_.Terminate(index);
   }
 }
 
@@ -204,26 +138,12 @@
 }
 
 void SoakRun::EndFaults(bool all) {
-  const absl::Time now = absl::Now();
-  if (all || store_fault_until_ < now) {
+  if (all || store_fault_until_ < absl::Now()) {
     store_.SetDown(false);
     store_.SetDelay(absl::ZeroDuration());
     store_.SetLostAnswerRatio(0);
   }
-  for (Instance& instance : instances_) {
-    if (!all && instance.resume_at > now) {
-      continue;
-    }
-    if (instance.process == nullptr) {
-      StartInstance(&instance);
-    } else if (instance.paused) {
-      instance.process->Signal(SIGCONT);
-      instance.paused = false;
-    } else if (instance.process->Wait(absl::ZeroDuration()).has_value()) {
-      history_.AddViolation("an instance exited without being stopped");
-      StartInstance(&instance);
-    }
-  }
+  instances_.EndFaults(all);
 }
 
 void SoakRun::SubmitJob(const std::string& id, std::mt19937* random) {
@@ -245,29 +165,7 @@
 }
 
 void SoakRun::Submit(const std::string& id, const json& steps, std::mt19937* random) {
-  const std::string payload = "payload of " + id;
-  history_.Submitted(id, payload);
-  bool never_stored = true;
-  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    httplib::Client client("http://" +
-                           instances_[RandomBelow(random, limits_.instances)].front_address);
-    client.set_connection_timeout(absl::ToChronoMicroseconds(kCallTimeout));
-    client.set_read_timeout(absl::ToChronoMicroseconds(kCallTimeout));
-    const httplib::Result result =
-        client.Post("/jobs/" + id, {{"Host", kHost}},
-                    json{{"spec", payload}, {"steps", steps}}.dump(), "application/json");
-    if (result && result->status == 200) {
-      history_.Accepted(id);
-      return;
-    }
-    const bool refused = result && (result->status == 503 || result->status == 429);
-    const bool not_sent = !result && result.error() == httplib::Error::Connection;
-    never_stored = never_stored && (refused || not_sent);
-    absl::SleepFor(absl::Milliseconds(200));
-  }
-  if (never_stored) {
-    history_.Refused(id);
-  }
+  caller_.Submit(kPrefix, id, "payload of " + id, steps, random);
 }
 
 std::string SoakRun::JobName(int caller, int number) const {
@@ -287,27 +185,15 @@
   }
 }
 
-std::string SoakRun::StateOf(const std::string& id, size_t instance) {
-  httplib::Client client("http://" + instances_[instance].front_address);
-  client.set_read_timeout(absl::ToChronoMicroseconds(kCallTimeout));
-  const httplib::Result result = client.Get("/jobs/" + id, {{"Host", kHost}});
-  if (!result) {
-    return "no answer";
-  }
-  const json body = json::parse(result->body, nullptr, /*allow_exceptions=*/false);
-  return result->status == 200 && body.is_object() ? body.value("state", "")
-                                                   : std::to_string(result->status);
-}
-
 void SoakRun::WaitForCompletion() {
   const absl::Time end = absl::Now() + limits_.recovery_timeout;
-  size_t instance = 0;
+  int instance = 0;
   for (const std::string& id : history_.accepted()) {
     const std::string expected = HasCrashingTask(id) ? "failed" : "completed";
-    std::string state = StateOf(id, ++instance % instances_.size());
+    std::string state = caller_.StateOf(kPrefix, id, ++instance % instances_.size());
     while (state != expected && absl::Now() < end) {
       absl::SleepFor(absl::Milliseconds(50));
-      state = StateOf(id, ++instance % instances_.size());
+      state = caller_.StateOf(kPrefix, id, ++instance % instances_.size());
     }
     if (state != expected) {
       history_.AddViolation(
@@ -365,10 +251,8 @@
   } else {
     (*worker)->Restart();
   }
-  for (Instance& instance : instances_) {
-    instance.process->Signal(SIGKILL);
-    instance.process->Wait(kStopTimeout);
-    instance.process.reset();
+  for (int i = 0; i < instances_.size(); ++i) {
+    instances_.Kill(i, absl::ZeroDuration());
   }
   EndFaults(/*all=*/true);
   WaitForCompletion();
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -9,8 +9,9 @@
 #include <thread>
 #include <vector>
 
-#include "tests/processes/child_process.h"
+#include "tests/soak/instance_group.h"
 #include "tests/soak/run_history.h"
+#include "tests/soak/soak_caller.h"
 #include "tests/soak/store_standin.h"
 #include "tests/soak/worker_standin.h"
 
@@ -43,17 +44,6 @@
   size_t accepted() const { return history_.accepted().size(); }
 
  private:
-  struct Instance {
-    std::string settings_file;
-    std::string front_address;
-    std::unique_ptr<ChildProcess> process;
-    // Time at which a paused process is continued or an ended one is started again.
-    absl::Time resume_at = absl::InfinitePast();
-    bool paused = false;
-  };
-
-  void WriteSettings(int index);
-  void StartInstance(Instance* instance);
   void InjectFault();
   void InjectInstanceFault();
   void InjectStoreFault();
@@ -69,17 +59,16 @@
   // Adds a violation for each accepted job that is not reported as completed in time or, if it has
   // a task that crashes its workers, as failed.
   void WaitForCompletion();
-  std::string StateOf(const std::string& id, size_t instance);
 
   const int seed_;
   const Limits limits_;
   std::mt19937 random_;
-  const std::string folder_;
   RunHistory history_;
   GangBoard gangs_{&history_};
   StoreStandin store_;
   std::vector<std::unique_ptr<WorkerStandin>> workers_;
-  std::vector<Instance> instances_;
+  InstanceGroup instances_;
+  const SoakCaller caller_{&instances_, &history_};
   absl::Time store_fault_until_ = absl::InfinitePast();
   std::atomic<bool> stopping_{false};
   std::vector<std::thread> callers_;
--- a/tests/soak/store_standin.cc
+++ b/tests/soak/store_standin.cc
@@ -16,7 +16,7 @@
 using nlohmann::json;
 
 // Each instance keeps up to four watch calls open, each of which occupies a thread.
-constexpr size_t kServerThreads = 64;
+constexpr size_t kServerThreads = 256;
 constexpr int kPageItems = 500;
 
 int64_t Number(const httplib::Request& request, const char* name) {
@@ -259,6 +259,13 @@
   changed_.SignalAll();
 }
 
+std::string StoreStandin::Get(const std::string& key) {
+  absl::MutexLock lock(&mutex_);
+  RemoveExpiredLeases();
+  const auto it = items_.find(key);
+  return it == items_.end() ? "" : it->second.value;
+}
+
 void StoreStandin::SetDown(bool down) {
   absl::MutexLock lock(&mutex_);
   down_ = down;
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -27,6 +27,8 @@
   // Writes an item without a lease, in place of the operator or a worker.
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
+  // Returns the value of the item, or an empty text if there is none.
+  std::string Get(const std::string& key);
 
   // While the store is down, it answers every call with status 503.
   void SetDown(bool down);
--- a/tests/soak/worker_standin.cc
+++ b/tests/soak/worker_standin.cc
@@ -10,13 +10,14 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "cell/pool_part.h"
+#include "tests/soak/adviser_standin.h"
 
 namespace pomelotray {
 namespace {
 
 using nlohmann::json;
 
-constexpr size_t kServerThreads = 16;
+constexpr size_t kServerThreads = 32;
 constexpr absl::Duration kPollInterval = absl::Milliseconds(5);
 constexpr absl::Duration kMinTaskDuration = absl::Milliseconds(100);
 constexpr int64_t kTaskDurationRangeMs = 400;
@@ -30,6 +31,10 @@
 constexpr absl::Duration kCheckpointInterval = absl::Milliseconds(50);
 constexpr absl::Duration kCrashDelay = absl::Milliseconds(10);
 constexpr absl::Duration kDowntimeAfterCrash = absl::Milliseconds(1500);
+constexpr absl::Duration kMinLongRun = absl::Seconds(9);
+constexpr int64_t kLongRunRangeMs = 17'000;
+// No caller waits longer for an answer.
+constexpr absl::Duration kLongestCall = absl::Seconds(2);
 
 // Whether the task crashes each worker that starts it: the first one of a job that has such a task.
 bool CrashesWorkers(const std::string& task) {
@@ -117,7 +122,9 @@
     ShutDownConnections(port_);
     absl::SleepFor(absl::Milliseconds(1));
   }
-  server_thread_.join();
+  if (server_thread_.joinable()) {
+    server_thread_.join();
+  }
 }
 
 void WorkerStandin::Listen() {
@@ -143,14 +150,16 @@
 
 std::string WorkerStandin::Entry() const {
   int64_t cpu = 0;
+  bool draining = false;
   {
     absl::MutexLock lock(&mutex_);
     cpu = cpu_;
+    draining = draining_;
   }
   return json{{"service", "work"},
               {"address", address()},
               {"zone", "a"},
-              {"state", "ready"},
+              {"state", draining ? "draining" : "ready"},
               {"capacity", {{"cpu", cpu}, {"mem-mb", 100'000}, {"gpu", 0}}},
               {"labels", {"a", "r1-1"}}}
       .dump();
@@ -169,7 +178,12 @@
     const Handler call = handler;
     server_->Post(path, [this, call](const httplib::Request& request, httplib::Response& response) {
       json answer = json::object();
-      response.status = (this->*call)(json::parse(request.body), &answer);
+      const json order = json::parse(request.body);
+      if (!WaitForCutOff(request.path, order)) {
+        response.status = 500;
+        return;
+      }
+      response.status = (this->*call)(order, &answer);
       absl::Time muted;
       {
         absl::MutexLock lock(&mutex_);
@@ -192,6 +206,30 @@
   }
 }
 
+bool WorkerStandin::WaitForCutOff(const std::string& path, const json& order) const {
+  absl::Time until;
+  int64_t incarnation = 0;
+  {
+    absl::MutexLock lock(&mutex_);
+    until = cut_off_until_;
+    incarnation = incarnation_;
+  }
+  const absl::Time begun = absl::Now();
+  if (until <= begun) {
+    return true;
+  }
+  const bool late = path == "/pomelotray/run-start" && order.at("run").get<int64_t>() % 2 == 0;
+  const absl::Time gives_up = late ? until : begun + kLongestCall;
+  while (absl::Now() < std::min(until, gives_up)) {
+    absl::SleepFor(kPollInterval);
+    absl::MutexLock lock(&mutex_);
+    if (incarnation != incarnation_ || stopping_) {
+      return false;
+    }
+  }
+  return late || until < gives_up;
+}
+
 bool WorkerStandin::CheckFencingToken(const json& order, json* answer) {
   const int64_t token = order.value("fencing-token", int64_t{0});
   if (token < token_) {
@@ -231,8 +269,14 @@
     (*answer)["reason"] = "room";
     return 409;
   }
+  const bool long_running = IsLongRunning(order.at("spec").get<std::string>());
+  if (long_running && !AdviserStandin::IsValid(order.value("ticket", ""), StepOf(task), id_)) {
+    (*answer)["reason"] = "ticket";
+    return 409;
+  }
   Run started;
   started.task = task;
+  started.long_running = long_running;
   started.run = run;
   started.started_at = absl::Now();
   started.gang = gangs_->IsGang(StepOf(task)) ? StepOf(task) : "";
@@ -240,6 +284,12 @@
   started.duration =
       kMinTaskDuration +
       absl::Milliseconds(static_cast<int64_t>(hash % static_cast<uint64_t>(kTaskDurationRangeMs)));
+  if (long_running) {
+    const uint64_t run_hash = StableHash(absl::StrCat(task, "#", run));
+    started.duration =
+        kMinLongRun +
+        absl::Milliseconds(static_cast<int64_t>(run_hash % static_cast<uint64_t>(kLongRunRangeMs)));
+  }
   if (!started.gang.empty()) {
     gangs_->MemberStarted(started.gang, run, order.value("checkpoint", ""));
   }
@@ -248,7 +298,7 @@
   if (static_cast<int64_t>(running_.size()) * kTaskCpu > allowed) {
     history_->AddViolation(absl::StrCat(id_, " exceeds its CPU capacity with task ", task));
   }
-  if (CrashesWorkers(task)) {
+  if (!long_running && CrashesWorkers(task)) {
     running_[task].duration = absl::InfiniteDuration();
     crash_at_ = std::min(crash_at_, absl::Now() + kCrashDelay);
     crashing_task_ = task;
@@ -301,7 +351,8 @@
       if (!run_ends_.empty() || absl::Now() >= end || stopping_) {
         json running = json::array();
         for (const auto& [task, run] : running_) {
-          running.push_back({task, run.run, CheckpointOf(run), ClockMs() % 100, 0});
+          running.push_back(
+              {task, run.run, CheckpointOf(run), run.long_running ? 100 : ClockMs() % 100, 0});
         }
         json ended = json::array();
         for (const auto& [number, entry] : run_ends_) {
@@ -340,7 +391,8 @@
 }
 
 std::string WorkerStandin::OutcomeOf(const Run& run) const {
-  const bool fails = run.run == 1 && StableHash(run.task) % kFirstRunFailureInterval == 0;
+  const bool fails =
+      run.long_running || (run.run == 1 && StableHash(run.task) % kFirstRunFailureInterval == 0);
   const bool finished = absl::Now() - run.started_at >= run.duration;
   if (finished && (fails || run.gang.empty())) {
     return fails ? "failed" : "done";
@@ -397,6 +449,59 @@
   Listen();
 }
 
+void WorkerStandin::Lose() {
+  absl::MutexLock restart_lock(&restart_mutex_);
+  {
+    absl::MutexLock lock(&mutex_);
+    ++incarnation_;
+    answers_delayed_until_ = absl::InfinitePast();
+    cut_off_until_ = absl::InfinitePast();
+    lost_ = true;
+  }
+  StopServer();
+  ResetState();
+}
+
+void WorkerStandin::ComeBack(bool at_other_address) {
+  absl::MutexLock restart_lock(&restart_mutex_);
+  if (at_other_address) {
+    port_ = 0;
+  }
+  ResetState();
+  Listen();
+  absl::MutexLock lock(&mutex_);
+  draining_ = false;
+  lost_ = false;
+}
+
+void WorkerStandin::SetDraining(bool draining) {
+  absl::MutexLock lock(&mutex_);
+  draining_ = draining;
+}
+
+void WorkerStandin::CutOff(absl::Duration time) {
+  absl::MutexLock lock(&mutex_);
+  cut_off_until_ = absl::Now() + time;
+  answers_delayed_until_ = cut_off_until_;
+}
+
+bool WorkerStandin::Runs(const std::string& task) const {
+  absl::MutexLock lock(&mutex_);
+  return running_.count(task) > 0;
+}
+
+bool WorkerStandin::IsUp() const {
+  absl::MutexLock lock(&mutex_);
+  return !lost_;
+}
+
+bool WorkerStandin::CouldRun(const std::string& step) const {
+  absl::MutexLock lock(&mutex_);
+  return !lost_ && !draining_ && absl::Now() >= cut_off_until_ &&
+         AdviserStandin::Allows(step, id_) &&
+         static_cast<int64_t>(running_.size() + 1) * kTaskCpu <= cpu_;
+}
+
 void WorkerStandin::ResetState() {
   absl::MutexLock lock(&mutex_);
   for (const auto& [task, run] : running_) {
--- a/tests/soak/worker_standin.h
+++ b/tests/soak/worker_standin.h
@@ -27,7 +27,8 @@
 // over-commitment to the history. A hash of the task name determines the duration, 0.1 to 0.5 s,
 // and whether the first run fails. The first task of some jobs crashes it: it refuses connections
 // for a second or two and then starts again. The members of a gang work once all are there, end
-// together and report checkpoints.
+// together and report checkpoints. A long-running task (see IsLongRunning()) fails by itself after
+// 9 to 26 s, and starts only with a valid ticket of the adviser.
 class WorkerStandin {
  public:
   // `cpu` is the capacity of the worker; each task takes 1000 of it.
@@ -50,6 +51,19 @@
   void RefuseStarts(uint64_t interval);
   // Executes orders but delays their answers until `time` has passed.
   void DelayAnswers(absl::Duration time);
+  // For `time`, calls do not reach the worker and its answers reach nobody, but its runs go on.
+  // Every second start order that is sent meanwhile arrives afterwards.
+  void CutOff(absl::Duration time);
+  // Ends the process for good, until ComeBack().
+  void Lose();
+  // Starts the next process under the same id, at the same address or at another one.
+  void ComeBack(bool at_other_address);
+  // Announces in Entry() that the worker leaves, or takes that back.
+  void SetDraining(bool draining);
+  // Whether a start order for a task of the step reaches the worker and fits there now.
+  bool CouldRun(const std::string& step) const;
+  bool IsUp() const;
+  bool Runs(const std::string& task) const;
 
  private:
   struct Run {
@@ -60,6 +74,7 @@
     // Name of the step if it is a gang, else empty.
     std::string gang;
     bool stopped = false;
+    bool long_running = false;
   };
   struct RunEnd {
     std::string task;
@@ -83,6 +98,8 @@
   int Start(const nlohmann::json& order, nlohmann::json* answer);
   int Stop(const nlohmann::json& order, nlohmann::json* answer);
   int Hold(const nlohmann::json& order, nlohmann::json* answer);
+  // Waits until the cut-off is over, if there is one. Returns false if the call never arrives.
+  bool WaitForCutOff(const std::string& path, const nlohmann::json& order) const;
   bool CheckFencingToken(const nlohmann::json& order, nlohmann::json* answer)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ExtendLease(const nlohmann::json& order) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -118,6 +135,9 @@
   absl::Time started_at_ ABSL_GUARDED_BY(mutex_);
   int64_t incarnation_ ABSL_GUARDED_BY(mutex_) = 0;
   absl::Time answers_delayed_until_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  absl::Time cut_off_until_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  bool draining_ ABSL_GUARDED_BY(mutex_) = false;
+  bool lost_ ABSL_GUARDED_BY(mutex_) = false;
   // No start is refused for lack of room if this is 0.
   uint64_t refusal_interval_ ABSL_GUARDED_BY(mutex_) = 0;
   int64_t token_ ABSL_GUARDED_BY(mutex_) = 0;
