soak: Count the accepted jobs after the run

Two cases failed on x86-64 with "no job was accepted", also on the untouched: the run and the count were arguments of one call, and GCC evaluates the count first there. The order of arguments is unspecified. The checks are the same.

--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -55,14 +55,16 @@
   // One caller submits fewer tasks than the workers can run.
   limits.callers = 1;
   SoakRun run(kRefusalSeed, limits);
-  CheckNoViolation(run.Run(), run.accepted());
+  const std::vector<std::string> violations = run.Run();
+  CheckNoViolation(violations, run.accepted());
 }
 
 // Guards against gangs that run again: one member's end completes the gang, the ends of the others
 // were acknowledged before the completion was stored, and the owner and that worker were lost.
 BOOST_AUTO_TEST_CASE(GangThatEndsInAnOutageRunsOnce) {
   SoakRun run(kOutageSeed, SoakRun::Limits());
-  CheckNoViolation(run.RunGangThatEndsInOutage(), run.accepted());
+  const std::vector<std::string> violations = run.RunGangThatEndsInOutage();
+  CheckNoViolation(violations, run.accepted());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
