cell: Ask a worker for an answer before a long-running task starts there

Callers saw a long-running task without a run for up to two leases: its worker was lost, and the start order after the lease went to a worker that had just stopped answering. The outcome of that order is unknown, so the task could not start elsewhere until that worker answered or its own lease, which the order had extended, was over.

Before the start of a long-running task the session now requests a report on the connection for orders, unless the worker answered within the last 100 ms. Without an answer the start is not sent, and the task is placed elsewhere at once. The lease of the silent worker is not extended either.

--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -448,6 +448,7 @@
   order.payload = job->intake.spec.payload;
   order.checkpoint = task.checkpoint;
   order.ticket = placed.ticket.text;
+  order.probe_first = step.long_running;
   result->orders.emplace_back(placed.worker, std::move(order));
   worker->attempts.emplace(attempt.key, std::move(attempt));
 }
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -44,6 +44,10 @@
   std::string payload;
   std::string checkpoint;
   std::string ticket;
+  // For a start order: the worker has to answer first, so that the order is not lost on a worker
+  // that has just stopped answering. Whether that worker carries it out stays unknown until its
+  // lease is over.
+  bool probe_first = false;
   // For a stop order: request a report as soon as the stop is confirmed, to learn whether the
   // attempt ever began.
   bool check = false;
--- a/packages/cell/worker_session.cc
+++ b/packages/cell/worker_session.cc
@@ -10,6 +10,9 @@
 // Maximum delay of a hold until reported ends are stored, so that it can acknowledge them.
 constexpr absl::Duration kMaxEndStoreWait = absl::Milliseconds(400);
 constexpr absl::Duration kPermissionPollInterval = absl::Milliseconds(50);
+// A worker that answered within this time, which is a few round trips between regions, is not
+// probed before a start.
+constexpr absl::Duration kMaxAnswerAge = absl::Milliseconds(100);
 
 OrderOutcome ToOutcome(const Outcome<OrderAnswer>& answer) {
   OrderOutcome outcome;
@@ -137,6 +140,9 @@
   if (!call.allowed()) {
     return;
   }
+  if (answer.ok()) {
+    NoteAnswer();
+  }
   context_.listener->HoldAnswered(worker_.id, answer, sent, context_.clock->Now());
   if (answer.ok() && answer.value().answer == OrderAnswer::kAccepted) {
     NextHold();
@@ -176,20 +182,64 @@
     order = std::move(orders_.front());
     orders_.pop_front();
   }
-  if (order.kind == WorkerOrder::Kind::kStart) {
+  if (order.kind == WorkerOrder::Kind::kStart && order.probe_first && !HasJustAnswered()) {
+    ProbeBeforeStart(order);
+  } else if (order.kind == WorkerOrder::Kind::kStart) {
     SendStart(order);
   } else {
     SendStop(order);
   }
 }
 
+void WorkerSession::NoteAnswer() {
+  absl::MutexLock lock(&mutex_);
+  answered_at_ = context_.clock->Now();
+}
+
+bool WorkerSession::HasJustAnswered() const {
+  absl::MutexLock lock(&mutex_);
+  return context_.clock->Now() - answered_at_ <= kMaxAnswerAge;
+}
+
+void WorkerSession::ProbeBeforeStart(const WorkerOrder& order) {
+  HoldOrder probe;
+  probe.token = context_.listener->token();
+  order_channel_->Hold(probe,
+                       [self = shared_from_this(), order](const Outcome<HoldAnswer>& answer) {
+                         self->ProbeAnswered(order, answer);
+                       });
+}
+
+void WorkerSession::ProbeAnswered(const WorkerOrder& order, const Outcome<HoldAnswer>& answer) {
+  const ListenerCall call(this);
+  if (!call.allowed()) {
+    return;
+  }
+  if (answer.ok() && answer.value().answer != OrderAnswer::kAccepted) {
+    context_.listener->OrderAnswered(worker_.id, order, OrderOutcome{answer.value().answer, false});
+    ScheduleNextOrder();
+    return;
+  }
+  // The process may have been suspended since the probe was sent.
+  if (!answer.ok() || !context_.listener->MaySendOrders()) {
+    SkipStart(order);
+    return;
+  }
+  NoteAnswer();
+  SendStart(order);
+}
+
+void WorkerSession::SkipStart(const WorkerOrder& order) {
+  context_.listener->OrderAnswered(worker_.id, order,
+                                   OrderOutcome{std::nullopt, /*never_sent=*/true});
+  ScheduleNextOrder();
+}
+
 void WorkerSession::SendStart(const WorkerOrder& order) {
   const std::optional<WorkerTime> lease_end =
       context_.listener->PrepareStart(worker_.id, order.key);
   if (!lease_end.has_value()) {
-    context_.listener->OrderAnswered(worker_.id, order,
-                                     OrderOutcome{std::nullopt, /*never_sent=*/true});
-    ScheduleNextOrder();
+    SkipStart(order);
     return;
   }
   StartOrder start;
@@ -217,6 +267,9 @@
   if (!call.allowed()) {
     return;
   }
+  if (answer.ok()) {
+    NoteAnswer();
+  }
   context_.listener->OrderAnswered(worker_.id, order, ToOutcome(answer));
   if (order.check && answer.ok() && answer.value() == OrderAnswer::kAccepted) {
     CheckStop(order.key);
--- a/packages/cell/worker_session.h
+++ b/packages/cell/worker_session.h
@@ -40,8 +40,9 @@
 
 // Communicates with one worker over two connections, with one call at a time on each. The first
 // carries holds, which are long polls: they extend the leases of the worker's tasks and return when
-// an attempt ends. The second carries start and stop orders. The session has no threads: answers
-// and timers trigger the next call on a thread of the connector or of the timer queue.
+// an attempt ends. The second carries start and stop orders, and probes before some starts. The
+// session has no threads: answers and timers trigger the next call on a thread of the connector or
+// of the timer queue.
 class WorkerSession : public std::enable_shared_from_this<WorkerSession> {
  public:
   // All must outlive the session, except for `listener`, which must live until WaitUntilUnused()
@@ -88,6 +89,14 @@
 
   void NextOrder();
   void SendStart(const WorkerOrder& order);
+  // Requests a report and sends the start only once the worker has answered.
+  void ProbeBeforeStart(const WorkerOrder& order);
+  void ProbeAnswered(const WorkerOrder& order, const Outcome<HoldAnswer>& answer);
+  // Tells the listener that the start was not sent, and goes on with the next order.
+  void SkipStart(const WorkerOrder& order);
+  // Whether the worker has answered a call so lately that it need not be probed.
+  bool HasJustAnswered() const;
+  void NoteAnswer();
   void SendStop(const WorkerOrder& order);
   void OrderAnswered(const WorkerOrder& order, const Outcome<OrderAnswer>& answer);
   // Requests a report at once to learn the state of a stopped attempt, since the answer to the hold
@@ -100,7 +109,7 @@
   const std::unique_ptr<WorkerChannel> hold_channel_;
   const std::unique_ptr<WorkerChannel> order_channel_;
 
-  absl::Mutex mutex_;
+  mutable absl::Mutex mutex_;
   absl::CondVar listener_calls_ended_;
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
   int listener_calls_ ABSL_GUARDED_BY(mutex_) = 0;
@@ -109,6 +118,8 @@
   bool waiting_for_ends_ ABSL_GUARDED_BY(mutex_) = false;
   int64_t wait_number_ ABSL_GUARDED_BY(mutex_) = 0;
   std::deque<WorkerOrder> orders_ ABSL_GUARDED_BY(mutex_);
+  // When the worker answered last, on either connection.
+  absl::Time answered_at_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
   // Whether an order is in progress or NextOrder() is scheduled.
   bool order_active_ ABSL_GUARDED_BY(mutex_) = false;
 };
--- a/tests/soak/long_running_soak.cc
+++ b/tests/soak/long_running_soak.cc
@@ -89,7 +89,7 @@
   caller_.Submit(kLongRunningPrefix, id, LongRunningPayload(id), json::array({step}), &random_);
 }
 
-void LongRunningSoak::Begin() {
+bool LongRunningSoak::Begin() {
   absl::SleepFor(kStartDelay);
   for (int job = 0; job < limits_.long_running_jobs; ++job) {
     SubmitLongRunningJob(job);
@@ -101,11 +101,13 @@
   }
   if (history_.LongRunningTasksStarted() < tasks) {
     history_.AddViolation("not all long-running tasks have started");
+    return false;
   }
   threads_.emplace_back([this] { CheckLoop(); });
   if (limits_.short_jobs) {
     threads_.emplace_back([this] { CallerLoop(); });
   }
+  return true;
 }
 
 void LongRunningSoak::Continue(absl::Duration time) {
@@ -316,7 +318,9 @@
 }
 
 std::vector<std::string> LongRunningSoak::Run() {
-  Begin();
+  if (!Begin()) {
+    return End();
+  }
   const absl::Time end = absl::Now() + limits_.fault_duration;
   while (absl::Now() < end) {
     InjectFault();
@@ -328,7 +332,9 @@
 }
 
 std::vector<std::string> LongRunningSoak::RunLossBesideSilentWorker() {
-  Begin();
+  if (!Begin()) {
+    return End();
+  }
   const std::string task = history_.LongRunningTasks().front();
   const int lost = *FindWorkerOf(task);
   // Among the workers with room the owner prefers the one with the least capacity.
@@ -347,7 +353,9 @@
 
 std::vector<std::string> LongRunningSoak::RunLossBeforeTakeovers(
     const std::vector<absl::Duration>& kills) {
-  Begin();
+  if (!Begin()) {
+    return End();
+  }
   LoseWorker(*FindWorkerOf(history_.LongRunningTasks().front()));
   absl::Duration passed;
   for (const absl::Duration kill : kills) {
@@ -366,7 +374,9 @@
 }
 
 std::vector<std::string> LongRunningSoak::RunReturnAtOtherAddress() {
-  Begin();
+  if (!Begin()) {
+    return End();
+  }
   const std::string step = StepOf(history_.LongRunningTasks().front());
   int returning = 0;
   while (!workers_[returning]->CouldRun(step)) {
--- a/tests/soak/long_running_soak.h
+++ b/tests/soak/long_running_soak.h
@@ -67,8 +67,9 @@
  private:
   void Publish(int worker);
   void SubmitLongRunningJob(int job);
-  // Submits the long-running jobs, waits until all their tasks run, and starts the checks.
-  void Begin();
+  // Submits the long-running jobs, waits until all their tasks run, and starts the checks. Returns
+  // false if the tasks do not start, which is a violation.
+  bool Begin();
   // Lets the checks go on for `time`, ending the faults whose time is over.
   void Continue(absl::Duration time);
   std::vector<std::string> End();
