cell: Keep the end of a lost worker's lease over takeovers

Callers saw a long-running task without a run for 11 to 13 s: its worker was lost, and some seconds later the pool's owner. The next owner assumed that each lease had been extended just before it read the state, also where the former owner had not reached the worker for seconds, and waited for a whole lease again. Each further takeover added one, without a bound.

The roster now says of a worker that does not answer how much of its lease is left, and no owner extends that lease before a roster without this bound is stored. The next owner dates the entry by the store's revision: it was written before the first answer that showed this revision or a later one to the new owner. So no two clocks are compared, and only the clock that drifts within the margin of the lease measures. An owner that a worker has not reported to for a second bounds it as well, so that takeovers in series add no lease. Inherited tasks wait for the leases of unreported workers only as long as these last.

What holds: an order or hold that a paused owner has prepared carries a lease end by the worker's clock, which the bound includes. A roster write without an answer neither permits extensions nor, if it is carried out late, replaces a later one. Without the store no bound is recorded. A worker whose lease is withheld when the store goes down loses its runs if the store stays away for longer than the lease.

A worker counts as unreachable 0.5 s after a call failed, or 2 s after its last report, instead of the latter alone; when it answers, the roster is stored at once.

--- a/packages/cell/cell_node.cc
+++ b/packages/cell/cell_node.cc
@@ -36,7 +36,9 @@
 }  // namespace
 
 CellNode::CellNode(CellNodeContext context)
-    : context_(std::move(context)), timers_(context_.clock) {}
+    : context_(std::move(context)),
+      store_(context_.store, context_.clock),
+      timers_(context_.clock) {}
 
 CellNode::~CellNode() { Stop(); }
 
@@ -46,13 +48,13 @@
                                                context_.clock, context_.events);
   membership_ = std::make_unique<CellMembership>(
       CellMember{context_.id, context_.peer_address, context_.cpu_milli, context_.clock->Now()},
-      MakeNonceText(), context_.store, context_.clock, context_.events,
+      MakeNonceText(), &store_, context_.clock, context_.events,
       CellMembership::Callbacks{[this](const PartClaim& claim) { OnPartClaimed(claim); },
                                 [this](const PartName& part) { OnPartLost(part); },
                                 [this] { return IsStoreDownForAllMembers(); }});
   std::unique_ptr<CellService> service = std::make_unique<CellService>(
-      context_.id, context_.store, peer_client_.get(), membership_.get(), context_.clock,
-      context_.events, [this](const PartName& part) { return FindOwner(part); });
+      context_.id, &store_, peer_client_.get(), membership_.get(), context_.clock, context_.events,
+      [this](const PartName& part) { return FindOwner(part); });
   {
     // The peer server is running, so AnswerPeer() may read service_ concurrently.
     absl::MutexLock lock(&mutex_);
@@ -210,7 +212,8 @@
       .With("term", claim.term)
       .Emit();
   PoolOwnerContext owner_context;
-  owner_context.store = context_.store;
+  owner_context.store = &store_;
+  owner_context.revisions = &store_.history();
   owner_context.directory = context_.directory;
   owner_context.connector = context_.connector;
   owner_context.advice = advice_.get();
--- a/packages/cell/cell_node.h
+++ b/packages/cell/cell_node.h
@@ -15,6 +15,7 @@
 #include "cell/advice_dispatcher.h"
 #include "cell/cell_membership.h"
 #include "cell/cell_service.h"
+#include "cell/observed_store.h"
 #include "cell/part_count_chooser.h"
 #include "cell/pool_owner.h"
 #include "peer/peer_client.h"
@@ -75,6 +76,7 @@
   void MaintenanceLoop();
 
   const CellNodeContext context_;
+  ObservedStore store_;
   TimerQueue timers_;
   std::unique_ptr<PeerClient> peer_client_;
   std::unique_ptr<PeerServer> peer_server_;
--- a/packages/cell/cell_worker.h
+++ b/packages/cell/cell_worker.h
@@ -103,6 +103,9 @@
   bool fenced = false;
   // The worker is in the stored roster, so a later owner knows that tasks may be running on it.
   bool on_roster = false;
+  // The stored roster may say that the leases on the worker are not extended (see
+  // RosterEntry::lease_left), so they must not be.
+  bool lease_withheld = false;
   // Start time of the worker incarnation that reported last.
   absl::Time started_at = absl::InfinitePast();
   // Capacity that is reserved for all of `attempts`.
--- a/packages/cell/job_record.cc
+++ b/packages/cell/job_record.cc
@@ -221,6 +221,13 @@
       row["handed_over_by"] = entry.handover_term;
       row["attempts"] = EncodeAttemptKeys(entry.attempts);
     }
+    if (entry.lease_left.has_value()) {
+      row["lease_left_ms"] =
+          absl::ToInt64Milliseconds(absl::Ceil(*entry.lease_left, absl::Milliseconds(1)));
+    }
+    if (entry.unreachable_for > absl::ZeroDuration()) {
+      row["unreachable_ms"] = absl::ToInt64Milliseconds(entry.unreachable_for);
+    }
     if (!entry.stopping.empty()) {
       row["stopping"] = EncodeAttemptKeys(entry.stopping);
     }
@@ -229,6 +236,16 @@
   return list.dump();
 }
 
+std::string EncodeRosterWithoutTimes(std::vector<RosterEntry> roster) {
+  for (RosterEntry& entry : roster) {
+    entry.unreachable_for = absl::ZeroDuration();
+    if (entry.lease_left.has_value()) {
+      entry.lease_left = absl::ZeroDuration();
+    }
+  }
+  return EncodeRoster(roster);
+}
+
 Result<std::vector<RosterEntry>> DecodeRoster(const std::string& text) {
   return DecodeJson(text, StoredSubject("stored roster"), [](const json& value) {
     if (!value.is_array()) {
@@ -241,6 +258,10 @@
       entry.unreachable = row.contains("frozen");
       entry.handover_term = OptionalInteger(row, "handed_over_by", kMaxTerm);
       entry.attempts = DecodeAttemptKeys(row, entry.unreachable ? "frozen" : "attempts");
+      if (row.contains("lease_left_ms")) {
+        entry.lease_left = MillisFromJson(row.at("lease_left_ms"));
+      }
+      entry.unreachable_for = OptionalMillis(row, "unreachable_ms");
       entry.stopping = DecodeAttemptKeys(row, "stopping");
       roster.push_back(std::move(entry));
     }
--- a/packages/cell/job_record.h
+++ b/packages/cell/job_record.h
@@ -1,6 +1,7 @@
 #ifndef POMELOTRAY_CELL_JOB_RECORD_H_
 #define POMELOTRAY_CELL_JOB_RECORD_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -61,6 +62,13 @@
   // The worker is unreachable: no more attempts are started on it, and only those in `attempts` can
   // be running on it or have ended there without their end being stored.
   bool unreachable = false;
+  // For an unreachable worker and for one that has not reported to this owner: all leases that any
+  // owner has granted there are over within this time after the entry was written. No owner extends
+  // them before a later roster that it has stored has no such value for the worker. No value if the
+  // leases are being extended.
+  std::optional<absl::Duration> lease_left;
+  // For an unreachable worker: for how long it had not answered when the entry was written.
+  absl::Duration unreachable_for;
   // Term of the owner that wrote the entry during a clean shutdown, else 0. When that owner
   // released the pool part, the same holds for this worker. Only the owner of the next term may
   // rely on this; later owners may not, because the owner in between starts further attempts.
@@ -73,6 +81,8 @@
 // Converts the roster of a pool part to and from its stored form (JSON). Decoding fails if any row
 // cannot be read: tasks may be running on the worker that the row describes.
 std::string EncodeRoster(const std::vector<RosterEntry>& roster);
+// Returns the stored form without the durations, which change with the time of writing only.
+std::string EncodeRosterWithoutTimes(std::vector<RosterEntry> roster);
 Result<std::vector<RosterEntry>> DecodeRoster(const std::string& text);
 
 }  // namespace pomelotray
--- a/packages/cell/pool_owner.cc
+++ b/packages/cell/pool_owner.cc
@@ -24,6 +24,8 @@
 constexpr absl::Duration kCommitRetryInterval = absl::Milliseconds(100);
 // A draining worker must be noticed within five times this interval.
 constexpr absl::Duration kDirectoryInterval = absl::Milliseconds(500);
+// Minimum pause between two writes of the roster.
+constexpr absl::Duration kMinRosterInterval = absl::Milliseconds(50);
 constexpr absl::Duration kLoadRetryInterval = absl::Milliseconds(200);
 constexpr absl::Duration kPermissionPollInterval = absl::Milliseconds(50);
 // The platform's store accepts values of up to 1 MB.
@@ -46,6 +48,7 @@
 
 PoolOwner::PoolOwner(PartClaim claim, PoolLimits limits, PoolOwnerContext context)
     : claim_(std::move(claim)),
+      claimed_at_(context.clock->Now()),
       part_(PoolPart::Parse(claim_.part).value_or(PoolPart())),
       limits_(limits),
       context_(std::move(context)),
@@ -82,6 +85,7 @@
   serving_ = false;
   halted_changed_.SignalAll();
   round_needed_.SignalAll();
+  roster_needed_.SignalAll();
   commit_needed_.SignalAll();
   commit_done_.SignalAll();
   for (const auto& [id, session] : sessions_) {
@@ -306,13 +310,41 @@
       RecordStoreFailure(context_.events, "list of workers", listed.error());
     }
     SyncSessions();
-    if (SyncRoster()) {
-      absl::MutexLock lock(&mutex_);
-      Wake();
-    }
+    SyncRosterAndWake();
     LoadFinishedJobs();
     RemoveExpiredJobs();
-  } while (Pause(kDirectoryInterval));
+  } while (WaitForDirectoryRound());
+}
+
+void PoolOwner::SyncRosterAndWake() {
+  if (SyncRoster()) {
+    absl::MutexLock lock(&mutex_);
+    Wake();
+  }
+}
+
+bool PoolOwner::WaitForDirectoryRound() {
+  const absl::Time end = context_.clock->Now() + kDirectoryInterval;
+  while (context_.clock->Now() < end) {
+    {
+      absl::MutexLock lock(&mutex_);
+      while (!halted_ && !roster_requested_ && context_.clock->Now() < end) {
+        context_.clock->WaitUntil(&roster_needed_, &mutex_, end);
+      }
+      if (halted_) {
+        return false;
+      }
+      if (!roster_requested_) {
+        return true;
+      }
+      roster_requested_ = false;
+    }
+    SyncRosterAndWake();
+    if (!Pause(kMinRosterInterval)) {
+      return false;
+    }
+  }
+  return true;
 }
 
 std::vector<std::shared_ptr<WorkerSession>> PoolOwner::RemoveUnusedSessions() {
@@ -356,18 +388,20 @@
   std::vector<RosterEntry> roster;
   {
     absl::MutexLock lock(&mutex_);
-    if (finishing_) {
+    // Without the store, a worker that answers again could not be listed as such, and its lease
+    // would run out.
+    if (finishing_ || !context_.membership->IsStoreAvailable()) {
       return false;
     }
     roster = scheduler_.BuildRoster(context_.clock->Now());
   }
   std::vector<WorkerId> open;
   for (const RosterEntry& entry : roster) {
-    if (!entry.unreachable) {
+    if (!entry.lease_left.has_value()) {
       open.push_back(entry.worker.id);
     }
   }
-  std::string text = EncodeRoster(roster);
+  std::string text = EncodeRosterWithoutTimes(roster);
   if (text == stored_roster_) {
     absl::MutexLock lock(&mutex_);
     scheduler_.ConfirmRoster(open);
@@ -376,7 +410,8 @@
   StoreTransaction transaction = TransactionForClaim(claim_);
   transaction.conditions.push_back(
       StoreCondition{cell_keys::Roster(claim_.part), roster_revision_});
-  transaction.writes = {StoreWrite{cell_keys::Roster(claim_.part), text, std::nullopt}};
+  transaction.writes = {
+      StoreWrite{cell_keys::Roster(claim_.part), EncodeRoster(roster), std::nullopt}};
   const Outcome<Revision> written = Capture([&] { return context_.store->Commit(transaction); });
   if (!written.ok()) {
     RecordStoreFailure(context_.events, "write of the roster", written.error());
--- a/packages/cell/pool_owner.h
+++ b/packages/cell/pool_owner.h
@@ -20,6 +20,7 @@
 #include "cell/commit_stream.h"
 #include "cell/pool_scheduler.h"
 #include "cell/prefix_watcher.h"
+#include "cell/revision_history.h"
 #include "cell/unreadable_entries.h"
 #include "cell/worker_session.h"
 #include "ports/transactional_store.h"
@@ -44,6 +45,8 @@
   const CellMembership* membership = nullptr;
   const Clock* clock = nullptr;
   EventLog* events = nullptr;
+  // Dates the inherited roster. If null, it counts as written just before it is read.
+  const RevisionHistory* revisions = nullptr;
   // Called when a worker's answer or a failed write shows that another instance has taken over the
   // part.
   std::function<void(const PartName&)> claim_lost;
@@ -126,6 +129,13 @@
   // Stores the roster (see RosterEntry) if it has changed or if the stored one is not known.
   // Returns whether it was written.
   bool SyncRoster();
+  // Calls SyncRoster() and starts a scheduling round if that wrote the roster.
+  void SyncRosterAndWake();
+  // Waits until the directory has to be read again and meanwhile stores the roster whenever that is
+  // requested. Returns false if the owner was halted.
+  bool WaitForDirectoryRound();
+  // Returns when the inherited roster was written at the latest.
+  absl::Time RosterWrittenBy(absl::Time now) const;
   // Reads the revision of the roster's entry after a failed write, which may have changed it or may
   // still change it.
   void RereadRosterRevision();
@@ -141,6 +151,7 @@
   void Wake() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   const PartClaim claim_;
+  const absl::Time claimed_at_;
   const PoolPart part_;
   const PoolLimits limits_;
   const PoolOwnerContext context_;
@@ -151,11 +162,14 @@
   // Signaled for the scheduling loop, the commit loops and PrepareHandover(), respectively. With a
   // single condition variable, each worker report would wake all waiting threads (thundering herd).
   absl::CondVar round_needed_;
+  absl::CondVar roster_needed_;
   absl::CondVar commit_needed_;
   absl::CondVar commit_done_;
   bool halted_ ABSL_GUARDED_BY(mutex_) = false;
   bool serving_ ABSL_GUARDED_BY(mutex_) = false;
   bool round_requested_ ABSL_GUARDED_BY(mutex_) = false;
+  // A worker answers again whose lease may be extended only once the roster says so.
+  bool roster_requested_ ABSL_GUARDED_BY(mutex_) = false;
   // Set by PrepareHandover(): no orders are sent any more, but ends of tasks are still stored.
   bool finishing_ ABSL_GUARDED_BY(mutex_) = false;
   bool claim_lost_ ABSL_GUARDED_BY(mutex_) = false;
@@ -168,9 +182,10 @@
   PoolScheduler scheduler_ ABSL_GUARDED_BY(mutex_);
   std::map<WorkerId, std::shared_ptr<WorkerSession>> sessions_ ABSL_GUARDED_BY(mutex_);
 
-  // Accessed by Load() and then only by the directory thread. `stored_roster_` has no value while
-  // the contents of the entry are not known: before the first write and after a failed one, until
-  // the next write succeeds. That write invalidates the condition of a late earlier one.
+  // Accessed by Load() and then only by the directory thread. `stored_roster_` is the stored roster
+  // without times (see EncodeRosterWithoutTimes()). It has no value while the contents of the entry
+  // are not known: before the first write and after a failed one, until the next write succeeds.
+  // That write invalidates the condition of a late earlier one.
   std::optional<std::string> stored_roster_;
   Revision roster_revision_;
 
--- a/packages/cell/pool_owner_load.cc
+++ b/packages/cell/pool_owner_load.cc
@@ -1,6 +1,7 @@
 // The part of PoolOwner that reads from the store: the state that earlier owners left, then new
 // jobs and cancellations.
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <thread>
@@ -115,7 +116,8 @@
       .With("roster", static_cast<int64_t>(roster.has_value() ? roster->size() : 0))
       .Emit();
   absl::MutexLock lock(&mutex_);
-  scheduler_.LoadInheritedState(std::move(jobs), progress, roster, now);
+  scheduler_.LoadInheritedState(std::move(jobs), progress, roster,
+                                InheritedTimes{now, claimed_at_, RosterWrittenBy(now)});
   for (const JobId& id : cancelled) {
     scheduler_.CancelJob(id, now);
   }
@@ -127,6 +129,12 @@
   return {};
 }
 
+absl::Time PoolOwner::RosterWrittenBy(absl::Time now) const {
+  return context_.revisions == nullptr
+             ? now
+             : std::min(now, context_.revisions->ReachedBy(roster_revision_));
+}
+
 std::optional<std::vector<RosterEntry>> PoolOwner::ReadRoster(const StoreEntry& entry) {
   Outcome<std::vector<RosterEntry>> roster = Capture([&] { return DecodeRoster(entry.value); });
   if (!roster.ok()) {
--- a/packages/cell/pool_owner_sessions.cc
+++ b/packages/cell/pool_owner_sessions.cc
@@ -8,6 +8,9 @@
 // How long a worker waits for the end of an attempt before it answers a hold. This also bounds the
 // age of its last report.
 constexpr absl::Duration kHoldWait = absl::Milliseconds(1000);
+// The same while the roster has to be stored before the lease is extended, which takes a few
+// milliseconds.
+constexpr absl::Duration kHoldWaitBeforeExtension = absl::Milliseconds(50);
 
 }  // namespace
 
@@ -33,8 +36,13 @@
       context_.membership->MayStartTasks() ? scheduler_.ExtendLease(id, context_.clock->Now())
                                            : std::nullopt;
   order.lease_end = lease_end.value_or(WorkerTime(0));
-  // A worker that has not reported since its last failure is asked to answer at once.
-  order.wait = scheduler_.IsTrusted(id) ? kHoldWait : absl::ZeroDuration();
+  // A worker that has not reported since its last failure is asked to answer at once, and one whose
+  // lease is to be extended again soon.
+  if (scheduler_.NeedsRosterToExtendLease(id)) {
+    order.wait = kHoldWaitBeforeExtension;
+  } else {
+    order.wait = scheduler_.IsTrusted(id) ? kHoldWait : absl::ZeroDuration();
+  }
   return order;
 }
 
@@ -48,6 +56,10 @@
     }
     if (accepted) {
       scheduler_.ApplyReport(id, answer.value().report, sent, received);
+      if (scheduler_.NeedsRosterToExtendLease(id)) {
+        roster_requested_ = true;
+        roster_needed_.Signal();
+      }
     } else if (answer.ok() && answer.value().answer == OrderAnswer::kWrongWorker) {
       scheduler_.WorkerReplaced(id, received);
     } else {
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -17,9 +17,13 @@
 // A stop order that was confirmed is sent again after this time if the attempt is still not over,
 // by far longer than a stop takes. Nothing else would end a long-running attempt.
 constexpr absl::Duration kConfirmedStopResendInterval = absl::Seconds(5);
-// A worker that has not reported for this long (two intervals of holds) is recorded as
-// unreachable in the roster.
-constexpr absl::Duration kUnreachableAfter = absl::Seconds(2);
+// A worker is recorded as unreachable in the roster when it has not answered for this long after a
+// call failed, or not reported for two intervals of holds.
+constexpr absl::Duration kUnreachableAfter = absl::Milliseconds(500);
+constexpr absl::Duration kMaxReportAge = absl::Seconds(2);
+// A worker of the inherited roster that has not reported to a new owner for this long is recorded
+// as one whose leases are not extended.
+constexpr absl::Duration kUnreportedAfter = absl::Seconds(1);
 // An earlier owner learns both of new jobs and of the loss of its claim through watches on the
 // store. The delays of these watches differ by less than this, even if the store is slow.
 constexpr absl::Duration kMaxStaleOwnerDelay = absl::Milliseconds(300);
@@ -64,7 +68,9 @@
 void PoolScheduler::LoadInheritedState(std::vector<JobIntake> jobs,
                                        const std::map<JobId, std::string>& progress,
                                        const std::optional<std::vector<RosterEntry>>& roster,
-                                       absl::Time now) {
+                                       const InheritedTimes& times) {
+  const absl::Time now = times.now;
+  loaded_at_ = now;
   for (JobIntake& intake : jobs) {
     const JobId id = intake.id;
     CellJob job = MakeCellJob(std::move(intake));
@@ -91,26 +97,39 @@
   if (!roster.has_value()) {
     // A placeholder for the unknown workers. It never reports, so inherited tasks wait until the
     // leases have expired.
-    unreported_workers_.insert(WorkerId());
+    unreported_workers_[WorkerId()] = now + MaxLeaseDuration();
   }
   for (const RosterEntry& entry : roster.value_or(std::vector<RosterEntry>())) {
-    CellWorker& worker = UpsertCellWorker(entry.worker);
-    worker.lease_over_at = now + MaxLeaseDuration();
-    worker.on_roster = !entry.unreachable;
-    if (entry.unreachable || entry.handover_term + 1 == term_) {
-      InheritAttempts(&worker, entry, now);
-    } else {
-      unreported_workers_.insert(entry.worker.id);
-    }
+    InheritWorker(entry, times);
   }
-  inherited_leases_end_ = now + MaxLeaseDuration();
   stale_owner_until_ = now + kMaxStaleOwnerDelay;
 }
 
+void PoolScheduler::InheritWorker(const RosterEntry& entry, const InheritedTimes& times) {
+  CellWorker& worker = UpsertCellWorker(entry.worker);
+  worker.lease_over_at =
+      std::min(times.now, times.claimed + kMaxStaleOwnerDelay) + MaxLeaseDuration();
+  if (entry.lease_left.has_value()) {
+    worker.lease_over_at = std::min(worker.lease_over_at,
+                                    std::min(times.now, times.roster_written) + *entry.lease_left);
+  }
+  worker.lease_withheld = entry.unreachable || entry.lease_left.has_value();
+  worker.on_roster = !worker.lease_withheld;
+  if (entry.unreachable) {
+    worker.unreachable_since = std::min(times.now, times.roster_written) - entry.unreachable_for;
+    InheritAttempts(&worker, entry, times.now);
+  } else if (entry.handover_term + 1 == term_) {
+    InheritAttempts(&worker, entry, times.now);
+  } else {
+    unreported_workers_[entry.worker.id] = worker.lease_over_at;
+  }
+}
+
 bool PoolScheduler::CanStartInheritedTasks(absl::Time now) const {
   // The ends that a worker has yet to list outlast the leases.
   return partly_reported_workers_.empty() &&
-         (unreported_workers_.empty() || now >= inherited_leases_end_);
+         std::all_of(unreported_workers_.begin(), unreported_workers_.end(),
+                     [now](const auto& entry) { return entry.second <= now; });
 }
 
 bool PoolScheduler::MayHaveUnknownAttempts(const WorkerId& id) const {
@@ -237,19 +256,26 @@
   for (auto& [id, worker] : workers_) {
     const bool usable = worker.listed && !worker.description.draining;
     const bool unreported = MayHaveUnknownAttempts(id);
-    const bool unreachable =
-        !unreported && !IsTrusted(id) && now - worker.last_report > kUnreachableAfter;
+    const bool withheld = IsLeaseToBeWithheld(id, worker, now);
+    worker.lease_withheld = worker.lease_withheld || withheld;
+    const bool unreachable = withheld && !unreported;
     if (unreachable || !usable) {
       worker.on_roster = worker.on_roster && unreported;
     }
     std::vector<AttemptKey> unsettled = UnsettledAttempts(worker);
     if (unsettled.empty() && !unreported && (unreachable || !usable)) {
+      // Nothing runs there that a lease could cover.
+      worker.lease_withheld = withheld;
       continue;
     }
     RosterEntry entry;
     entry.worker = worker.description;
     entry.unreachable = unreachable;
+    if (withheld) {
+      entry.lease_left = std::max(worker.lease_over_at - now, absl::ZeroDuration());
+    }
     if (unreachable) {
+      entry.unreachable_for = std::max(now - worker.unreachable_since, absl::ZeroDuration());
       entry.attempts = std::move(unsettled);
     }
     roster.push_back(std::move(entry));
@@ -257,6 +283,18 @@
   return roster;
 }
 
+bool PoolScheduler::IsLeaseToBeWithheld(const WorkerId& id, const CellWorker& worker,
+                                        absl::Time now) const {
+  if (IsTrusted(id) || worker.lease_withheld) {
+    return !IsTrusted(id);
+  }
+  if (MayHaveUnknownAttempts(id)) {
+    return now - loaded_at_ > kUnreportedAfter;
+  }
+  return now - worker.unreachable_since > kUnreachableAfter ||
+         now - worker.last_report > kMaxReportAge;
+}
+
 std::vector<RosterEntry> PoolScheduler::BuildHandoverRoster(absl::Time now) {
   std::vector<RosterEntry> roster = BuildRoster(now);
   for (RosterEntry& entry : roster) {
@@ -281,10 +319,15 @@
     CellWorker* worker = FindWorker(id);
     if (worker != nullptr) {
       worker->on_roster = true;
+      worker->lease_withheld = false;
     }
   }
 }
 
+bool PoolScheduler::NeedsRosterToExtendLease(const WorkerId& id) const {
+  return IsTrusted(id) && workers_.at(id).lease_withheld;
+}
+
 void PoolScheduler::MarkChanged(CellJob* job) {
   ++job->version;
   changed_.insert(job->intake.id);
@@ -522,7 +565,7 @@
 
 std::optional<WorkerTime> PoolScheduler::ExtendLease(const WorkerId& id, absl::Time now) {
   CellWorker* worker = FindWorker(id);
-  if (worker == nullptr || !IsTrusted(id)) {
+  if (worker == nullptr || !IsTrusted(id) || worker->lease_withheld) {
     return std::nullopt;
   }
   worker->lease_over_at = now + MaxLeaseDuration();
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -60,6 +60,15 @@
   int64_t workers_examined = 0;
 };
 
+// Times by the clock of a new owner that bound the leases that earlier owners have granted.
+struct InheritedTimes {
+  absl::Time now;
+  // When this owner claimed the part: no earlier owner grants a lease much later.
+  absl::Time claimed;
+  // The inherited roster was written before this time.
+  absl::Time roster_written;
+};
+
 // Scheduling state and decisions of the owner of one pool part: its jobs, workers and attempts.
 // Starts no threads and does no I/O, so that tests can drive each rule with a simulated clock. Not
 // thread-safe: the caller serializes all calls. A task is started again only when its last attempt
@@ -74,7 +83,8 @@
   // is recorded as unreachable, and a worker whose attempts the immediately preceding owner listed
   // in its handover. Without a roster, the tasks wait until all leases must have expired.
   void LoadInheritedState(std::vector<JobIntake> jobs, const std::map<JobId, std::string>& progress,
-                          const std::optional<std::vector<RosterEntry>>& roster, absl::Time now);
+                          const std::optional<std::vector<RosterEntry>>& roster,
+                          const InheritedTimes& times);
 
   // Adds a job that an earlier owner finished. Does nothing if the job is already known.
   void AddFinishedJob(const JobId& id, CellJobState state, absl::Time now);
@@ -87,13 +97,18 @@
   void UpdateDirectory(const std::vector<WorkerDescription>& workers, absl::Time now);
   // Returns the roster to store next: the workers on which tasks may run or be started. All other
   // workers get no starts until ConfirmRoster() names them again, so that a later owner does not
-  // have to wait for them.
+  // have to wait for them. Leases on workers that do not answer are not extended any more, for the
+  // same reason.
   std::vector<RosterEntry> BuildRoster(absl::Time now);
   // Returns the roster for a planned handover to the next owner, with all attempts that may be
   // running. Called when no more orders will be sent.
   std::vector<RosterEntry> BuildHandoverRoster(absl::Time now);
-  // Allows starts on the workers of a roster that has been stored durably.
+  // Allows starts and lease extensions on the workers of a roster that has been stored durably.
+  // `ids` names those that the roster does not list as unreachable and whose leases it does not
+  // bound.
   void ConfirmRoster(const std::vector<WorkerId>& ids);
+  // Whether the worker answers and the roster has to be stored before its lease is extended again.
+  bool NeedsRosterToExtendLease(const WorkerId& id) const;
 
   // `sent` is the time at which the hold was sent, `received` the time of its answer.
   void ApplyReport(const WorkerId& id, const WorkerReport& report, absl::Time sent,
@@ -259,6 +274,9 @@
   void ApplyAbsences(CellWorker* worker, const WorkerReport& report, absl::Time sent,
                      absl::Time received);
   absl::Duration MaxLeaseDuration() const;
+  void InheritWorker(const RosterEntry& entry, const InheritedTimes& times);
+  // Whether the roster says from now on that the worker's leases are not extended.
+  bool IsLeaseToBeWithheld(const WorkerId& id, const CellWorker& worker, absl::Time now) const;
 
   const PoolPart part_;
   const int64_t term_;
@@ -285,12 +303,11 @@
   absl::flat_hash_set<JobId> changed_;
   // When the workers whose loss was certain were lost, as far as it matters to later losses.
   std::map<WorkerId, absl::Time> lost_workers_;
-  // Workers of the inherited roster that have not reported yet.
-  std::set<WorkerId> unreported_workers_;
+  // Workers of the inherited roster that have not reported yet, and when the leases there are over.
+  std::map<WorkerId, absl::Time> unreported_workers_;
   // Workers of the inherited roster whose reports so far may have omitted ended attempts.
   std::set<WorkerId> partly_reported_workers_;
-  // When the leases that earlier owners granted have all expired.
-  absl::Time inherited_leases_end_ = absl::InfinitePast();
+  absl::Time loaded_at_ = absl::InfinitePast();
   // The earlier owner may not have noticed its replacement before this time. It may know, and have
   // started, jobs that arrive until then.
   absl::Time stale_owner_until_ = absl::InfinitePast();
--- a/tests/cell/pool_simulation.cc
+++ b/tests/cell/pool_simulation.cc
@@ -450,10 +450,15 @@
   }
   scheduler_->UpdateDirectory(listed, Now());
   const std::vector<RosterEntry> roster = scheduler_->BuildRoster(Now());
-  stored_roster_ = EncodeRoster(roster);
+  const std::string without_times = EncodeRosterWithoutTimes(roster);
+  if (without_times != stored_roster_without_times_) {
+    stored_roster_ = EncodeRoster(roster);
+    stored_roster_without_times_ = without_times;
+    roster_written_ = Now();
+  }
   std::vector<WorkerId> open;
   for (const RosterEntry& entry : roster) {
-    if (!entry.unreachable) {
+    if (!entry.lease_left.has_value()) {
       open.push_back(entry.worker.id);
     }
   }
@@ -494,7 +499,8 @@
   if (!stored_roster_.empty()) {
     roster = Capture([this] { return DecodeRoster(stored_roster_); }).value();
   }
-  scheduler_->LoadInheritedState(std::move(jobs), stored_progress_, roster, Now());
+  scheduler_->LoadInheritedState(std::move(jobs), stored_progress_, roster,
+                                 InheritedTimes{Now(), Now(), roster_written_});
   for (const auto& [id, job] : jobs_) {
     if (job.cancelled) {
       scheduler_->CancelJob(JobId(id), Now());
--- a/tests/cell/pool_simulation.h
+++ b/tests/cell/pool_simulation.h
@@ -282,6 +282,8 @@
   std::map<JobId, std::string> stored_progress_;
   std::set<JobId> stored_final_;
   std::string stored_roster_;
+  std::string stored_roster_without_times_;
+  absl::Time roster_written_ = absl::InfinitePast();
   std::set<std::string> acknowledged_successes_;
   std::map<std::string, int> crashes_;
   std::map<std::string, int> starts_after_third_crash_;
--- a/tests/cell/scheduler_fixture.cc
+++ b/tests/cell/scheduler_fixture.cc
@@ -162,7 +162,8 @@
   }
   scheduler_ = std::make_unique<PoolScheduler>(PoolPart{PoolName(kPool), 0, 1}, ++term_,
                                                PoolLimits(), &events_);
-  scheduler().LoadInheritedState(std::move(jobs), stored_progress_, roster, Now());
+  scheduler().LoadInheritedState(std::move(jobs), stored_progress_, roster,
+                                 InheritedTimes{Now(), Now(), roster_written_});
   scheduler().UpdateDirectory(workers, Now());
 }
 
--- a/tests/cell/scheduler_fixture.h
+++ b/tests/cell/scheduler_fixture.h
@@ -49,6 +49,8 @@
   // Simulates a crash of the worker's process: its hold fails at once. After kRestartTime, its
   // next process answers at the same address as the idle worker `successor`.
   void Crash(const std::string& worker, const std::string& successor);
+  // The next owner knows that its inherited roster was written by then.
+  void SetRosterWritten(absl::Time time) { roster_written_ = time; }
   // Returns the events of one kind that were logged, oldest first.
   std::vector<Event> Events(EventCode code) const;
   // Stores the progress of all changed jobs.
@@ -73,6 +75,7 @@
   std::unique_ptr<PoolScheduler> scheduler_;
   std::map<std::string, int64_t> last_end_number_;
   std::map<JobId, std::string> stored_progress_;
+  absl::Time roster_written_ = absl::InfiniteFuture();
 };
 
 // Returns the start orders, or the stop orders, in `orders`.
