cell: Call a worker at its new address

Callers saw a long-running task that did not run although its worker was registered: the worker had come back under its id at another address, and PoolOwner kept the session, and with it the address, of the first description. The only worker of a pool was never called again.

A session is replaced when the directory gives another address. Start orders that the former session had queued or sent count as unanswered, so that they are stopped and settled by a report before their tasks start elsewhere.

--- a/packages/cell/pool_owner.cc
+++ b/packages/cell/pool_owner.cc
@@ -370,13 +370,23 @@
     unused = RemoveUnusedSessions();
     const WorkerSession::Context context = {context_.connector, context_.timers, context_.clock,
                                             this};
+    std::vector<WorkerId> moved;
     for (const auto& [id, worker] : scheduler_.workers()) {
       std::shared_ptr<WorkerSession>& session = sessions_[id];
+      if (session != nullptr && session->address() != worker.description.address) {
+        session->RequestStop();
+        unused.push_back(std::move(session));
+        session = nullptr;
+        moved.push_back(id);
+      }
       if (session == nullptr) {
         session = std::make_shared<WorkerSession>(worker.description, context);
         session->Begin();
       }
     }
+    for (const WorkerId& id : moved) {
+      scheduler_.WorkerMoved(id, context_.clock->Now());
+    }
   }
   for (const std::shared_ptr<WorkerSession>& session : unused) {
     session->RequestStop();
--- a/packages/cell/pool_owner.h
+++ b/packages/cell/pool_owner.h
@@ -122,7 +122,8 @@
   void DirectoryLoop();
   void ApplyIntake(const WatchBatch& batch);
   bool IsKnown(const JobId& id) const;
-  // Starts sessions with new workers and stops those of removed workers.
+  // Starts sessions with new workers and with those that have moved to another address, and stops
+  // those of removed workers.
   void SyncSessions();
   std::vector<std::shared_ptr<WorkerSession>> RemoveUnusedSessions()
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -117,6 +117,9 @@
   // Called when another worker answers at the worker's address. The worker no longer exists, and
   // none of its attempts runs any more.
   void WorkerReplaced(const WorkerId& id, absl::Time now);
+  // Called when the worker is at another address, so that orders to the former one get no answer
+  // any more.
+  void WorkerMoved(const WorkerId& id, absl::Time now);
   void StartFinished(const WorkerId& id, const AttemptKey& key, const OrderOutcome& outcome,
                      absl::Time now);
   // Takes a report that was requested at `sent`, after the worker had confirmed the stop of an
--- a/packages/cell/pool_scheduler_losses.cc
+++ b/packages/cell/pool_scheduler_losses.cc
@@ -266,6 +266,22 @@
   RecordLosses(worker, now, /*certain=*/false);
 }
 
+void PoolScheduler::WorkerMoved(const WorkerId& id, absl::Time now) {
+  const CellWorker* const worker = FindWorker(id);
+  if (worker == nullptr) {
+    return;
+  }
+  std::vector<AttemptKey> unanswered;
+  for (const auto& [key, attempt] : worker->attempts) {
+    if (attempt.phase == AttemptPhase::kOrdered) {
+      unanswered.push_back(key);
+    }
+  }
+  for (const AttemptKey& key : unanswered) {
+    StartFinished(id, key, OrderOutcome{std::nullopt, /*never_sent=*/false}, now);
+  }
+}
+
 void PoolScheduler::WorkerReplaced(const WorkerId& id, absl::Time now) {
   CellWorker* worker = FindWorker(id);
   if (worker == nullptr) {
--- a/packages/cell/worker_session.h
+++ b/packages/cell/worker_session.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
@@ -56,6 +57,7 @@
 
   WorkerSession(const WorkerDescription& worker, const Context& context);
 
+  const std::string& address() const { return worker_.address; }
   // Sends the first hold.
   void Begin();
   // Queues a start or stop order.
