cell: Record unreported workers in the roster soon after a takeover

The owner would have recorded after 1 s that its lease is not extended, but the store went down before, and the next owner waited for a whole lease again.

The record is now due 0.3 s after the state was loaded. A worker that reports later costs one more write of the roster.

--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -22,8 +22,8 @@
 constexpr absl::Duration kUnreachableAfter = absl::Milliseconds(500);
 constexpr absl::Duration kMaxReportAge = absl::Seconds(2);
 // A worker of the inherited roster that has not reported to a new owner for this long is recorded
-// as one whose leases are not extended.
-constexpr absl::Duration kUnreportedAfter = absl::Seconds(1);
+// as one whose leases are not extended. Workers that answer report within a few round trips.
+constexpr absl::Duration kUnreportedAfter = absl::Milliseconds(300);
 // An earlier owner learns both of new jobs and of the loss of its claim through watches on the
 // store. The delays of these watches differ by less than this, even if the store is slow.
 constexpr absl::Duration kMaxStaleOwnerDelay = absl::Milliseconds(300);
