--- a/packages/cell/restart_times.h
+++ b/packages/cell/restart_times.h
@@ -14,6 +14,8 @@
   bool active() const { return ended_ < absl::InfiniteFuture(); }
   // Whether this owner has ordered the task to start again.
   bool WasOrdered() const { return active() && orders_ > 0; }
+  // When the last run ended; the infinite future if the task does not have to be restarted.
+  absl::Time ended() const { return ended_; }
   // The last run ended at `ended`, or earlier, and the owner is sure of that from `known` on. Does
   // nothing if the restart has begun already.
   void Begin(absl::Time ended, absl::Time known);
--- a/packages/cell/start_urgency.cc
+++ b/packages/cell/start_urgency.cc
@@ -28,10 +28,12 @@
                          ? task.waiting_since
                          : absl::InfiniteFuture()),
       waited_(now - waiting_since_),
-      restart_(task.last_run > RunNumber(0)) {}
+      restart_(task.last_run > RunNumber(0)),
+      out_of_budget_(now - task.restart.ended() >= kRulesBudget) {}
 
 bool StartUrgency::Overrides(WithholdingRule rule) const {
-  return waited_ >= WaitBeforeOverride(rule, restart_);
+  return waited_ >= WaitBeforeOverride(rule, restart_) ||
+         (out_of_budget_ && waited_ >= absl::ZeroDuration());
 }
 
 absl::Time UrgentSince(const StepSpec& step, const StepRun& run, absl::Time now) {
--- a/packages/cell/start_urgency.h
+++ b/packages/cell/start_urgency.h
@@ -29,6 +29,10 @@
 // kMaxWait after its owner learned that it has to run. That leaves one question to the adviser, by
 // which the expired ticket for the chosen worker is renewed.
 //
+// The rules and the lease of a lost worker share one budget: no rule delays a task any more whose
+// last run ended kRulesBudget ago. So the restart after a lease needs only the adviser's answer and
+// the start order, whoever owned the pool meanwhile.
+//
 // - Order: after 0.5 s, or 1 s before the first start. A task takes its capacity once, and later
 //   steps take the rest.
 // - Reservation: after 0.5 s, or 2 s before the first start, since new tasks could keep large ones
@@ -46,6 +50,8 @@
  public:
   // Longest wait beside a worker with capacity.
   static constexpr absl::Duration kMaxWait = absl::Seconds(3);
+  // Time from the end of the last run in which rules may delay the next one: the longest lease.
+  static constexpr absl::Duration kRulesBudget = absl::Milliseconds(6500);
 
   // The urgency of a task at `now`. Tasks that end by themselves are never urgent.
   StartUrgency(const StepSpec& step, const CellTask& task, absl::Time now);
@@ -60,6 +66,7 @@
   absl::Duration waited_;
   // The task has been started before.
   bool restart_;
+  bool out_of_budget_;
 };
 
 // Returns the beginning of the longest wait among the run's waiting tasks that override the order
--- a/tests/cell/start_urgency_test.cc
+++ b/tests/cell/start_urgency_test.cc
@@ -49,6 +49,31 @@
   BOOST_TEST(pool.CountRunning("watch") == 1);
 }
 
+// Guards against bounds that add up: the lease of a lost worker and then the suspicion that the
+// task caused the loss.
+BOOST_AUTO_TEST_CASE(SuspectStartsAsSoonAsTheLeaseOfItsLostWorkerIsOver) {
+  RunningPool pool;
+  pool.AddWorkers(6, 8000);
+  pool.Add(Fixture::Job("batch", {Fixture::Step(6, 5000)}));
+  pool.Step();
+  pool.Add(LongRunningJob("watch", 1, 1000));
+  for (int loss = 0; loss < 3; ++loss) {
+    pool.Run(absl::Seconds(1 + loss * 2));
+    BOOST_REQUIRE_EQUAL(pool.CountRunning("watch"), 1);
+    const std::string lost = pool.WorkerOf("watch");
+    if (loss < 2) {
+      pool.Crash(lost);
+      pool.Run(kMaxWait);
+    } else {
+      pool.running().erase(lost);
+      pool.fixture().scheduler().HoldFailed(WorkerId(lost), pool.fixture().Now());
+    }
+  }
+  constexpr absl::Duration kLongestLease = absl::Milliseconds(6540);
+  pool.Run(kLongestLease + absl::Milliseconds(300));
+  BOOST_TEST(pool.CountRunning("watch") == 1);
+}
+
 // Guards against a task that waits for as long as other work keeps arriving: each gap on a worker
 // is taken by a short task of a more urgent job before the round comes to it.
 BOOST_AUTO_TEST_CASE(CapacityIsHeldForATaskThatHasWaited) {
