--- a/tests/soak/long_running_soak.cc
+++ b/tests/soak/long_running_soak.cc
@@ -214,6 +214,10 @@
 }
 
 void LongRunningSoak::LoseWorker(int worker) {
+  // Another fault may have ended it before.
+  if (!workers_[worker]->IsUp()) {
+    return;
+  }
   workers_[worker]->Lose();
   due_.emplace(absl::Now() + kEntryLifetime, [this, worker] {
     if (!workers_[worker]->IsUp()) {
@@ -234,8 +238,10 @@
     return;
   }
   const auto come_back = [this, index, other_address] {
-    workers_[index]->ComeBack(other_address);
-    Publish(index);
+    if (!workers_[index]->IsUp()) {
+      workers_[index]->ComeBack(other_address);
+      Publish(index);
+    }
   };
   {
     absl::MutexLock lock(&mutex_);
