--- a/tests/soak/long_running_soak.cc
+++ b/tests/soak/long_running_soak.cc
@@ -94,12 +94,12 @@
   for (int job = 0; job < limits_.long_running_jobs; ++job) {
     SubmitLongRunningJob(job);
   }
-  const size_t tasks = static_cast<size_t>(limits_.long_running_jobs * limits_.tasks_per_job);
+  const int tasks = limits_.long_running_jobs * limits_.tasks_per_job;
   const absl::Time end = absl::Now() + kMaxStartTime;
-  while (history_.LongRunningTasksStarted() < tasks && absl::Now() < end) {
+  while (history_.CountLongRunningTasks() < tasks && absl::Now() < end) {
     absl::SleepFor(kCheckInterval);
   }
-  if (history_.LongRunningTasksStarted() < tasks) {
+  if (history_.CountLongRunningTasks() < tasks) {
     history_.AddViolation("not all long-running tasks have started");
     return false;
   }
--- a/tests/soak/run_history.cc
+++ b/tests/soak/run_history.cc
@@ -103,9 +103,9 @@
   return {long_running_tasks_.begin(), long_running_tasks_.end()};
 }
 
-size_t RunHistory::LongRunningTasksStarted() const {
+int RunHistory::CountLongRunningTasks() const {
   absl::MutexLock lock(&mutex_);
-  return long_running_tasks_.size();
+  return static_cast<int>(long_running_tasks_.size());
 }
 
 std::vector<absl::Duration> RunHistory::LongRunningGaps() const {
--- a/tests/soak/run_history.h
+++ b/tests/soak/run_history.h
@@ -47,7 +47,7 @@
   std::vector<StoppedTask> StoppedLongRunningTasks() const;
   // The long-running tasks that have started, and their number.
   std::vector<std::string> LongRunningTasks() const;
-  size_t LongRunningTasksStarted() const;
+  int CountLongRunningTasks() const;
   // Returns how long each long-running task was without a run between two runs, the longest first.
   std::vector<absl::Duration> LongRunningGaps() const;
   // The runs that were recorded with GangIncomplete(), as "<task>#<run>".
