Review case 6: six services, so that the case does not hang on 100 ms

Cause: with four services the second stop had to fall into a window of 200 ms. Change: six services and stops 0.4 s apart leave 200 ms on both sides.

--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -14,12 +14,12 @@
 
 using nlohmann::json;
 
-constexpr int kServices = 4;
+constexpr int kServices = 6;
 // 50 times the ordinary 4 ms.
 constexpr int kSlowAnswerMs = 200;
 constexpr int kSlowForMs = 4000;
 // Pause between the two stops.
-constexpr int kGapMs = 300;
+constexpr int kGapMs = 400;
 constexpr int kGraceMs = 6000;
 constexpr int kFinishMs = 14'000;
 constexpr int kIdleMs = 3000;
