membership: Write no claim after the lease or the part was lost

Cause: whether this instance may claim was checked once for a list of parts, and each claim was written later with whatever the lease was by then. After Resign() that was no lease, which the store takes as a permanent entry. The claim outlived its process, and no instance replaces a claim that stands.

Fix: each claim is prepared under the lock that Resign() takes, with all conditions checked again. EntryLifetime replaces the optional lease of a StoreWrite: an entry is either permanent or bound to a lease that the writer has, so that "no lease" and "lost the lease" cannot be confused. The second check also keeps an instance from replacing a claim that another one has made since the list was made. On the same path: no task may be started and no part is gained after Resign(), and an instance that is stopped while it registers ends the lease that it has just been granted, so that its member entry does not outlive it.

Tests, on the code before with the type alone: StopBetweenTwoClaimsLeavesNoClaim (a second instance does not own the part within 60 s), ClaimInFlightAtAStopEndsWithTheLease (tasks may still be started after Resign(); the claim itself ended with its lease in both orders) and StopDuringRegistrationEndsTheNewLease (the lease is not revoked) failed. The other writers of members and claims were read: InstanceLease::Publish() takes a lease that cannot be missing, and the claims of ShardClaims are permanent by design and replaceable once their owner has no instance entry.

--- a/packages/cell/cell_membership.cc
+++ b/packages/cell/cell_membership.cc
@@ -107,11 +107,16 @@
     }
   }
   if (lease.has_value()) {
-    // If this fails, the lease expires after its TTL.
-    const Outcome<void> revoked = Capture([&] { return store_->RevokeLease(*lease); });
-    if (!revoked.ok()) {
-      RecordStoreFailure(events_, "revocation of the instance lease", revoked.error());
-    }
+    // Also ends claims whose answers are outstanding.
+    EndLease(*lease);
+  }
+}
+
+void CellMembership::EndLease(const StoreLeaseId& lease) {
+  // If this fails, the lease expires after its TTL.
+  const Outcome<void> revoked = Capture([&] { return store_->RevokeLease(lease); });
+  if (!revoked.ok()) {
+    RecordStoreFailure(events_, "revocation of the instance lease", revoked.error());
   }
 }
 
@@ -181,8 +186,8 @@
 bool CellMembership::MayStartTasks() const {
   absl::MutexLock lock(&mutex_);
   const absl::Time now = clock_->Now();
-  return now - renewed_at_ < kLeaseTtl - kLeaseSafetyMargin ||
-         now - outage_confirmed_at_ < kOutageConfirmationValidity;
+  return !resigned_ && (now - renewed_at_ < kLeaseTtl - kLeaseSafetyMargin ||
+                        now - outage_confirmed_at_ < kOutageConfirmationValidity);
 }
 
 bool CellMembership::IsStoreAvailable() const {
@@ -325,8 +330,18 @@
     return false;
   }
   events_->Record(EventCode::kInstanceLeaseGranted).With("lease", lease.value().value()).Emit();
+  if (!AdoptLease(lease.value())) {
+    EndLease(lease.value());
+  }
+  return true;
+}
+
+bool CellMembership::AdoptLease(const StoreLeaseId& lease) {
   absl::MutexLock lock(&mutex_);
-  lease_ = lease.value();
+  if (resigned_) {
+    return false;
+  }
+  lease_ = lease;
   registered_at_ = clock_->Now();
   return true;
 }
@@ -337,7 +352,8 @@
                       {"cpu_milli", self_.cpu_milli},
                       {"started_ms", absl::ToUnixMillis(self_.started)}};
   StoreTransaction transaction;
-  transaction.writes.push_back(StoreWrite{cell_keys::Member(self_.id), value.dump(), lease});
+  transaction.writes.push_back(
+      StoreWrite{cell_keys::Member(self_.id), value.dump(), EntryLifetime::BoundTo(lease)});
   const Outcome<Revision> written = Capture([&] { return store_->Commit(transaction); });
   if (!written.ok()) {
     RecordStoreFailure(events_, "registration of the instance", written.error());
@@ -380,66 +396,82 @@
          now - unowned > kFallbackClaimDelay;
 }
 
-void CellMembership::ClaimEligibleParts() {
-  std::vector<PartName> wanted;
-  {
-    absl::MutexLock lock(&mutex_);
-    const absl::Time now = clock_->Now();
-    if (resigned_ || !view_complete_ || !lease_.has_value() || !store_available_) {
-      return;
-    }
-    const bool settled = now - registered_at_ >= kMembershipSettleTime;
-    for (const PartName& part : Parts()) {
-      if (IsClaimOfPreviousProcess(part) || (settled && MayClaim(part, now))) {
-        wanted.push_back(part);
-      }
-    }
+bool CellMembership::IsEligible(const PartName& part, absl::Time now) {
+  if (resigned_ || !view_complete_ || !lease_.has_value() || !store_available_) {
+    return false;
   }
-  for (const PartName& part : wanted) {
-    TryClaim(part);
+  const bool settled = now - registered_at_ >= kMembershipSettleTime;
+  return IsClaimOfPreviousProcess(part) || (settled && MayClaim(part, now));
+}
+
+std::vector<PartName> CellMembership::EligibleParts() {
+  absl::MutexLock lock(&mutex_);
+  const absl::Time now = clock_->Now();
+  std::vector<PartName> eligible;
+  for (const PartName& part : Parts()) {
+    if (IsEligible(part, now)) {
+      eligible.push_back(part);
+    }
   }
+  return eligible;
 }
 
-void CellMembership::TryClaim(const PartName& part) {
-  StoreTransaction transaction;
-  PartClaim claim;
-  {
-    absl::MutexLock lock(&mutex_);
-    const auto stale = claims_.find(part);
-    const auto unreadable = unreadable_claims_.find(part);
-    Revision expected;
-    if (stale != claims_.end()) {
-      expected = stale->second.revision;
-    } else if (unreadable != unreadable_claims_.end()) {
-      expected = unreadable->second;
+void CellMembership::ClaimEligibleParts() {
+  for (const PartName& part : EligibleParts()) {
+    // The claims before this one may have taken long enough for the lease or the part to be lost.
+    std::optional<PreparedClaim> prepared = PrepareClaim(part);
+    if (prepared.has_value()) {
+      WriteClaim(std::move(*prepared));
     }
-    const TermEntry term = terms_[part];
-    claim = PartClaim{part, self_, incarnation_, term.term + 1, Revision(0)};
-    const json value = {{"instance", self_.id.value()},
-                        {"peer_address", self_.peer_address},
-                        {"incarnation", incarnation_},
-                        {"term", claim.term}};
-    transaction.conditions = {StoreCondition{cell_keys::Claim(part), expected},
-                              StoreCondition{cell_keys::Term(part), term.revision}};
-    transaction.writes = {
-        StoreWrite{cell_keys::Claim(part), value.dump(), lease_},
-        StoreWrite{cell_keys::Term(part), std::to_string(claim.term), std::nullopt}};
   }
+}
+
+std::optional<CellMembership::PreparedClaim> CellMembership::PrepareClaim(const PartName& part) {
+  absl::MutexLock lock(&mutex_);
+  if (!IsEligible(part, clock_->Now())) {
+    return std::nullopt;
+  }
+  const auto stale = claims_.find(part);
+  const auto unreadable = unreadable_claims_.find(part);
+  Revision expected;
+  if (stale != claims_.end()) {
+    expected = stale->second.revision;
+  } else if (unreadable != unreadable_claims_.end()) {
+    expected = unreadable->second;
+  }
+  const TermEntry term = terms_[part];
+  PreparedClaim prepared;
+  prepared.claim = PartClaim{part, self_, incarnation_, term.term + 1, Revision(0)};
+  const json value = {{"instance", self_.id.value()},
+                      {"peer_address", self_.peer_address},
+                      {"incarnation", incarnation_},
+                      {"term", prepared.claim.term}};
+  prepared.transaction.conditions = {StoreCondition{cell_keys::Claim(part), expected},
+                                     StoreCondition{cell_keys::Term(part), term.revision}};
+  prepared.transaction.writes = {
+      StoreWrite{cell_keys::Claim(part), value.dump(), EntryLifetime::BoundTo(*lease_)},
+      StoreWrite{cell_keys::Term(part), std::to_string(prepared.claim.term),
+                 EntryLifetime::Permanent()}};
+  return prepared;
+}
+
+void CellMembership::WriteClaim(PreparedClaim prepared) {
+  PartClaim& claim = prepared.claim;
   // If no answer arrives, the watch still shows whether the claim was written.
-  const Outcome<Revision> written = Capture([&] { return store_->Commit(transaction); });
+  const Outcome<Revision> written = Capture([&] { return store_->Commit(prepared.transaction); });
   if (written.ok()) {
     {
       absl::MutexLock lock(&mutex_);
       claim.revision = written.value();
-      claims_[part] = claim;
-      terms_[part] = TermEntry{claim.term, written.value()};
-      unreadable_claims_.erase(part);
-      unowned_since_.erase(part);
+      claims_[claim.part] = claim;
+      terms_[claim.part] = TermEntry{claim.term, written.value()};
+      unreadable_claims_.erase(claim.part);
+      unowned_since_.erase(claim.part);
     }
     Reconcile();
   } else if (written.error().kind != ErrorKind::kConflict) {
     // A conflict means that another instance has claimed the part, which is no failure.
-    RecordStoreFailure(events_, "claim of part " + part.value(), written.error());
+    RecordStoreFailure(events_, "claim of part " + claim.part.value(), written.error());
   }
 }
 
@@ -461,7 +493,7 @@
       }
     }
     for (const auto& [part, claim] : claims_) {
-      if (IsOwnClaim(claim) && owned_terms_.count(part) == 0 && !stopping_) {
+      if (IsOwnClaim(claim) && owned_terms_.count(part) == 0 && !resigned_) {
         owned_terms_[part] = claim.term;
         gained.push_back(claim);
       }
--- a/packages/cell/cell_membership.h
+++ b/packages/cell/cell_membership.h
@@ -48,9 +48,10 @@
   // Calls Resign() and stops the threads.
   void Stop();
 
-  // Releases all claims and revokes the lease, so that other instances can take over at once. Keeps
-  // watching the members and claims. `last_writes` are committed in the transaction that releases
-  // the claims, and dropped if this instance has no claim.
+  // Releases all claims and revokes the lease, so that other instances can take over at once. A
+  // claim whose answer is outstanding ends with the lease. From then on, no part is claimed and no
+  // task may be started. Keeps watching the members and claims. `last_writes` are committed in the
+  // transaction that releases the claims, and dropped if this instance has no claim.
   void Resign(std::vector<StoreWrite> last_writes = {});
   // Sets the pools of the configuration. Only parts of pools whose part count is stored are
   // claimed.
@@ -83,6 +84,12 @@
     Revision revision;
   };
 
+  // A claim and the transaction that writes it.
+  struct PreparedClaim {
+    PartClaim claim;
+    StoreTransaction transaction;
+  };
+
   void RunLeaseLoop();
   // Returns when the next renewal of the lease is due.
   absl::Time NextRenewal() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -90,12 +97,21 @@
   bool OwnsAnyPart() const;
   void RenewLeaseIfDue();
   bool Register();
+  // Makes `lease` the lease of this instance, unless it has resigned.
+  bool AdoptLease(const StoreLeaseId& lease);
+  void EndLease(const StoreLeaseId& lease);
   // Returns whether the entry of this instance was written.
   bool WriteMemberEntry(const StoreLeaseId& lease);
   // Writes the entry of this instance again if another writer has made it unreadable.
   void RestoreMemberEntry(const StoreLeaseId& lease);
   void ClaimEligibleParts();
-  void TryClaim(const PartName& part);
+  std::vector<PartName> EligibleParts();
+  // Returns whether this instance should claim the part now. Never true after Resign() or without a
+  // lease.
+  bool IsEligible(const PartName& part, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Returns no value if the part is not eligible any more.
+  std::optional<PreparedClaim> PrepareClaim(const PartName& part);
+  void WriteClaim(PreparedClaim prepared);
   void Apply(const WatchBatch& batch, bool complete);
   std::vector<PartName> Parts() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void PrepareForListing(const WatchBatch& batch) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
--- a/packages/cell/cell_node.cc
+++ b/packages/cell/cell_node.cc
@@ -76,7 +76,7 @@
     if (entry.ok()) {
       StoreTransaction create;
       create.conditions = {StoreCondition{cell_keys::kPeerKey, Revision(0)}};
-      create.writes = {StoreWrite{cell_keys::kPeerKey, new_key, std::nullopt}};
+      create.writes = {StoreWrite{cell_keys::kPeerKey, new_key, EntryLifetime::Permanent()}};
       // Another instance may have created the key first, so the entry is read back in any case.
       const Outcome<Revision> written = Capture([&] { return context_.store->Commit(create); });
       if (!written.ok() && written.error().kind != ErrorKind::kConflict) {
@@ -285,7 +285,8 @@
     }
     StoreTransaction create;
     create.conditions = {StoreCondition{cell_keys::PartCount(pool), Revision(0)}};
-    create.writes = {StoreWrite{cell_keys::PartCount(pool), std::to_string(*parts), std::nullopt}};
+    create.writes = {
+        StoreWrite{cell_keys::PartCount(pool), std::to_string(*parts), EntryLifetime::Permanent()}};
     // The first instance to commit determines the count. All instances read it through the
     // membership's watch.
     const Outcome<Revision> written = Capture([&] { return context_.store->Commit(create); });
--- a/packages/cell/commit_stream.cc
+++ b/packages/cell/commit_stream.cc
@@ -27,7 +27,7 @@
   StoreTransaction transaction = TransactionForClaim(claim_);
   transaction.conditions.push_back(StoreCondition{key_, revision_});
   transaction.writes = {
-      StoreWrite{key_, absl::StrCat(claim_.term, ":", ++sequence_), std::nullopt}};
+      StoreWrite{key_, absl::StrCat(claim_.term, ":", ++sequence_), EntryLifetime::Permanent()}};
   for (const ProgressRecord& record : records) {
     AddRecord(record, &transaction);
   }
@@ -37,12 +37,12 @@
 
 void CommitStream::AddRecord(const ProgressRecord& record, StoreTransaction* transaction) const {
   if (!IsFinal(record.state)) {
-    transaction->writes.push_back(
-        StoreWrite{cell_keys::Progress(claim_.part, record.job), record.text, std::nullopt});
+    transaction->writes.push_back(StoreWrite{cell_keys::Progress(claim_.part, record.job),
+                                             record.text, EntryLifetime::Permanent()});
     return;
   }
-  transaction->writes.push_back(
-      StoreWrite{cell_keys::Finished(claim_.part, record.job), record.text, std::nullopt});
+  transaction->writes.push_back(StoreWrite{cell_keys::Finished(claim_.part, record.job),
+                                           record.text, EntryLifetime::Permanent()});
   transaction->removals.push_back(cell_keys::Job(claim_.part, record.job));
   if (record.has_stored_progress) {
     transaction->removals.push_back(cell_keys::Progress(claim_.part, record.job));
--- a/packages/cell/pool_owner.cc
+++ b/packages/cell/pool_owner.cc
@@ -280,7 +280,7 @@
   if (text.size() > kMaxRosterBytes) {
     return std::nullopt;
   }
-  return StoreWrite{cell_keys::Roster(claim_.part), std::move(text), std::nullopt};
+  return StoreWrite{cell_keys::Roster(claim_.part), std::move(text), EntryLifetime::Permanent()};
 }
 
 void PoolOwner::ApplyNewEntry(const std::string& key, const std::string& value) {
@@ -421,7 +421,7 @@
   transaction.conditions.push_back(
       StoreCondition{cell_keys::Roster(claim_.part), roster_revision_});
   transaction.writes = {
-      StoreWrite{cell_keys::Roster(claim_.part), EncodeRoster(roster), std::nullopt}};
+      StoreWrite{cell_keys::Roster(claim_.part), EncodeRoster(roster), EntryLifetime::Permanent()}};
   const Outcome<Revision> written = Capture([&] { return context_.store->Commit(transaction); });
   if (!written.ok()) {
     RecordStoreFailure(context_.events, "write of the roster", written.error());
--- a/packages/cell/submission_writer.cc
+++ b/packages/cell/submission_writer.cc
@@ -145,7 +145,8 @@
     if (!new_entry.successor_key.empty()) {
       transaction.conditions.push_back(StoreCondition{new_entry.successor_key, Revision(0)});
     }
-    transaction.writes.push_back(StoreWrite{new_entry.key, new_entry.value, std::nullopt});
+    transaction.writes.push_back(
+        StoreWrite{new_entry.key, new_entry.value, EntryLifetime::Permanent()});
   }
   return Capture([&] { return store_->Commit(transaction); });
 }
--- a/packages/ports/transactional_store.h
+++ b/packages/ports/transactional_store.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "ports/store_port.h"
@@ -18,10 +19,28 @@
   Revision revision;
 };
 
+// How long an entry stays in the store. It has no default and does not convert from an optional
+// lease, so that a writer that has lost its lease cannot write a permanent entry by mistake.
+class EntryLifetime {
+ public:
+  // Until the entry is removed.
+  static EntryLifetime Permanent() { return EntryLifetime(std::nullopt); }
+  // Until the entry is removed or the lease ends. The write fails if the lease has already ended.
+  static EntryLifetime BoundTo(StoreLeaseId lease) { return EntryLifetime(std::move(lease)); }
+
+  // The lease that the entry ends with; no value for a permanent entry.
+  const std::optional<StoreLeaseId>& lease() const { return lease_; }
+
+ private:
+  explicit EntryLifetime(std::optional<StoreLeaseId> lease) : lease_(std::move(lease)) {}
+
+  std::optional<StoreLeaseId> lease_;
+};
+
 struct StoreWrite {
   std::string key;
   std::string value;
-  std::optional<StoreLeaseId> lease;
+  EntryLifetime lifetime;
 };
 
 // Takes effect as a whole if all conditions hold.
--- a/tests/cell/cell_membership_test.cc
+++ b/tests/cell/cell_membership_test.cc
@@ -98,7 +98,7 @@
   FakeStore store(&clock);
   TestInstance a("a", "1", &store);
   BOOST_REQUIRE(Eventually([&] { return a.term() == 1; }));
-  a.membership().Resign({StoreWrite{"last", "word", std::nullopt}});
+  a.membership().Resign({StoreWrite{"last", "word", EntryLifetime::Permanent()}});
   const Outcome<std::optional<StoreEntry>> claim =
       Capture([&] { return store.Get("pomelotray/control/claims/rendering.0.1"); });
   const Outcome<std::optional<StoreEntry>> last = Capture([&] { return store.Get("last"); });
@@ -107,6 +107,117 @@
   BOOST_TEST(last.value().has_value());
 }
 
+// Calls Resign() of an instance when the store gets a chosen call.
+class ResignAtCall {
+ public:
+  // `call`: the kind and key of the store call, see FakeStore::Call.
+  ResignAtCall(FakeStore* store, CellMembership* membership, std::string kind, std::string key)
+      : store_(store), membership_(membership), kind_(std::move(kind)), key_(std::move(key)) {
+    store_->SetHook([this](const FakeStore::Call& call) { return Observe(call); });
+  }
+  ~ResignAtCall() { store_->SetHook(nullptr); }
+
+  bool resigned() const { return resigned_; }
+
+ private:
+  StoreFault Observe(const FakeStore::Call& call) {
+    if (call.kind == kind_ && call.key == key_ && !called_.exchange(true)) {
+      membership_->Resign();
+      resigned_ = true;
+    }
+    return StoreFault::kNone;
+  }
+
+  FakeStore* const store_;
+  CellMembership* const membership_;
+  const std::string kind_;
+  const std::string key_;
+  std::atomic<bool> called_{false};
+  std::atomic<bool> resigned_{false};
+};
+
+std::string ClaimKeyOf(const std::string& pool) {
+  return "pomelotray/control/claims/" + pool + ".0.1";
+}
+
+// Guards against a part that no instance ever owns again: an instance that is stopped between two
+// claims of one round wrote the second claim without a lease, and that claim outlived the process.
+BOOST_AUTO_TEST_CASE(StopBetweenTwoClaimsLeavesNoClaim) {
+  SystemClock clock;
+  FakeStore store(&clock);
+  store.Put("pomelotray/control/parts/animation", "1");
+  store.Put("pomelotray/control/parts/compositing", "1");
+  const std::vector<PoolName> pools = {PoolName("animation"), PoolName("compositing"),
+                                       PoolName("rendering")};
+  TestInstance a("a", "1", &store);
+  BOOST_REQUIRE(Eventually([&] { return a.term() == 1; }));
+  ResignAtCall stop(&store, &a.membership(), "commit", ClaimKeyOf("animation"));
+  a.membership().SetPools(pools);
+  BOOST_REQUIRE(Eventually([&] { return stop.resigned(); }));
+  TestInstance b("b", "1", &store);
+  b.membership().SetPools(pools);
+  for (const char* pool : {"animation", "compositing", "rendering"}) {
+    const PartName part(std::string(pool) + ".0.1");
+    BOOST_TEST(Eventually([&] {
+      const std::optional<PartClaim> claim = b.membership().ClaimOf(part);
+      return claim.has_value() && claim->owner.id == InstanceId("b");
+    }));
+  }
+}
+
+// Guards against a claim that outlives its instance because it reaches the store after the release
+// of the others: before the end of the lease, or after it.
+BOOST_AUTO_TEST_CASE(ClaimInFlightAtAStopEndsWithTheLease) {
+  for (const bool arrives_before_end : {true, false}) {
+    SystemClock clock;
+    FakeStore store(&clock);
+    store.Put("pomelotray/control/parts/animation", "1");
+    TestInstance a("a", "1", &store);
+    BOOST_REQUIRE(Eventually([&] { return a.term() == 1; }));
+    std::atomic<bool> claiming{false};
+    std::atomic<bool> released{false};
+    std::atomic<bool> ended{false};
+    store.SetHook([&](const FakeStore::Call& call) {
+      if (call.kind == "commit" && call.key == ClaimKeyOf("animation") &&
+          !claiming.exchange(true)) {
+        Eventually([&] { return arrives_before_end ? released.load() : ended.load(); });
+      }
+      if (call.kind == "revoke") {
+        released = true;
+        if (arrives_before_end) {
+          Eventually([&] { return store.Peek(ClaimKeyOf("animation")).has_value(); });
+        }
+      }
+      return StoreFault::kNone;
+    });
+    a.membership().SetPools({PoolName("animation"), PoolName("rendering")});
+    BOOST_REQUIRE(Eventually([&] { return claiming.load(); }));
+    a.membership().Resign();
+    ended = true;
+    BOOST_TEST_CONTEXT("arrives before the end of the lease: " << arrives_before_end) {
+      BOOST_TEST(!store.Peek(ClaimKeyOf("animation")).has_value());
+      BOOST_TEST(!a.membership().MayStartTasks());
+      a.membership().Stop();
+      BOOST_TEST(!store.Peek(ClaimKeyOf("animation")).has_value());
+    }
+    store.SetHook(nullptr);
+  }
+}
+
+// Guards against a member entry, to which other instances would leave parts, of an instance that is
+// stopped while it registers.
+BOOST_AUTO_TEST_CASE(StopDuringRegistrationEndsTheNewLease) {
+  SystemClock clock;
+  FakeStore store(&clock);
+  TestInstance a("a", "1", &store);
+  BOOST_REQUIRE(Eventually([&] { return a.term() == 1; }));
+  ResignAtCall stop(&store, &a.membership(), "commit", "pomelotray/control/members/a");
+  store.ExpireAllLeases();
+  BOOST_REQUIRE(Eventually([&] { return stop.resigned(); }));
+  BOOST_TEST(Eventually([&] { return store.Calls("revoke") == 1; }));
+  BOOST_TEST(Eventually([&] { return !store.Peek("pomelotray/control/members/a").has_value(); }));
+}
+
 // Guards against an undecodable entry that crashes the process or prevents other entries from being
 // applied.
 BOOST_AUTO_TEST_CASE(UnreadableEntriesAreIgnored) {
--- a/tests/cell/commit_stream_test.cc
+++ b/tests/cell/commit_stream_test.cc
@@ -59,7 +59,8 @@
   StoreTransaction late;
   late.conditions = {StoreCondition{cell_keys::Claim(kPool), pool.claim.revision},
                      StoreCondition{CommitStream::Key(kPool, 0), Revision(0)}};
-  late.writes = {StoreWrite{cell_keys::Progress(kPool, JobId("a")), "1", std::nullopt}};
+  late.writes = {
+      StoreWrite{cell_keys::Progress(kPool, JobId("a")), "1", EntryLifetime::Permanent()}};
   BOOST_TEST((stream.Store({Record("a", "1")}) == CommitOutcome::kStored));
   BOOST_TEST((stream.Store({Record("a", "2")}) == CommitOutcome::kStored));
   BOOST_TEST(!Capture([&] { return pool.store.Commit(late); }).ok());
--- a/tests/cell/revision_history_test.cc
+++ b/tests/cell/revision_history_test.cc
@@ -34,7 +34,7 @@
   FakeStore fake(&clock);
   ObservedStore store(&fake, &clock);
   StoreTransaction transaction;
-  transaction.writes = {StoreWrite{"a", "1", std::nullopt}};
+  transaction.writes = {StoreWrite{"a", "1", EntryLifetime::Permanent()}};
   const Outcome<Revision> written = Capture([&] { return store.Commit(transaction); });
   BOOST_REQUIRE(written.ok());
   BOOST_TEST((store.history().ReachedBy(written.value()) == clock.Now()));
--- a/tests/fakes/fake_store.cc
+++ b/tests/fakes/fake_store.cc
@@ -222,7 +222,7 @@
     }
   }
   for (const StoreWrite& write : transaction.writes) {
-    if (write.lease.has_value() && leases_.count(*write.lease) == 0) {
+    if (write.lifetime.lease().has_value() && leases_.count(*write.lifetime.lease()) == 0) {
       return Fail(ErrorKind::kNotFound,
                   "The lease has expired or does not exist; request a new one.");
     }
@@ -240,7 +240,7 @@
   const Revision revision = NextRevision();
   for (const StoreWrite& write : transaction.writes) {
     written_bytes_ += static_cast<int64_t>(write.value.size());
-    items_[write.key] = Item{write.value, revision, write.lease};
+    items_[write.key] = Item{write.value, revision, write.lifetime.lease()};
     deleted_.erase(write.key);
   }
   for (const std::string& removed : transaction.removals) {
--- a/tests/platform/hostile_store_test.cc
+++ b/tests/platform/hostile_store_test.cc
@@ -171,7 +171,7 @@
   for (const char* lease : {"", "x", "99999999999999999999"}) {
     StoreFixture fixture({});
     StoreTransaction transaction;
-    transaction.writes = {StoreWrite{"a/x", "x", StoreLeaseId(lease)}};
+    transaction.writes = {StoreWrite{"a/x", "x", EntryLifetime::BoundTo(StoreLeaseId(lease))}};
     const Outcome<Revision> revision = Capture([&] { return fixture.store().Commit(transaction); });
     BOOST_REQUIRE(!revision.ok());
     BOOST_TEST((revision.error().kind == ErrorKind::kInvalidArgument));
