membership: Restore a deleted member entry with the lease of the claims

Cause: an instance whose member entry the store has deleted although its lease lives dropped that lease and registered with a new one. Its claims hung on the old lease, which nobody renewed: after 2 s all its parts lost their owner, while this instance counted its new lease as proof that no other could have claimed them.

Fix: the entry is written again with the same lease, as for an entry that cannot be read, after a renewal that was answered. If the lease has ended, the renewal says so. The store's entries now carry their lease, so that a test can see it.

Test: DeletedMemberEntryIsRestoredWithTheSameLease failed before (the entry came back with another lease) and passes. HostileStoreTest has items with unreadable leases.

--- a/packages/cell/cell_membership.cc
+++ b/packages/cell/cell_membership.cc
@@ -267,11 +267,6 @@
     renew_now_ = false;
     renewing_ = true;
     renewal_began_ = clock_->Now();
-    // The store may delete this instance's entries although its lease is still valid.
-    if (view_complete_ && members_.count(self_.id) == 0 &&
-        clock_->Now() - registered_at_ > kMembershipSettleTime) {
-      lease_.reset();
-    }
     lease = lease_;
   }
   absl::Time sent = clock_->Now();
@@ -362,16 +357,20 @@
 }
 
 void CellMembership::RestoreMemberEntry(const StoreLeaseId& lease) {
+  bool unreadable = false;
   {
     absl::MutexLock lock(&mutex_);
-    if (!own_entry_unreadable_) {
+    const bool missing = view_complete_ && members_.count(self_.id) == 0 &&
+                         clock_->Now() - registered_at_ > kMembershipSettleTime;
+    unreadable = own_entry_unreadable_;
+    if (resigned_ || !(missing || unreadable)) {
       return;
     }
     own_entry_unreadable_ = false;
   }
   if (!WriteMemberEntry(lease)) {
     absl::MutexLock lock(&mutex_);
-    own_entry_unreadable_ = true;
+    own_entry_unreadable_ = unreadable;
   }
 }
 
--- a/packages/cell/cell_membership.h
+++ b/packages/cell/cell_membership.h
@@ -102,7 +102,9 @@
   void EndLease(const StoreLeaseId& lease);
   // Returns whether the entry of this instance was written.
   bool WriteMemberEntry(const StoreLeaseId& lease);
-  // Writes the entry of this instance again if another writer has made it unreadable.
+  // Writes the entry of this instance again if another writer has made it unreadable, or if the
+  // store has deleted it although the lease is valid. The lease stays the same, since the claims of
+  // this instance end with it.
   void RestoreMemberEntry(const StoreLeaseId& lease);
   void ClaimEligibleParts();
   std::vector<PartName> EligibleParts();
--- a/packages/ports/store_port.h
+++ b/packages/ports/store_port.h
@@ -17,6 +17,8 @@
   std::string value;
   // Store revision of the last modification of this key.
   Revision revision;
+  // The lease that the entry ends with; no value for a permanent entry. Not all stores report it.
+  std::optional<StoreLeaseId> lease = std::nullopt;
 };
 
 struct WatchBatch {
--- a/tests/cell/cell_membership_test.cc
+++ b/tests/cell/cell_membership_test.cc
@@ -218,6 +218,29 @@
   BOOST_TEST(Eventually([&] { return !store.Peek("pomelotray/control/members/a").has_value(); }));
 }
 
+// Guards against an owner that loses all its parts because the store has deleted its member entry
+// only: it registered with a new lease, and the lease of its claims ran out.
+BOOST_AUTO_TEST_CASE(DeletedMemberEntryIsRestoredWithTheSameLease) {
+  SystemClock clock;
+  FakeStore store(&clock);
+  TestInstance a("a", "1", &store);
+  BOOST_REQUIRE(Eventually([&] { return a.term() == 1; }));
+  const std::optional<StoreLeaseId> lease = store.Peek(ClaimKeyOf("rendering"))->lease;
+  BOOST_REQUIRE(lease.has_value());
+  const std::string member = "pomelotray/control/members/a";
+  // Two losses, so that any other lease than the first would be over at the end.
+  for (int loss = 0; loss < 2; ++loss) {
+    store.Remove(member);
+    BOOST_TEST(Eventually([&] {
+      const std::optional<StoreEntry> entry = store.Peek(member);
+      return entry.has_value() && entry->lease == lease;
+    }));
+  }
+  BOOST_TEST((store.Peek(ClaimKeyOf("rendering"))->lease == lease));
+  BOOST_TEST(a.term() == 1);
+  BOOST_TEST(store.Calls("grant") == 1);
+}
+
 // Guards against an undecodable entry that crashes the process or prevents other entries from being
 // applied.
 BOOST_AUTO_TEST_CASE(UnreadableEntriesAreIgnored) {
--- a/tests/fakes/fake_store.cc
+++ b/tests/fakes/fake_store.cc
@@ -69,7 +69,7 @@
   if (found == items_.end()) {
     return std::nullopt;
   }
-  return StoreEntry{key, found->second.value, found->second.revision};
+  return StoreEntry{key, found->second.value, found->second.revision, found->second.lease};
 }
 
 Revision FakeStore::Put(const std::string& key, const std::string& value) {
@@ -163,7 +163,7 @@
   std::vector<StoreEntry> entries;
   for (auto it = items_.lower_bound(prefix);
        it != items_.end() && absl::StartsWith(it->first, prefix); ++it) {
-    entries.push_back(StoreEntry{it->first, it->second.value, it->second.revision});
+    entries.push_back(StoreEntry{it->first, it->second.value, it->second.revision, it->second.lease});
   }
   return entries;
 }
@@ -269,7 +269,7 @@
   for (auto it = items_.lower_bound(prefix);
        it != items_.end() && absl::StartsWith(it->first, prefix); ++it) {
     if (it->second.revision > after) {
-      batch.changed.push_back(StoreEntry{it->first, it->second.value, it->second.revision});
+      batch.changed.push_back(StoreEntry{it->first, it->second.value, it->second.revision, it->second.lease});
     }
   }
   std::sort(batch.changed.begin(), batch.changed.end(),
--- a/tests/platform/hostile_store_test.cc
+++ b/tests/platform/hostile_store_test.cc
@@ -27,6 +27,10 @@
       items.push_back(absl::StrCat(R"({"key":"a/odd","value":"eA==","revision":)", number, "}"));
     }
   }
+  for (const char* lease : {"\"7\"", "-1", "1.5", "null", "99999999999999999999"}) {
+    items.push_back(
+        absl::StrCat(R"({"key":"a/odd","value":"eA==","revision":1,"lease":)", lease, "}"));
+  }
   return items;
 }
 
