membership: Replace claims without a lease whose owner is gone

Cause: an instance claims a part only if it has no claim at all. A claim without a lease is ended by nothing, and its owner is gone.

Fix: a claim is abandoned if the store says that it has no lease and its owner has had no member entry for 2.5 s, longer than a lease and the settling of members. It is replaced on its revision with the next term, so that the former owner is fenced as at any takeover. A claim with a lease is never replaced: while the lease lives, its owner may start tasks, although the store may have lost its member entry; otherwise the store removes the claim. A frozen owner, or one that is cut off, has a lease that ends, or none for longer than it may start tasks by its own clock.

Observability: event 315 and two gauges count the parts with and without an owner and the longest time without one; event 316 names a part that has had none for 3 s and the absent owner in its claim.

ClaimOfALivingOwnerIsNotReplaced checks what must not be replaced.

--- a/packages/base/event_catalog.h
+++ b/packages/base/event_catalog.h
@@ -51,6 +51,8 @@
   kWriteRelayFailed = 312,
   kStoreCallFailed = 313,
   kOwnerNoticeLost = 314,
+  kPartOwners = 315,
+  kPartWithoutOwner = 316,
 
   kJobAccepted = 400,
   kJobRefused = 401,
--- a/packages/cell/cell_membership.cc
+++ b/packages/cell/cell_membership.cc
@@ -33,6 +33,10 @@
 // All instances start within 0.3 s. After the settle time each instance knows the
 // others.
 constexpr absl::Duration kMembershipSettleTime = absl::Milliseconds(400);
+// An owner that has had no member entry for this long starts no tasks any more, even if it has not
+// noticed: its lease is over, and another registration would have been seen. Longer than kLeaseTtl
+// and kMembershipSettleTime together.
+constexpr absl::Duration kOwnerAbsence = absl::Milliseconds(2500);
 // An instance to which a part is not assigned waits this long for the assigned one to claim it.
 constexpr absl::Duration kFallbackClaimDelay = absl::Milliseconds(600);
 
@@ -47,7 +51,8 @@
       events_(events),
       callbacks_(std::move(callbacks)),
       renewer_(store, clock),
-      unreadable_(events) {}
+      unreadable_(events),
+      part_owner_report_(events) {}
 
 CellMembership::~CellMembership() { Stop(); }
 
@@ -229,6 +234,7 @@
   for (;;) {
     RenewLeaseIfDue();
     ClaimEligibleParts();
+    RecordPartOwners();
     absl::MutexLock lock(&mutex_);
     const absl::Time next = resigned_ ? absl::InfiniteFuture() : NextRenewal();
     // A change of the members or claims wakes the loop early so that free parts are claimed at
@@ -380,8 +386,14 @@
   return claim != claims_.end() && claim->second.owner.id == self_.id && !IsOwnClaim(claim->second);
 }
 
+bool CellMembership::IsAbandoned(const PartName& part, absl::Time now) const {
+  const auto claim = claims_.find(part);
+  return claim != claims_.end() && !claim->second.leased &&
+         now - ownerless_claims_.Since(part) > kOwnerAbsence;
+}
+
 bool CellMembership::MayClaim(const PartName& part, absl::Time now) {
-  if (claims_.count(part) > 0) {
+  if (claims_.count(part) > 0 && !IsAbandoned(part, now)) {
     return false;
   }
   const absl::Time unowned = unowned_since_.emplace(part, now).first->second;
@@ -474,6 +486,30 @@
   }
 }
 
+void CellMembership::RecordPartOwners() {
+  std::vector<PartOwnership> ownerships;
+  absl::Time now;
+  {
+    absl::MutexLock lock(&mutex_);
+    now = clock_->Now();
+    // Without the store, the claims and members that are known may be out of date.
+    if (!view_complete_ || !store_available_) {
+      return;
+    }
+    for (const PartName& part : Parts()) {
+      PartOwnership ownership{part, ownerless_claims_.Since(part), InstanceId()};
+      const auto claim = claims_.find(part);
+      if (claim == claims_.end()) {
+        ownership.unowned_since = unowned_since_.emplace(part, now).first->second;
+      } else if (ownership.unowned_since < absl::InfiniteFuture()) {
+        ownership.absent_owner = claim->second.owner.id;
+      }
+      ownerships.push_back(std::move(ownership));
+    }
+  }
+  part_owner_report_.Record(ownerships, now);
+}
+
 void CellMembership::Reconcile() {
   absl::MutexLock reconcile(&reconcile_mutex_);
   std::vector<PartClaim> gained;
--- a/packages/cell/cell_membership.h
+++ b/packages/cell/cell_membership.h
@@ -15,8 +15,10 @@
 #include "base/event_log.h"
 #include "base/strong_id.h"
 #include "cell/instance_lease_renewer.h"
+#include "cell/ownerless_claims.h"
 #include "cell/part_assignment.h"
 #include "cell/part_claim.h"
+#include "cell/part_owner_report.h"
 #include "cell/pool_part.h"
 #include "cell/prefix_watcher.h"
 #include "cell/store_availability.h"
@@ -135,8 +137,13 @@
   bool IsOwnClaim(const PartClaim& claim) const;
   // Returns whether the claim of the part was made by an earlier process of this instance.
   bool IsClaimOfPreviousProcess(const PartName& part) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  // Returns whether this instance should claim the part, which has no claim yet. A preferred
-  // instance claims at once, the others after a delay.
+  // Returns whether the part has a claim that nothing will end: it has no lease, and its owner has
+  // not been a member for so long that it can have no valid lease either.
+  bool IsAbandoned(const PartName& part, absl::Time now) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void RecordPartOwners();
+  // Returns whether this instance should claim the part, which has no claim or an abandoned one. A
+  // preferred instance claims at once, the others after a delay.
   bool MayClaim(const PartName& part, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   const CellMember self_;
@@ -149,6 +156,8 @@
   UnreadableEntries unreadable_;
   std::unique_ptr<PrefixWatcher> control_watcher_;
   std::thread lease_thread_;
+  // Used only by the lease thread.
+  PartOwnerReport part_owner_report_;
 
   // Serializes Reconcile().
   absl::Mutex reconcile_mutex_;
@@ -177,7 +186,8 @@
   bool own_entry_unreadable_ ABSL_GUARDED_BY(mutex_) = false;
   std::map<PoolName, int> part_counts_ ABSL_GUARDED_BY(mutex_);
   std::map<PartName, TermEntry> terms_ ABSL_GUARDED_BY(mutex_);
-  // Time from which on each part has had no owner.
+  OwnerlessClaims ownerless_claims_ ABSL_GUARDED_BY(mutex_);
+  // Time from which on each part has had no claim, or only an abandoned one.
   std::map<PartName, absl::Time> unowned_since_ ABSL_GUARDED_BY(mutex_);
   // Parts last reported as claimed to the callbacks, with the terms of their claims.
   std::map<PartName, int64_t> owned_terms_ ABSL_GUARDED_BY(mutex_);
--- a/packages/cell/cell_membership_entries.cc
+++ b/packages/cell/cell_membership_entries.cc
@@ -125,7 +125,8 @@
   BOOST_LEAF_AUTO(record, DecodeJson(entry.value, kStoredMember, DecodeMemberRecord));
   const auto known = claims_.find(part);
   if (known == claims_.end() || known->second.revision < entry.revision) {
-    claims_[part] = PartClaim{part, record.member, record.incarnation, record.term, entry.revision};
+    claims_[part] = PartClaim{part,        record.member,  record.incarnation,
+                              record.term, entry.revision, entry.lease.has_value()};
     unreadable_claims_.erase(part);
     unowned_since_.erase(part);
   }
@@ -230,6 +231,7 @@
     for (const std::string& key : batch.deleted) {
       ApplyDeletion(key, batch.next);
     }
+    ownerless_claims_.Update(claims_, members_, clock_->Now());
     changed_.SignalAll();
   }
   Reconcile();
--- a/packages/cell/cell_metrics.cc
+++ b/packages/cell/cell_metrics.cc
@@ -37,6 +37,15 @@
   }
 }
 
+// Returns 0 if the event has no such field.
+double NumberIn(const Event& event, const char* field) {
+  const auto it = event.fields.find(field);
+  int64_t number = 0;
+  return it != event.fields.end() && absl::SimpleAtoi(it->second, &number)
+             ? static_cast<double>(number)
+             : 0;
+}
+
 }  // namespace
 
 CellMetrics::CellMetrics(prometheus::Registry* registry)
@@ -56,7 +65,23 @@
       restart_time_(prometheus::BuildHistogram()
                         .Name("pomelotray_restart_seconds")
                         .Help("Time from one run of a long-running task to the next, by part.")
-                        .Register(*registry)) {}
+                        .Register(*registry)),
+      parts_(prometheus::BuildGauge()
+                 .Name("pomelotray_pool_parts")
+                 .Help("Pool parts by whether they have an owner, as this instance sees it.")
+                 .Register(*registry)),
+      unowned_time_(prometheus::BuildGauge()
+                        .Name("pomelotray_pool_part_unowned_seconds")
+                        .Help("Time for which a pool part has had no owner, of the longest one.")
+                        .Register(*registry)
+                        .Add({})) {}
+
+void CellMetrics::ObservePartOwners(const Event& event) {
+  for (const char* state : {"owned", "unowned"}) {
+    parts_.Add({{"state", state}}).Set(NumberIn(event, state));
+  }
+  unowned_time_.Set(NumberIn(event, "longest_unowned_ms") / 1000.0);
+}
 
 void CellMetrics::ObserveRestart(const Event& event) {
   for (const auto& [part, field] :
@@ -86,6 +111,9 @@
     case EventCode::kTaskRestarted:
       ObserveRestart(event);
       break;
+    case EventCode::kPartOwners:
+      ObservePartOwners(event);
+      break;
     case EventCode::kJobFinished:
       ObserveMillis(event, "took_ms", &job_time_);
       break;
--- a/packages/cell/cell_metrics.h
+++ b/packages/cell/cell_metrics.h
@@ -3,6 +3,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
@@ -26,6 +27,7 @@
  private:
   prometheus::Counter& CounterOf(EventCode code);
   void ObserveRestart(const Event& event);
+  void ObservePartOwners(const Event& event);
 
   prometheus::Family<prometheus::Counter>& events_;
   // Seconds from a job's acceptance to each start of one of its tasks, and to its final state.
@@ -37,6 +39,9 @@
   prometheus::Histogram& report_age_;
   // Seconds from one run of a long-running task to the next, and the parts of that time.
   prometheus::Family<prometheus::Histogram>& restart_time_;
+  prometheus::Family<prometheus::Gauge>& parts_;
+  // Seconds without an owner, of the pool part that has been without one the longest.
+  prometheus::Gauge& unowned_time_;
   absl::Mutex mutex_;
   std::map<EventCode, prometheus::Counter*> counters_ ABSL_GUARDED_BY(mutex_);
 };
--- a/packages/cell/part_claim.h
+++ b/packages/cell/part_claim.h
@@ -20,6 +20,8 @@
   int64_t term = 0;
   // Revision of the claim's entry in the store. Each write by the owner is conditional on it.
   Revision revision;
+  // The entry ends with a lease of its owner.
+  bool leased = true;
 };
 
 // Returns an empty transaction that the store commits only if `claim` is still in force.
--- a/tests/cell/cell_membership_test.cc
+++ b/tests/cell/cell_membership_test.cc
@@ -1,5 +1,6 @@
 #include "cell/cell_membership.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <functional>
@@ -40,6 +41,12 @@
     return term_;
   }
   void SetDownForAll(bool down) { down_for_all_ = down; }
+  // Returns how often the event was logged.
+  size_t Count(EventCode code) const {
+    const std::vector<Event> events = events_.Select({});
+    return static_cast<size_t>(std::count_if(
+        events.begin(), events.end(), [code](const Event& event) { return event.code == code; }));
+  }
   // Returns how often this instance asked the other members whether the store is available to them.
   int outage_queries() const { return outage_queries_; }
 
@@ -241,6 +248,48 @@
   BOOST_TEST(store.Calls("grant") == 1);
 }
 
+// Guards against a part that no instance ever owns again because a claim without a lease, which an
+// earlier version could write, outlives its owner.
+BOOST_AUTO_TEST_CASE(ClaimWithoutALeaseOfAnAbsentOwnerIsReplaced) {
+  SystemClock clock;
+  FakeStore store(&clock);
+  store.Put(ClaimKeyOf("rendering"),
+            R"({"instance":"gone","peer_address":"gone:1","incarnation":"old","term":4})");
+  store.Put("pomelotray/control/terms/rendering.0.1", "4");
+  TestInstance a("a", "1", &store);
+  BOOST_TEST(Eventually([&] { return a.term() == 5; }));
+  BOOST_TEST(a.Count(EventCode::kPartOwners) > 0);
+}
+
+// Guards against the replacement of an owner that may still start tasks: while its lease lives,
+// although the store has lost its member entry, and while it is a member, although its claim has no
+// lease.
+BOOST_AUTO_TEST_CASE(ClaimOfALivingOwnerIsNotReplaced) {
+  SystemClock clock;
+  FakeStore store(&clock);
+  const std::string record =
+      R"({"instance":"other","peer_address":"other:1","incarnation":"1","term":4})";
+  const StoreLeaseId lease = Capture([&] { return store.GrantLease(absl::Minutes(10)); }).value();
+  StoreTransaction transaction;
+  transaction.writes = {StoreWrite{ClaimKeyOf("animation"), record, EntryLifetime::BoundTo(lease)}};
+  BOOST_REQUIRE(Capture([&] { return store.Commit(transaction); }).ok());
+  store.Put("pomelotray/control/parts/animation", "1");
+  TestInstance a("a", "1", &store);
+  a.membership().SetPools({PoolName("animation")});
+  // The warning appears only after an absence for which a claim without a lease is replaced.
+  BOOST_TEST(Eventually([&] { return a.Count(EventCode::kPartWithoutOwner) >= 2; }));
+  BOOST_TEST(a.membership().ClaimOf(PartName("animation.0.1"))->owner.id.value() == "other");
+
+  store.Put("pomelotray/control/members/other", record);
+  store.Put(ClaimKeyOf("rendering"), record);
+  a.membership().SetPools({PoolName("animation"), PoolName("rendering")});
+  clock.SleepFor(absl::Seconds(4));
+  BOOST_TEST(a.membership().ClaimOf(kPart)->owner.id.value() == "other");
+  store.Remove("pomelotray/control/members/other");
+  BOOST_TEST(Eventually([&] { return a.membership().ClaimOf(kPart)->owner.id.value() == "a"; }));
+  BOOST_TEST(a.membership().ClaimOf(PartName("animation.0.1"))->owner.id.value() == "other");
+}
+
 // Guards against an undecodable entry that crashes the process or prevents other entries from being
 // applied.
 BOOST_AUTO_TEST_CASE(UnreadableEntriesAreIgnored) {
