membership: Release many claims in several transactions

Cause: a stopping instance released all its claims in one transaction with three entries for each part. The store takes 32 entries, so it refused the release of more than ten parts, with the rosters of the handover. The claims ended with the lease only, and the next owners had to wait for the reports of all workers.

Fix: at most ten parts are released in a transaction, each with its own last write.

Test: ManyPartsAreReleasedInSeveralTransactions (25 parts) failed with one transaction (none of the 25 last writes was stored) and passes.

--- a/packages/cell/cell_membership.cc
+++ b/packages/cell/cell_membership.cc
@@ -37,6 +37,8 @@
 // noticed: its lease is over, and another registration would have been seen. Longer than kLeaseTtl
 // and kMembershipSettleTime together.
 constexpr absl::Duration kOwnerAbsence = absl::Milliseconds(2500);
+// Each released claim has a condition, a removal and at most one other write.
+constexpr size_t kReleaseBatch = kMaxTransactionEntries / 3;
 // An instance to which a part is not assigned waits this long for the assigned one to claim it.
 constexpr absl::Duration kFallbackClaimDelay = absl::Milliseconds(600);
 
@@ -83,9 +85,8 @@
   }
 }
 
-void CellMembership::Resign(std::vector<StoreWrite> last_writes) {
-  StoreTransaction release;
-  release.writes = std::move(last_writes);
+void CellMembership::Resign(std::map<PartName, StoreWrite> last_writes) {
+  std::vector<StoreTransaction> releases;
   std::optional<StoreLeaseId> lease;
   {
     absl::MutexLock lock(&mutex_);
@@ -94,22 +95,25 @@
     }
     resigned_ = true;
     for (const auto& [part, claim] : claims_) {
-      if (IsOwnClaim(claim)) {
-        release.conditions.push_back(StoreCondition{cell_keys::Claim(part), claim.revision});
-        release.removals.push_back(cell_keys::Claim(part));
+      if (!IsOwnClaim(claim)) {
+        continue;
+      }
+      if (releases.empty() || releases.back().removals.size() == kReleaseBatch) {
+        releases.emplace_back();
+      }
+      StoreTransaction& release = releases.back();
+      release.conditions.push_back(StoreCondition{cell_keys::Claim(part), claim.revision});
+      release.removals.push_back(cell_keys::Claim(part));
+      const auto last_write = last_writes.find(part);
+      if (last_write != last_writes.end()) {
+        release.writes.push_back(std::move(last_write->second));
       }
     }
     lease = lease_;
     lease_.reset();
   }
-  if (!release.removals.empty()) {
-    const Outcome<Revision> released = Capture([&] { return store_->Commit(release); });
-    for (const std::string& key : release.removals) {
-      events_->Record(EventCode::kShardReleased)
-          .With("claim", key)
-          .With(event_field::kReason, released.ok() ? "stopping" : released.error().message)
-          .Emit();
-    }
+  for (const StoreTransaction& release : releases) {
+    Release(release);
   }
   if (lease.has_value()) {
     // Also ends claims whose answers are outstanding.
@@ -117,6 +121,16 @@
   }
 }
 
+void CellMembership::Release(const StoreTransaction& release) {
+  const Outcome<Revision> released = Capture([&] { return store_->Commit(release); });
+  for (const std::string& key : release.removals) {
+    events_->Record(EventCode::kShardReleased)
+        .With("claim", key)
+        .With(event_field::kReason, released.ok() ? "stopping" : released.error().message)
+        .Emit();
+  }
+}
+
 void CellMembership::EndLease(const StoreLeaseId& lease) {
   // If this fails, the lease expires after its TTL.
   const Outcome<void> revoked = Capture([&] { return store_->RevokeLease(lease); });
--- a/packages/cell/cell_membership.h
+++ b/packages/cell/cell_membership.h
@@ -52,9 +52,10 @@
 
   // Releases all claims and revokes the lease, so that other instances can take over at once. A
   // claim whose answer is outstanding ends with the lease. From then on, no part is claimed and no
-  // task may be started. Keeps watching the members and claims. `last_writes` are committed in the
-  // transaction that releases the claims, and dropped if this instance has no claim.
-  void Resign(std::vector<StoreWrite> last_writes = {});
+  // task may be started. Keeps watching the members and claims. The write of a part in
+  // `last_writes` is committed in the transaction that releases its claim, and dropped if this
+  // instance has no claim of the part.
+  void Resign(std::map<PartName, StoreWrite> last_writes = {});
   // Sets the pools of the configuration. Only parts of pools whose part count is stored are
   // claimed.
   void SetPools(const std::vector<PoolName>& pools);
@@ -102,6 +103,8 @@
   // Makes `lease` the lease of this instance, unless it has resigned.
   bool AdoptLease(const StoreLeaseId& lease);
   void EndLease(const StoreLeaseId& lease);
+  // Releases claims of this instance in one transaction.
+  void Release(const StoreTransaction& release);
   // Returns whether the entry of this instance was written.
   bool WriteMemberEntry(const StoreLeaseId& lease);
   // Writes the entry of this instance again if another writer has made it unreadable, or if the
--- a/packages/cell/cell_node.cc
+++ b/packages/cell/cell_node.cc
@@ -132,11 +132,11 @@
     absl::MutexLock lock(&mutex_);
     owners = owners_;
   }
-  std::vector<StoreWrite> last_writes;
+  std::map<PartName, StoreWrite> last_writes;
   for (const auto& [part, owner] : owners) {
     std::optional<StoreWrite> write = owner->PrepareHandover(kHandoverTimeout);
     if (write.has_value()) {
-      last_writes.push_back(std::move(*write));
+      last_writes.emplace(part, std::move(*write));
     }
   }
   membership_->Resign(std::move(last_writes));
--- a/tests/cell/cell_membership_test.cc
+++ b/tests/cell/cell_membership_test.cc
@@ -105,7 +105,7 @@
   FakeStore store(&clock);
   TestInstance a("a", "1", &store);
   BOOST_REQUIRE(Eventually([&] { return a.term() == 1; }));
-  a.membership().Resign({StoreWrite{"last", "word", EntryLifetime::Permanent()}});
+  a.membership().Resign({{kPart, StoreWrite{"last", "word", EntryLifetime::Permanent()}}});
   const Outcome<std::optional<StoreEntry>> claim =
       Capture([&] { return store.Get("pomelotray/control/claims/rendering.0.1"); });
   const Outcome<std::optional<StoreEntry>> last = Capture([&] { return store.Get("last"); });
@@ -114,6 +114,33 @@
   BOOST_TEST(last.value().has_value());
 }
 
+// Guards against a handover that the store refuses as too large, so that the next owners do not
+// learn which tasks are running.
+BOOST_AUTO_TEST_CASE(ManyPartsAreReleasedInSeveralTransactions) {
+  constexpr int kPools = 25;
+  SystemClock clock;
+  FakeStore store(&clock);
+  std::vector<PoolName> pools;
+  std::map<PartName, StoreWrite> last_writes;
+  for (int i = 0; i < kPools; ++i) {
+    const std::string pool = "pool" + std::to_string(i);
+    pools.emplace_back(pool);
+    store.Put("pomelotray/control/parts/" + pool, "1");
+    last_writes.emplace(PartName(pool + ".0.1"),
+                        StoreWrite{"last/" + pool, "word", EntryLifetime::Permanent()});
+  }
+  TestInstance a("a", "1", &store);
+  a.membership().SetPools(pools);
+  const auto has_claim = [&a](const PoolName& pool) {
+    return a.membership().ClaimOf(PartName(pool.value() + ".0.1")).has_value();
+  };
+  BOOST_REQUIRE(Eventually([&] { return std::all_of(pools.begin(), pools.end(), has_claim); }));
+  a.membership().Resign(std::move(last_writes));
+  for (const PoolName& pool : pools) {
+    BOOST_TEST(store.Peek("last/" + pool.value()).has_value());
+  }
+}
+
 // Calls Resign() of an instance when the store gets a chosen call.
 class ResignAtCall {
  public:
--- a/tests/cell/pool_owner_fixture.h
+++ b/tests/cell/pool_owner_fixture.h
@@ -170,7 +170,7 @@
   void HandOver() {
     std::optional<StoreWrite> roster = owner_->PrepareHandover(kHandoverTimeout);
     BOOST_REQUIRE(roster.has_value());
-    membership_->Resign({std::move(*roster)});
+    membership_->Resign({{Part(), std::move(*roster)}});
     owner_.reset();
     membership_ = MakeMembership("2");
     Start();
