cell: Keep a stop and the next owners from waiting for store watches

Cause: the destruction of an owner waits for its store watch, which ends after 2 s. HandOver() kept the owners until its end; the membership had dropped them by then, so that the thread of the handover destroyed them one after the other. In the same way the maintenance thread destroyed lost owners one after the other before it started the next ones, for example after a lost lease.

Fix: OwnerDisposal destroys halted owners on a thread of its own. The handover waits for the results of all parts together, for at most 0.3 s instead of 0.3 s for each.

Tests: HandoverDoesNotWaitForWatches (the handover had not ended after 60 s, with watches held) and PartsClaimedAgainAreServedWhileFormerOwnersEnd (three of four parts not served within 60 s) failed before and pass.

--- a/packages/cell/cell_node.cc
+++ b/packages/cell/cell_node.cc
@@ -13,8 +13,8 @@
 // Longest wait between two rounds of the maintenance thread, which passes the current members to
 // the AdviceDispatcher and stores missing part counts.
 constexpr absl::Duration kMaintenanceInterval = absl::Milliseconds(500);
-// How long a planned handover waits for task results to be stored. The next owner gets the
-// remaining ones from the workers.
+// How long a planned handover waits for the task results of all parts to be stored. The next owners
+// get the remaining ones from the workers.
 constexpr absl::Duration kHandoverTimeout = absl::Milliseconds(300);
 // A peer answers a store health query from memory. A call between regions takes 16 ms.
 constexpr absl::Duration kStoreHealthTimeout = absl::Milliseconds(200);
@@ -132,16 +132,21 @@
     absl::MutexLock lock(&mutex_);
     owners = owners_;
   }
+  for (const auto& [part, owner] : owners) {
+    owner->StopOrders();
+  }
+  const absl::Time deadline = context_.clock->Now() + kHandoverTimeout;
   std::map<PartName, StoreWrite> last_writes;
   for (const auto& [part, owner] : owners) {
-    std::optional<StoreWrite> write = owner->PrepareHandover(kHandoverTimeout);
+    std::optional<StoreWrite> write = owner->PrepareHandover(deadline);
     if (write.has_value()) {
       last_writes.emplace(part, std::move(*write));
     }
   }
   membership_->Resign(std::move(last_writes));
-  for (const auto& [part, owner] : owners) {
+  for (auto& [part, owner] : owners) {
     owner->Halt();
+    disposal_.Add(std::move(owner));
   }
 }
 
@@ -174,9 +179,9 @@
     absl::MutexLock lock(&mutex_);
     owners.swap(owners_);
     owners_to_start_.clear();
-    owners_to_destroy_.clear();
   }
   owners.clear();
+  disposal_.Stop();
   if (peer_server_ != nullptr) {
     peer_server_->Stop();
   }
@@ -240,9 +245,8 @@
     return;
   }
   it->second->Halt();
-  owners_to_destroy_.push_back(std::move(it->second));
+  disposal_.Add(std::move(it->second));
   owners_.erase(it);
-  changed_.SignalAll();
 }
 
 std::shared_ptr<PoolOwner> CellNode::FindOwner(const PartName& part) const {
@@ -300,20 +304,20 @@
 void CellNode::MaintenanceLoop() {
   for (;;) {
     std::vector<std::shared_ptr<PoolOwner>> to_start;
-    std::vector<std::shared_ptr<PoolOwner>> to_destroy;
     {
       absl::MutexLock lock(&mutex_);
       if (stopping_) {
         return;
       }
-      if (owners_to_start_.empty() && owners_to_destroy_.empty()) {
+      if (owners_to_start_.empty()) {
         context_.clock->WaitUntil(&changed_, &mutex_, context_.clock->Now() + kMaintenanceInterval);
       }
       to_start.swap(owners_to_start_);
-      to_destroy.swap(owners_to_destroy_);
     }
-    for (const std::shared_ptr<PoolOwner>& owner : to_start) {
+    for (std::shared_ptr<PoolOwner>& owner : to_start) {
       owner->Start();
+      // The part may have been lost meanwhile.
+      disposal_.Add(std::move(owner));
     }
     advice_->SetMembers(membership_->members());
     StoreMissingPartCounts();
--- a/packages/cell/cell_node.h
+++ b/packages/cell/cell_node.h
@@ -16,6 +16,7 @@
 #include "cell/cell_membership.h"
 #include "cell/cell_service.h"
 #include "cell/observed_store.h"
+#include "cell/owner_disposal.h"
 #include "cell/part_count_chooser.h"
 #include "cell/pool_owner.h"
 #include "peer/peer_client.h"
@@ -90,10 +91,9 @@
   absl::CondVar changed_;
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
   std::map<PartName, std::shared_ptr<PoolOwner>> owners_ ABSL_GUARDED_BY(mutex_);
-  // Owners of newly claimed parts to be started, and halted owners to be destroyed, by the
-  // maintenance thread.
+  // Owners of newly claimed parts, to be started by the maintenance thread.
   std::vector<std::shared_ptr<PoolOwner>> owners_to_start_ ABSL_GUARDED_BY(mutex_);
-  std::vector<std::shared_ptr<PoolOwner>> owners_to_destroy_ ABSL_GUARDED_BY(mutex_);
+  OwnerDisposal disposal_;
 };
 
 }  // namespace pomelotray
--- a/packages/cell/pool_owner.cc
+++ b/packages/cell/pool_owner.cc
@@ -262,14 +262,18 @@
   return false;
 }
 
-std::optional<StoreWrite> PoolOwner::PrepareHandover(absl::Duration limit) {
+void PoolOwner::StopOrders() {
+  absl::MutexLock lock(&mutex_);
+  finishing_ = true;
+}
+
+std::optional<StoreWrite> PoolOwner::PrepareHandover(absl::Time deadline) {
+  StopOrders();
   std::vector<RosterEntry> roster;
   {
     absl::MutexLock lock(&mutex_);
-    finishing_ = true;
-    const absl::Time end = context_.clock->Now() + limit;
-    while (!halted_ && scheduler_.HasUnstoredChanges() && context_.clock->Now() < end) {
-      context_.clock->WaitUntil(&commit_done_, &mutex_, end);
+    while (!halted_ && scheduler_.HasUnstoredChanges() && context_.clock->Now() < deadline) {
+      context_.clock->WaitUntil(&commit_done_, &mutex_, deadline);
     }
     if (!serving_) {
       return std::nullopt;
--- a/packages/cell/pool_owner.h
+++ b/packages/cell/pool_owner.h
@@ -65,11 +65,13 @@
   void Start();
   // Stops scheduling. No order is sent after this returns, but calls in progress may continue.
   void Halt();
-  // For a planned handover: stops sending orders and waits at most `limit` until all changes are
-  // stored. Returns a write that tells the next owner which tasks may be running; it must be
+  // Stops sending orders for a planned handover. Ends of tasks are still stored.
+  void StopOrders();
+  // For a planned handover: calls StopOrders() and waits until all changes are stored, or until
+  // `deadline`. Returns a write that tells the next owner which tasks may be running; it must be
   // committed in the transaction that releases the claim. Returns no value if the state is not
   // loaded, the owner was halted, or the write would be too large for the store.
-  std::optional<StoreWrite> PrepareHandover(absl::Duration limit);
+  std::optional<StoreWrite> PrepareHandover(absl::Time deadline);
   // Delivers a job or cancellation that the VM which accepted the request has just stored, before
   // the store's watch reports it.
   void ApplyNewEntry(const std::string& key, const std::string& value);
--- a/tests/cell/pool_owner_fixture.h
+++ b/tests/cell/pool_owner_fixture.h
@@ -168,7 +168,7 @@
   }
   // Stops the owner in order and starts the next one.
   void HandOver() {
-    std::optional<StoreWrite> roster = owner_->PrepareHandover(kHandoverTimeout);
+    std::optional<StoreWrite> roster = owner_->PrepareHandover(clock_.Now() + kHandoverTimeout);
     BOOST_REQUIRE(roster.has_value());
     membership_->Resign({{Part(), std::move(*roster)}});
     owner_.reset();
