scheduler: Count a job as begun only when a worker says so

Cause: a job became running when its first start was ordered. Nothing took that back when the order was refused, not sent, not answered or lost with its worker. A new owner took the attempts in the roster for confirmed starts as well.

Fix: a job has begun when a worker has accepted the start, lists an attempt or reports an end of one. This is never taken back, since that is what the count is defined by. What the next owner needs is carried by writes that are made anyway: the roster names the attempts of unreachable workers, and of all workers at a handover, whose start is not confirmed. One more record is stored only when a begun attempt is dropped and the store does not know yet that its job has begun. A record that was made before the job began no longer changes its state when it is stored.

--- a/packages/cell/cell_job.h
+++ b/packages/cell/cell_job.h
@@ -16,7 +16,8 @@
 
 namespace pomelotray {
 
-// State of a job in the cell. The last three are final.
+// State of a job in the cell. A job is running once a worker has said that a task of it has begun.
+// The last three are final.
 enum class CellJobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
 
 inline bool IsFinal(CellJobState state) {
@@ -124,6 +125,8 @@
   int64_t committed = 0;
   // The store has a progress record of the job.
   bool has_stored_progress = false;
+  // That record says that the job has begun.
+  bool begun_in_store = false;
   // State shown to callers. A final state is shown only once it is stored.
   CellJobState visible = CellJobState::kQueued;
   // An earlier owner may have started tasks of the job, so they may be running although no attempt
--- a/packages/cell/cell_worker.h
+++ b/packages/cell/cell_worker.h
@@ -53,6 +53,8 @@
   absl::Time confirmed_at = absl::InfiniteFuture();
   // The worker has reported the attempt as running.
   bool listed = false;
+  // The worker has said, to this owner or an earlier one, that the attempt has begun.
+  bool begun = false;
   // The task is suspected of crashing its workers: no other job may start attempts on the worker.
   bool isolated = false;
   // The attempt is to be stopped.
--- a/packages/cell/job_record.cc
+++ b/packages/cell/job_record.cc
@@ -231,6 +231,9 @@
     if (!entry.stopping.empty()) {
       row["stopping"] = EncodeAttemptKeys(entry.stopping);
     }
+    if (!entry.unconfirmed.empty()) {
+      row["unconfirmed"] = EncodeAttemptKeys(entry.unconfirmed);
+    }
     list.push_back(std::move(row));
   }
   return list.dump();
@@ -263,6 +266,7 @@
       }
       entry.unreachable_for = OptionalMillis(row, "unreachable_ms");
       entry.stopping = DecodeAttemptKeys(row, "stopping");
+      entry.unconfirmed = DecodeAttemptKeys(row, "unconfirmed");
       roster.push_back(std::move(entry));
     }
     return roster;
--- a/packages/cell/job_record.h
+++ b/packages/cell/job_record.h
@@ -76,6 +76,9 @@
   std::vector<AttemptKey> attempts;
   // The subset of `attempts` that is being stopped.
   std::vector<AttemptKey> stopping;
+  // The subset of `attempts` that were ordered, but of which the worker has not said that they have
+  // begun.
+  std::vector<AttemptKey> unconfirmed;
 };
 
 // Converts the roster of a pool part to and from its stored form (JSON). Decoding fails if any row
--- a/packages/cell/pool_scheduler.cc
+++ b/packages/cell/pool_scheduler.cc
@@ -52,6 +52,17 @@
   return keys;
 }
 
+// Returns the attempts that were ordered but not confirmed.
+std::vector<AttemptKey> UnconfirmedAttempts(const CellWorker& worker) {
+  std::vector<AttemptKey> keys;
+  for (const auto& [key, attempt] : worker.attempts) {
+    if (!attempt.begun) {
+      keys.push_back(key);
+    }
+  }
+  return keys;
+}
+
 }  // namespace
 
 PoolScheduler::PoolScheduler(PoolPart part, int64_t term, PoolLimits limits, EventLog* events)
@@ -277,6 +288,7 @@
     if (unreachable) {
       entry.unreachable_for = std::max(now - worker.unreachable_since, absl::ZeroDuration());
       entry.attempts = std::move(unsettled);
+      entry.unconfirmed = UnconfirmedAttempts(worker);
     }
     roster.push_back(std::move(entry));
   }
@@ -305,6 +317,7 @@
     entry.handover_term = entry.unreachable ? 0 : term_;
     const CellWorker& worker = workers_.at(entry.worker.id);
     entry.attempts = UnsettledAttempts(worker);
+    entry.unconfirmed = UnconfirmedAttempts(worker);
     for (const auto& [key, attempt] : worker.attempts) {
       if (attempt.stop_wanted) {
         entry.stopping.push_back(key);
@@ -472,10 +485,6 @@
     task.restart.Ordered(now, run->advice.asked_at, placed.ticket.received);
   }
   worker->used += attempt.reserved;
-  if (job->state == CellJobState::kQueued) {
-    job->state = CellJobState::kRunning;
-    job->visible = CellJobState::kRunning;
-  }
   events_->Record(EventCode::kTaskStartSent)
       .Task(TaskId(attempt.key.task))
       .With("run", attempt.key.run.value())
--- a/packages/cell/pool_scheduler.h
+++ b/packages/cell/pool_scheduler.h
@@ -200,6 +200,9 @@
   // again and `reason` is logged, unless it is null.
   void DropAttempt(CellWorker* worker, const AttemptKey& key, const char* reason, bool avoid_worker,
                    absl::Time now);
+  // Takes note that the worker has said that the attempt, and so its job, has begun.
+  void NoteBegun(Attempt* attempt);
+  static void NoteBegun(CellJob* job);
   // Lets the step renew the ticket that the attempt used, unless it has a newer one.
   void ExpireTicket(const WorkerId& id, const Attempt& attempt);
   // Keeps the checkpoint of an attempt that is over for the next start of its task. All tasks of a
--- a/packages/cell/pool_scheduler_records.cc
+++ b/packages/cell/pool_scheduler_records.cc
@@ -77,7 +77,11 @@
     if (job != nullptr) {
       job->committed = std::max(job->committed, record.version);
       job->has_stored_progress = !IsFinal(record.state);
-      job->visible = record.state;
+      job->begun_in_store = record.state != CellJobState::kQueued;
+      // The job may have begun since the record was made.
+      if (IsFinal(record.state)) {
+        job->visible = record.state;
+      }
     }
   }
   std::vector<WorkerId> stored;
--- a/packages/cell/pool_scheduler_reports.cc
+++ b/packages/cell/pool_scheduler_reports.cc
@@ -79,6 +79,11 @@
     task.restart.Begin(std::min(worker->unreachable_since, now), now);
   }
   KeepCheckpoint(attempt);
+  CellJob* const job = FindJob(attempt.task->job);
+  if (attempt.begun && !job->begun_in_store) {
+    // No worker can tell the next owner any more that the job has begun.
+    MarkChanged(job);
+  }
   if (avoid_worker) {
     task.avoided_worker = worker->description.id;
   }
@@ -95,6 +100,21 @@
       .Emit();
 }
 
+void PoolScheduler::NoteBegun(Attempt* attempt) {
+  attempt->begun = true;
+  CellJob* const job = attempt->task.has_value() ? FindJob(attempt->task->job) : nullptr;
+  if (job != nullptr) {
+    NoteBegun(job);
+  }
+}
+
+void PoolScheduler::NoteBegun(CellJob* job) {
+  if (job->state == CellJobState::kQueued) {
+    job->state = CellJobState::kRunning;
+    job->visible = CellJobState::kRunning;
+  }
+}
+
 void PoolScheduler::KeepCheckpoint(const Attempt& attempt) {
   if (attempt.checkpoint.empty()) {
     return;
@@ -210,6 +230,7 @@
   }
   attempt.phase = AttemptPhase::kRunning;
   attempt.listed = true;
+  NoteBegun(&attempt);
   attempt.confirmed_at = std::min(attempt.confirmed_at, now);
   if (running.percent != attempt.percent) {
     // A long-running attempt never succeeds, but it shows that the worker can run tasks.
@@ -246,8 +267,6 @@
       task.worker = worker->description.id;
       task.last_run = attempt->key.run;
       EndWait(*attempt->task, worker->description.id, attempt->known_since);
-      job->state = CellJobState::kRunning;
-      job->visible = CellJobState::kRunning;
     }
   } else {
     ReserveForUnboundAttempt(attempt);
@@ -269,6 +288,10 @@
     attempt.stop_wanted =
         std::find(entry.stopping.begin(), entry.stopping.end(), key) != entry.stopping.end();
     BindAttempt(worker, &attempt);
+    if (std::find(entry.unconfirmed.begin(), entry.unconfirmed.end(), key) ==
+        entry.unconfirmed.end()) {
+      NoteBegun(&attempt);
+    }
     worker->attempts.emplace(key, std::move(attempt));
   }
 }
@@ -285,6 +308,7 @@
   attempt.progress_at = now;
   attempt.ApplyCheckpoint(running.checkpoint, now);
   const bool wanted = BindAttempt(worker, &attempt);
+  NoteBegun(&attempt);
   if (attempt.task.has_value()) {
     RetractLoss(*attempt.task, attempt.key.run);
   }
@@ -344,6 +368,8 @@
   UnacknowledgedEnd pending{ended.number, ended.key, JobId(), 0};
   CellJob* job = ref.has_value() ? FindJob(ref->job) : nullptr;
   if (job != nullptr && !IsFinal(job->state)) {
+    // A short attempt may end before any report lists it as running.
+    NoteBegun(job);
     StepRun* run = FindStepRun(*ref);
     const JobId id = job->intake.id;
     if (succeeded) {
@@ -529,6 +555,7 @@
     statistics_.AddAnswered(now - attempt.sent_at, outcome.answer == OrderAnswer::kTicketRefused);
   }
   if (outcome.answer == OrderAnswer::kAccepted) {
+    NoteBegun(&attempt);
     if (attempt.phase == AttemptPhase::kOrdered) {
       attempt.phase = AttemptPhase::kRunning;
       attempt.confirmed_at = now;
--- a/packages/cell/progress_record.cc
+++ b/packages/cell/progress_record.cc
@@ -275,6 +275,7 @@
   BOOST_LEAF_AUTO(progress, DecodeProgress(text, job->intake.spec));
   job->state = progress.state;
   job->visible = progress.state;
+  job->begun_in_store = progress.state != CellJobState::kQueued;
   if (IsFinal(progress.state)) {
     job->runs.clear();
   }
--- a/tests/cell/pool_fault_run_test.cc
+++ b/tests/cell/pool_fault_run_test.cc
@@ -130,6 +130,17 @@
   CheckSeeds(faults);
 }
 
+// Guards against a count of pending jobs that goes by what the owner has ordered, not by what the
+// workers have started, while orders are refused and lost, workers are lost and owners change.
+BOOST_AUTO_TEST_CASE(PendingJobsAreThoseWithoutAStart) {
+  PoolSimulation::Faults faults;
+  faults.worker_crashes = 8;
+  faults.cut_offs = 8;
+  faults.owner_changes = 5;
+  faults.refusals = 8;
+  CheckSeeds(faults);
+}
+
 // Guards against long-running tasks that wait although workers have capacity for them, after waves
 // of crashes and in a pool that other tasks keep busy.
 BOOST_AUTO_TEST_CASE(LongRunningTasksRunWhileWorkersHaveCapacity) {
--- a/tests/cell/pool_simulation.h
+++ b/tests/cell/pool_simulation.h
@@ -40,6 +40,8 @@
     double shrinks = 0;
     // Workers that crash without a next process at their address. Half of the machines stay.
     double final_losses = 0;
+    // Workers that refuse all starts for some seconds.
+    double refusals = 0;
     double cut_offs = 3;
     double owner_changes = 3;
     double store_outages = 2;
@@ -115,6 +117,7 @@
     // The directory that the owner read last has an entry of this process.
     bool listed = false;
     absl::Time cut_until = absl::InfinitePast();
+    absl::Time refuses_until = absl::InfinitePast();
     absl::Time started_at;
     absl::Time lease_end = absl::InfinitePast();
     absl::Time next_hold;
@@ -135,6 +138,10 @@
     std::string crashing_task;
     absl::Duration crash_after;
     bool cancelled = false;
+    // A worker has started a task of the job.
+    bool begun = false;
+    // The owner, by its number, that a worker has told this last.
+    int told_owner = -1;
   };
   // A task of a long-running job.
   struct LongRunningTask {
@@ -236,6 +243,11 @@
   // Describes what the scheduler holds against starting the task on the workers with capacity.
   std::string DescribeWait(const std::string& name, const LongRunningTask& task) const;
   std::string DescribeWorker(const CellWorker& worker, const std::string& job) const;
+  // Checks that the jobs that the scheduler counts as pending are those without a start.
+  void CheckPending();
+  // Takes note that a worker has told the owner that a task of the job has begun.
+  void NoteTold(const AttemptKey& key);
+  void RefuseOnRandomWorker();
   // Updates the time since which no fault has happened.
   void NoteFaults();
   void NoteStart(const TaskRun& run);
@@ -279,6 +291,7 @@
   absl::Time store_down_until_ = absl::InfinitePast();
   absl::Time next_directory_;
   absl::Time next_round_;
+  absl::Time next_pending_check_;
   std::map<JobId, std::string> stored_progress_;
   std::set<JobId> stored_final_;
   std::string stored_roster_;
--- a/tests/cell/pool_simulation_checks.cc
+++ b/tests/cell/pool_simulation_checks.cc
@@ -168,6 +168,40 @@
   return text;
 }
 
+void PoolSimulation::NoteTold(const AttemptKey& key) {
+  TaskNameParts parts;
+  ParseTaskName(key.task, &parts);
+  jobs_.at(parts.job).told_owner = owner_;
+}
+
+void PoolSimulation::CheckPending() {
+  int64_t without_start = 0;
+  int64_t untold = 0;
+  std::string differing;
+  for (const auto& [id, truth] : jobs_) {
+    const auto known = scheduler_->jobs().find(JobId(id));
+    if (known == scheduler_->jobs().end() || IsFinal(known->second.state) || truth.cancelled) {
+      continue;
+    }
+    const bool told = truth.told_owner == owner_;
+    without_start += truth.begun ? 0 : 1;
+    untold += told ? 0 : 1;
+    const bool queued = known->second.visible == CellJobState::kQueued;
+    if (queued ? told : !truth.begun) {
+      absl::StrAppend(&differing, " ", id, queued ? " (has begun)" : " (has not begun)");
+    }
+  }
+  int64_t pending = 0;
+  for (const auto& [queue, count] : scheduler_->PendingByQueue()) {
+    pending += count;
+  }
+  // An owner that no worker has told of a start may count the job until it is told.
+  if (pending < without_start || pending > untold || !differing.empty()) {
+    Violation(absl::StrCat(pending, " jobs are pending; ", without_start, " have no start and ",
+                           untold, " none that the owner was told of:", differing));
+  }
+}
+
 bool PoolSimulation::IsRunning(const std::string& task) const {
   return std::any_of(workers_.begin(), workers_.end(), [&task](const auto& entry) {
     return std::any_of(entry.second.runs.begin(), entry.second.runs.end(),
--- a/tests/cell/pool_simulation_faults.cc
+++ b/tests/cell/pool_simulation_faults.cc
@@ -17,6 +17,17 @@
   if (faults_.final_losses > 0 && Happens(faults_.final_losses)) {
     LoseRandomWorker();
   }
+  if (faults_.refusals > 0 && Happens(faults_.refusals)) {
+    RefuseOnRandomWorker();
+  }
+}
+
+void PoolSimulation::RefuseOnRandomWorker() {
+  Worker* const worker = ChooseStayingWorker();
+  if (worker != nullptr) {
+    worker->refuses_until = Now() + Millis(500, 5000);
+    Note(absl::StrCat(worker->description.id.value(), " refuses starts"));
+  }
 }
 
 PoolSimulation::Worker* PoolSimulation::ChooseStayingWorker() {
