soak: Stop instances in series in several pools

One instance owns the parts of several pools. Instances are stopped shortly one after the other, mostly beside a slow store; callers keep using their open connections until the process is gone.

--- a/tests/soak/instance_group.cc
+++ b/tests/soak/instance_group.cc
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 
@@ -69,10 +70,12 @@
       instance->settings_file + ".err");
   instance->paused = false;
   instance->resume_at = absl::InfinitePast();
+  instance->stop_deadline = absl::InfiniteFuture();
 }
 
 bool InstanceGroup::IsUp(int index) const {
-  return instances_[index].process != nullptr && !instances_[index].paused;
+  const Instance& instance = instances_[index];
+  return instance.process != nullptr && !instance.paused && !instance.IsStopping();
 }
 
 void InstanceGroup::Kill(int index, absl::Duration downtime) {
@@ -100,9 +103,36 @@
   instance.resume_at = absl::Now();
 }
 
+void InstanceGroup::BeginStop(int index) {
+  Instance& instance = instances_[index];
+  instance.process->Signal(SIGTERM);
+  instance.stop_deadline = absl::Now() + kStopTimeout;
+}
+
+void InstanceGroup::EndStop(Instance* instance, bool wait) {
+  const absl::Duration left = instance->stop_deadline - absl::Now();
+  const bool ended =
+      instance->process->Wait(wait ? std::max(left, absl::ZeroDuration()) : absl::ZeroDuration())
+          .has_value();
+  if (!ended && !wait && left > absl::ZeroDuration()) {
+    return;
+  }
+  if (!ended) {
+    history_->AddViolation("an instance did not exit in time after SIGTERM");
+    instance->process->Signal(SIGKILL);
+    instance->process->Wait(kStopTimeout);
+  }
+  instance->process.reset();
+  Start(instance);
+}
+
 void InstanceGroup::EndFaults(bool all) {
   const absl::Time now = absl::Now();
   for (Instance& instance : instances_) {
+    if (instance.IsStopping()) {
+      EndStop(&instance, all);
+      continue;
+    }
     if (!all && instance.resume_at > now) {
       continue;
     }
--- a/tests/soak/instance_group.h
+++ b/tests/soak/instance_group.h
@@ -24,7 +24,7 @@
   const std::string& front_address(int index) const { return instances_[index].front_address; }
   // Returns the folder with the settings files and logs of the instances.
   const std::string& folder() const { return folder_; }
-  // Whether the process runs and is not paused.
+  // Whether the process runs and is neither paused nor being stopped.
   bool IsUp(int index) const;
   // Kills the process; EndFaults() starts it again after `downtime`.
   void Kill(int index, absl::Duration downtime);
@@ -33,6 +33,9 @@
   // Stops the process with SIGTERM and waits for its end. A stop that takes too long is a
   // violation.
   void Terminate(int index);
+  // Sends SIGTERM and does not wait: EndFaults() starts the process again once it has ended. A stop
+  // that takes too long is a violation.
+  void BeginStop(int index);
   // Starts and continues the processes whose time is over, or all of them if `all` is set. An end
   // of a process that nobody caused is a violation.
   void EndFaults(bool all);
@@ -47,11 +50,18 @@
     // Time at which a paused process is continued or an ended one is started again.
     absl::Time resume_at = absl::InfinitePast();
     bool paused = false;
+    // By then a process that was sent SIGTERM must have ended.
+    absl::Time stop_deadline = absl::InfiniteFuture();
+
+    bool IsStopping() const { return stop_deadline < absl::InfiniteFuture(); }
   };
 
   void WriteSettings(int index, const std::string& store_address,
                      const std::string& adviser_address);
   static void Start(Instance* instance);
+  // Starts a process that was sent SIGTERM again if it has ended. Waits for its end if `wait` is
+  // set.
+  void EndStop(Instance* instance, bool wait);
 
   RunHistory* const history_;
   const std::string folder_;
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -18,18 +18,33 @@
   return static_cast<int>((*random)() % static_cast<unsigned>(below));
 }
 
+SoakCaller::SoakCaller(const InstanceGroup* instances, RunHistory* history)
+    : instances_(instances), history_(history) {}
+
+SoakCaller::~SoakCaller() = default;
+
+httplib::Client& SoakCaller::ConnectionTo(int instance) const {
+  absl::MutexLock lock(&mutex_);
+  std::unique_ptr<httplib::Client>& connection =
+      connections_[{std::this_thread::get_id(), instance}];
+  if (connection == nullptr) {
+    connection = std::make_unique<httplib::Client>("http://" + instances_->front_address(instance));
+    connection->set_keep_alive(true);
+    connection->set_connection_timeout(absl::ToChronoMicroseconds(kCallTimeout));
+    connection->set_read_timeout(absl::ToChronoMicroseconds(kCallTimeout));
+  }
+  return *connection;
+}
+
 void SoakCaller::Submit(const std::string& prefix, const std::string& id,
                         const std::string& payload, const json& steps, std::mt19937* random) const {
   history_->Submitted(id, payload);
   bool never_stored = true;
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
     const int instance = RandomBelow(random, instances_->size());
-    httplib::Client client("http://" + instances_->front_address(instance));
-    client.set_connection_timeout(absl::ToChronoMicroseconds(kCallTimeout));
-    client.set_read_timeout(absl::ToChronoMicroseconds(kCallTimeout));
-    const httplib::Result result =
-        client.Post(prefix + id, {{"Host", kSoakHost}},
-                    json{{"spec", payload}, {"steps", steps}}.dump(), "application/json");
+    const httplib::Result result = ConnectionTo(instance).Post(
+        prefix + id, {{"Host", kSoakHost}}, json{{"spec", payload}, {"steps", steps}}.dump(),
+        "application/json");
     if (result && result->status == 200) {
       history_->Accepted(id);
       return;
@@ -46,9 +61,7 @@
 
 std::string SoakCaller::StateOf(const std::string& prefix, const std::string& id,
                                 int instance) const {
-  httplib::Client client("http://" + instances_->front_address(instance));
-  client.set_read_timeout(absl::ToChronoMicroseconds(kCallTimeout));
-  const httplib::Result result = client.Get(prefix + id, {{"Host", kSoakHost}});
+  const httplib::Result result = ConnectionTo(instance).Get(prefix + id, {{"Host", kSoakHost}});
   if (!result) {
     return "no answer";
   }
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -11,7 +11,6 @@
 
 using nlohmann::json;
 
-constexpr char kPrefix[] = "/jobs/";
 constexpr int64_t kWorkerCpu = 4000;
 constexpr absl::Duration kStartDelay = absl::Seconds(4);
 constexpr absl::Duration kFaultInterval = absl::Milliseconds(700);
@@ -23,18 +22,24 @@
 // it has to notice changes, and one interval in which the worker publishes it.
 constexpr absl::Duration kCapacityNotice = absl::Milliseconds(4500);
 
-std::string Configuration() {
-  return json{{"version", 7},
-              {"routes",
-               {{{"name", "r"},
-                 {"host", kSoakHost},
-                 {"prefix", kPrefix},
-                 {"service", "work"},
-                 {"priority", 1},
-                 {"max-attempts", 4},
-                 {"stretch", 3.0},
-                 {"target-latency-ms", 1000}}}},
-              {"services", {{{"name", "work"}}}}}
+std::string PoolOf(int number) { return absl::StrCat("work", number); }
+std::string Prefix(int pool) { return absl::StrCat("/jobs", pool, "/"); }
+
+std::string Configuration(int pools) {
+  json routes = json::array();
+  json services = json::array();
+  for (int pool = 0; pool < pools; ++pool) {
+    routes.push_back({{"name", absl::StrCat("r", pool)},
+                      {"host", kSoakHost},
+                      {"prefix", Prefix(pool)},
+                      {"service", PoolOf(pool)},
+                      {"priority", 1},
+                      {"max-attempts", 4},
+                      {"stretch", 3.0},
+                      {"target-latency-ms", 1000}});
+    services.push_back({{"name", PoolOf(pool)}});
+  }
+  return json{{"version", 7}, {"routes", std::move(routes)}, {"services", std::move(services)}}
       .dump();
 }
 
@@ -51,10 +56,10 @@
       limits_(limits),
       random_(static_cast<unsigned>(seed)),
       instances_(limits.instances, store_.address(), /*adviser_address=*/"", &history_) {
-  store_.Put("op/config", Configuration());
+  store_.Put("op/config", Configuration(limits_.pools));
   for (int i = 0; i < limits_.workers; ++i) {
-    workers_.push_back(
-        std::make_unique<WorkerStandin>(absl::StrCat("w-", i), kWorkerCpu, &history_, &gangs_));
+    workers_.push_back(std::make_unique<WorkerStandin>(absl::StrCat("w-", i), kWorkerCpu, &history_,
+                                                       &gangs_, PoolOf(i % limits_.pools)));
     workers_.back()->RefuseStarts(limits_.refusal_interval);
     store_.Put(absl::StrCat("servers/w-", i), workers_.back()->Entry());
   }
@@ -84,6 +89,20 @@
   }
 }
 
+void SoakRun::StopInSeries() {
+  const bool slow = RandomBelow(&random_, 4) > 0;
+  store_.SetDelay(absl::Milliseconds(slow ? 50 + RandomBelow(&random_, 250) : 0));
+  store_fault_until_ = absl::Now() + absl::Milliseconds(500 + RandomBelow(&random_, 3500));
+  for (int stops = 1 + RandomBelow(&random_, limits_.instances); stops > 0; --stops) {
+    const int index = RandomBelow(&random_, limits_.instances);
+    if (instances_.IsUp(index)) {
+      instances_.BeginStop(index);
+    }
+    absl::SleepFor(absl::Milliseconds(RandomBelow(&random_, 700)));
+    EndFaults(/*all=*/false);
+  }
+}
+
 void SoakRun::InjectStoreFault() {
   switch (RandomBelow(&random_, 4)) {
     case 0:
@@ -164,8 +183,12 @@
   Submit(id, steps, random);
 }
 
+std::string SoakRun::PrefixOf(const std::string& job) const {
+  return Prefix(static_cast<int>(StableHash("pool" + job) % limits_.pools));
+}
+
 void SoakRun::Submit(const std::string& id, const json& steps, std::mt19937* random) {
-  caller_.Submit(kPrefix, id, "payload of " + id, steps, random);
+  caller_.Submit(PrefixOf(id), id, "payload of " + id, steps, random);
 }
 
 std::string SoakRun::JobName(int caller, int number) const {
@@ -177,7 +200,7 @@
   std::mt19937 random(static_cast<unsigned>(seed_ * 1000 + caller));
   for (int number = 0; !stopping_; ++number) {
     const std::string id = JobName(caller, number);
-    if (limits_.refusal_interval > 0 && HasCrashingTask(id)) {
+    if ((limits_.refusal_interval > 0 || limits_.stop_series) && HasCrashingTask(id)) {
       continue;
     }
     SubmitJob(id, &random);
@@ -190,10 +213,10 @@
   int instance = 0;
   for (const std::string& id : history_.accepted()) {
     const std::string expected = HasCrashingTask(id) ? "failed" : "completed";
-    std::string state = caller_.StateOf(kPrefix, id, ++instance % instances_.size());
+    std::string state = caller_.StateOf(PrefixOf(id), id, ++instance % instances_.size());
     while (state != expected && absl::Now() < end) {
       absl::SleepFor(absl::Milliseconds(50));
-      state = caller_.StateOf(kPrefix, id, ++instance % instances_.size());
+      state = caller_.StateOf(PrefixOf(id), id, ++instance % instances_.size());
     }
     if (state != expected) {
       history_.AddViolation(
@@ -209,7 +232,9 @@
   }
   const absl::Time end = absl::Now() + limits_.fault_duration;
   while (absl::Now() < end) {
-    if (limits_.refusal_interval == 0) {
+    if (limits_.stop_series) {
+      StopInSeries();
+    } else if (limits_.refusal_interval == 0) {
       InjectFault();
     }
     absl::SleepFor(kFaultInterval);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -31,6 +31,10 @@
     absl::Duration recovery_timeout = absl::Seconds(60);
     // Workers refuse one start out of this many, and there are no other faults; 0: random faults.
     uint64_t refusal_interval = 0;
+    // The workers are divided among this many pools.
+    int pools = 1;
+    // The only faults are stops of instances in series, which overlap, beside a slow store.
+    bool stop_series = false;
   };
 
   SoakRun(int seed, Limits limits);
@@ -46,6 +50,8 @@
  private:
   void InjectFault();
   void InjectInstanceFault();
+  // Stops some or all instances shortly one after the other, mostly beside a slow store.
+  void StopInSeries();
   void InjectStoreFault();
   // Shrinks the capacity of the worker, or lets it grow again.
   void ChangeCapacity(int worker);
@@ -53,6 +59,8 @@
   void EndFaults(bool all);
   void CallerLoop(int caller);
   std::string JobName(int caller, int number) const;
+  // Returns the path prefix of the queue that the job is submitted to.
+  std::string PrefixOf(const std::string& job) const;
   // Submits a job with random steps, or with the given ones.
   void SubmitJob(const std::string& id, std::mt19937* random);
   void Submit(const std::string& id, const nlohmann::json& steps, std::mt19937* random);
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -16,6 +16,9 @@
 constexpr uint64_t kRefusalInterval = 10;
 constexpr int kRefusalSeed = 5;
 constexpr int kOutageSeed = 6;
+constexpr char kStopSeed[] = "1";
+constexpr int kStopInstances = 3;
+constexpr int kStopPools = 6;
 
 void CheckNoViolation(const std::vector<std::string>& violations, size_t accepted) {
   BOOST_TEST(accepted > 0U, "no job was accepted");
@@ -29,6 +32,10 @@
   return value == nullptr ? fallback : value;
 }
 
+int NumberSetting(const char* name, int fallback) {
+  return std::atoi(Setting(name, std::to_string(fallback)).c_str());
+}
+
 BOOST_AUTO_TEST_SUITE(SoakTest)
 
 // Guards against lost, duplicated or unfinished jobs while instances are killed, paused and
@@ -47,6 +54,27 @@
   }
 }
 
+// Guards against pools that no instance schedules any more after instances were stopped one after
+// the other beside a slow store, and against stops that exceed the grace period: one instance owns
+// the parts of several pools.
+BOOST_AUTO_TEST_CASE(PoolsKeepAnOwnerThroughStopsInSeries) {
+  SoakRun::Limits limits;
+  limits.instances = NumberSetting("POMELOTRAY_SOAK_INSTANCES", kStopInstances);
+  limits.pools = kStopPools;
+  limits.workers = kStopPools;
+  limits.stop_series = true;
+  std::istringstream seeds(Setting("POMELOTRAY_SOAK_SEEDS", kStopSeed));
+  for (int seed = 0; seeds >> seed;) {
+    SoakRun run(seed, limits);
+    const std::vector<std::string> violations = run.Run();
+    BOOST_TEST_MESSAGE("stops, seed " << seed << ": " << run.accepted() << " jobs accepted");
+    BOOST_TEST(run.accepted() > 0U, "seed " << seed << ": no job was accepted");
+    for (const std::string& violation : violations) {
+      BOOST_ERROR("stops, seed " << seed << ": " << violation);
+    }
+  }
+}
+
 // Guards against members of a gang that wait for the others until they give up: the start of one
 // member is refused, and there is no other fault.
 BOOST_AUTO_TEST_CASE(NoMemberOfAGangIsLeftWaiting) {
--- a/tests/soak/worker_standin.cc
+++ b/tests/soak/worker_standin.cc
@@ -63,8 +63,14 @@
 
 bool HasCrashingTask(const std::string& job) { return StableHash(job) % kCrashingJobInterval == 0; }
 
-WorkerStandin::WorkerStandin(std::string id, int64_t cpu, RunHistory* history, GangBoard* gangs)
-    : id_(std::move(id)), history_(history), gangs_(gangs), cpu_(cpu), started_at_(absl::Now()) {
+WorkerStandin::WorkerStandin(std::string id, int64_t cpu, RunHistory* history, GangBoard* gangs,
+                             std::string pool)
+    : id_(std::move(id)),
+      pool_(std::move(pool)),
+      history_(history),
+      gangs_(gangs),
+      cpu_(cpu),
+      started_at_(absl::Now()) {
   Listen();
   advance_thread_ = std::thread([this] { AdvanceLoop(); });
 }
@@ -156,7 +162,7 @@
     cpu = cpu_;
     draining = draining_;
   }
-  return json{{"service", "work"},
+  return json{{"service", pool_},
               {"address", address()},
               {"zone", "a"},
               {"state", draining ? "draining" : "ready"},
--- a/tests/soak/worker_standin.h
+++ b/tests/soak/worker_standin.h
@@ -32,7 +32,8 @@
 class WorkerStandin {
  public:
   // `cpu` is the capacity of the worker; each task takes 1000 of it.
-  WorkerStandin(std::string id, int64_t cpu, RunHistory* history, GangBoard* gangs);
+  WorkerStandin(std::string id, int64_t cpu, RunHistory* history, GangBoard* gangs,
+                std::string pool = "work");
   ~WorkerStandin();
 
   std::string address() const;
@@ -115,6 +116,7 @@
   int64_t ClockMs() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   const std::string id_;
+  const std::string pool_;
   RunHistory* const history_;
   GangBoard* const gangs_;
   // Held during a restart. Restarts come from the soak run and from crashing tasks.
