--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -16,7 +16,8 @@
 constexpr uint64_t kRefusalInterval = 10;
 constexpr int kRefusalSeed = 5;
 constexpr int kOutageSeed = 6;
-constexpr char kStopSeed[] = "1";
+// Seed 7: a stop exceeded the grace period.
+constexpr char kStopSeed[] = "7";
 constexpr int kStopInstances = 2;
 constexpr int kStopPools = 6;
 
