membership: Reserve the vectors of the fault runs

Cause: the linter refuses two loops of MembershipFaultRunTest that fill vectors of a known size (performance-inefficient-vector-operation). Ruled out: an exemption in the linter's settings. Result: no check or bound of the test is changed.

--- a/tests/cell/membership_fault_run_test.cc
+++ b/tests/cell/membership_fault_run_test.cc
@@ -98,6 +98,7 @@
         std::make_unique<CellMembership>(CellMember{instance.id, name + ":1"}, "1", &store_,
                                          &clock_, &events_, std::move(callbacks));
     std::vector<PoolName> pools;
+    pools.reserve(kPools);
     for (int i = 0; i < kPools; ++i) {
       pools.push_back(Pool(i));
     }
@@ -191,6 +192,7 @@
   const int count = Setting("POMELOTRAY_FAULT_SEEDS", kSeeds);
   std::vector<std::vector<std::string>> violations(static_cast<size_t>(count));
   std::vector<std::thread> runs;
+  runs.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     runs.emplace_back([i, first, &violations] {
       violations[static_cast<size_t>(i)] = MembershipFaultRun(first + i).Run();
