soak: Begin with a claim that outlived its owner; platform: Test leases of entries

The soak with stops in series finds a claim without a lease in the store, as earlier versions could leave it.

--- a/tests/platform/hostile_store_test.cc
+++ b/tests/platform/hostile_store_test.cc
@@ -170,6 +170,23 @@
   }
 }
 
+// Guards against the replacement of claims whose lease lives, and against claims without a lease
+// that are taken for such: only the store knows which entries have one.
+BOOST_AUTO_TEST_CASE(EntriesTellTheirLease) {
+  const std::string items = R"([{"key":"a/leased","value":"eA==","revision":1,"lease":7},)"
+                            R"({"key":"a/permanent","value":"eA==","revision":2,"lease":0}])";
+  StoreFixture fixture({absl::StrCat(R"({"as-of":5,"items":)", items, "}"),
+                        absl::StrCat(R"({"as-of":5,"events":)", items, "}")});
+  const Outcome<StoreListing> listing = fixture.ListAll();
+  const Outcome<WatchBatch> batch = fixture.Watch();
+  BOOST_REQUIRE(listing.ok() && batch.ok());
+  for (const std::vector<StoreEntry>& entries : {listing.value().entries, batch.value().changed}) {
+    BOOST_REQUIRE_EQUAL(entries.size(), 2U);
+    BOOST_TEST((entries[0].lease == StoreLeaseId("7")));
+    BOOST_TEST(!entries[1].lease.has_value());
+  }
+}
+
 // Guards against exceptions for leases that another store issued.
 BOOST_AUTO_TEST_CASE(LeasesThatAreNoNumbersAreRejected) {
   for (const char* lease : {"", "x", "99999999999999999999"}) {
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "cell/cell_keys.h"
 #include "cell/pool_part.h"
 
 namespace pomelotray {
@@ -56,6 +57,13 @@
       limits_(limits),
       random_(static_cast<unsigned>(seed)),
       instances_(limits.instances, store_.address(), /*adviser_address=*/"", &history_) {
+  if (limits_.stop_series) {
+    // An instance of an earlier version left a claim without a lease.
+    const PartName part(absl::StrCat(PoolOf(0), ".0.1"));
+    store_.Put(cell_keys::Claim(part),
+               R"({"instance":"gone","peer_address":"gone:1","incarnation":"old","term":4})");
+    store_.Put(cell_keys::Term(part), "4");
+  }
   store_.Put("op/config", Configuration(limits_.pools));
   for (int i = 0; i < limits_.workers; ++i) {
     workers_.push_back(std::make_unique<WorkerStandin>(absl::StrCat("w-", i), kWorkerCpu, &history_,
