cell: Log what a handover lists and what the next owner adopts from the roster

Decisions are unchanged. Suites of the event catalog, PoolScheduler, RestartTimes and UnstoredEnds passed.

--- a/packages/base/event_catalog.cc
+++ b/packages/base/event_catalog.cc
@@ -56,6 +56,9 @@
        "Numbers of pool parts with and without an owner; how long the first has had none."},
       {Code::kPartWithoutOwner, kWarning, "part_without_owner",
        "A pool part has had no owner for long; the reason."},
+      {Code::kHandoverListed, kInfo, "handover_listed",
+       "What the owner that stops lists for the next one: workers, attempts, and how many of these "
+       "are unconfirmed or being stopped."},
       {Code::kJobAccepted, kInfo, "job_accepted", "A job became durable."},
       {Code::kJobRefused, kInfo, "job_refused", "A job was refused and will not run."},
       {Code::kJobFinished, kInfo, "job_finished", "A job reached a final state."},
@@ -68,7 +71,9 @@
       {Code::kTaskEnded, kInfo, "task_ended", "A worker reported the end of a task."},
       {Code::kTaskOutcomeUnknown, kError, "task_outcome_unknown",
        "A task that may not be repeated may have run; it is not run again."},
-      {Code::kTaskAdopted, kInfo, "task_adopted", "A new owner adopted a running task."},
+      {Code::kTaskAdopted, kInfo, "task_adopted",
+       "A new owner learned of an attempt from the roster or a report; whether it adopted or stops "
+       "it."},
       {Code::kTaskRequeued, kInfo, "task_requeued", "A repeatable task was queued again."},
       {Code::kTaskPreempted, kInfo, "task_preempted",
        "A running task is stopped and queued again; the reason."},
--- a/packages/base/event_catalog.h
+++ b/packages/base/event_catalog.h
@@ -53,6 +53,7 @@
   kOwnerNoticeLost = 314,
   kPartOwners = 315,
   kPartWithoutOwner = 316,
+  kHandoverListed = 317,
 
   kJobAccepted = 400,
   kJobRefused = 401,
--- a/packages/cell/ownership/pool_owner.cc
+++ b/packages/cell/ownership/pool_owner.cc
@@ -286,6 +286,7 @@
     }
     roster = scheduler_.BuildHandoverRoster(context_.clock->Now());
   }
+  RecordHandover(roster);
   std::string text = EncodeRoster(roster);
   if (text.size() > kMaxRosterBytes) {
     return std::nullopt;
@@ -293,6 +294,25 @@
   return StoreWrite{cell_keys::Roster(claim_.part), std::move(text), EntryLifetime::Permanent()};
 }
 
+void PoolOwner::RecordHandover(const std::vector<RosterEntry>& roster) const {
+  size_t attempts = 0;
+  size_t unconfirmed = 0;
+  size_t stopping = 0;
+  for (const RosterEntry& entry : roster) {
+    attempts += entry.attempts.size();
+    unconfirmed += entry.unconfirmed.size();
+    stopping += entry.stopping.size();
+  }
+  context_.events->Record(EventCode::kHandoverListed)
+      .With("part", claim_.part.value())
+      .With("term", claim_.term)
+      .With("workers", static_cast<int64_t>(roster.size()))
+      .With("attempts", static_cast<int64_t>(attempts))
+      .With("unconfirmed", static_cast<int64_t>(unconfirmed))
+      .With("stopping", static_cast<int64_t>(stopping))
+      .Emit();
+}
+
 void PoolOwner::ApplyNewEntry(const std::string& key, const std::string& value) {
   {
     // A delayed notification may concern a job that an earlier owner has finished.
--- a/packages/cell/ownership/pool_owner.h
+++ b/packages/cell/ownership/pool_owner.h
@@ -124,6 +124,7 @@
   bool WaitForPermission();
   void ScheduleLoop();
   void RunSchedulingRound();
+  void RecordHandover(const std::vector<RosterEntry>& roster) const;
   // Stores the changes of the jobs that belong to one commit stream.
   void CommitLoop(size_t stream);
   // Returns false if the batch is not known to be stored; the caller then retries with `records`.
--- a/packages/cell/ownership/pool_scheduler.h
+++ b/packages/cell/ownership/pool_scheduler.h
@@ -283,6 +283,9 @@
   // attempt is wanted.
   bool BindAttempt(CellWorker* worker, Attempt* attempt);
   void AdoptAttempt(CellWorker* worker, const RunningAttempt& running, absl::Time now);
+  // Logs how the owner learned of an attempt that an earlier owner started: "roster" or "report".
+  void RecordAdoption(const CellWorker& worker, const Attempt& attempt, bool wanted,
+                      const char* source) const;
   // Sets the reserved capacity of an attempt that has no task here, because its job is in a final
   // state or unknown.
   void ReserveForUnboundAttempt(Attempt* attempt);
--- a/packages/cell/ownership/pool_scheduler_reports.cc
+++ b/packages/cell/ownership/pool_scheduler_reports.cc
@@ -300,11 +300,12 @@
     attempt.known_since = now;
     attempt.stop_wanted =
         std::find(entry.stopping.begin(), entry.stopping.end(), key) != entry.stopping.end();
-    BindAttempt(worker, &attempt);
+    const bool wanted = BindAttempt(worker, &attempt);
     if (std::find(entry.unconfirmed.begin(), entry.unconfirmed.end(), key) ==
         entry.unconfirmed.end()) {
       NoteBegun(&attempt);
     }
+    RecordAdoption(*worker, attempt, wanted, "roster");
     worker->attempts.emplace(key, std::move(attempt));
   }
 }
@@ -325,13 +326,20 @@
   if (attempt.task.has_value()) {
     RetractLoss(*attempt.task, attempt.key.run);
   }
+  RecordAdoption(*worker, attempt, wanted, "report");
+  worker->attempts.emplace(running.key, std::move(attempt));
+}
+
+void PoolScheduler::RecordAdoption(const CellWorker& worker, const Attempt& attempt, bool wanted,
+                                   const char* source) const {
   events_->Record(EventCode::kTaskAdopted)
-      .Task(TaskId(running.key.task))
-      .With("run", running.key.run.value())
-      .Worker(worker->description.id)
+      .Task(TaskId(attempt.key.task))
+      .With("run", attempt.key.run.value())
+      .Worker(worker.description.id)
       .With(event_field::kState, wanted ? "adopted" : "stopping")
+      .With("source", source)
+      .With("begun", attempt.begun ? 1 : 0)
       .Emit();
-  worker->attempts.emplace(running.key, std::move(attempt));
 }
 
 void PoolScheduler::ReserveForUnboundAttempt(Attempt* attempt) {
