--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -45,6 +46,9 @@
   // Plays one fault instead: a gang ends while the store is down, and then a worker whose end is
   // not acknowledged and all instances are lost.
   std::vector<std::string> RunGangThatEndsInOutage();
+  // Plays one fault instead: a worker is cut off as it starts a task, and the owner is stopped once
+  // the start has not been answered in time.
+  std::vector<std::string> RunStopAfterUnansweredStart();
   size_t accepted() const { return history_.accepted().size(); }
 
  private:
@@ -57,6 +61,8 @@
   void ChangeCapacity(int worker);
   // Ends the store and instance faults whose time is over, or all of them if `all` is set.
   void EndFaults(bool all);
+  // Returns the index of the instance that owns the first pool, if there is one.
+  std::optional<int> Owner();
   void CallerLoop(int caller);
   std::string JobName(int caller, int number) const;
   // Returns the path prefix of the queue that the job is submitted to.
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -16,6 +16,7 @@
 constexpr uint64_t kRefusalInterval = 10;
 constexpr int kRefusalSeed = 5;
 constexpr int kOutageSeed = 6;
+constexpr int kUnansweredSeed = 8;
 // Seed 7: a stop exceeded the grace period.
 constexpr char kStopSeed[] = "7";
 constexpr int kStopInstances = 2;
@@ -96,6 +97,14 @@
   CheckNoViolation(violations, run.accepted());
 }
 
+// Guards against two runs of a task around a planned stop: its worker was cut off before it could
+// answer the start, and the next owner started the task elsewhere at once.
+BOOST_AUTO_TEST_CASE(UnansweredStartIsNotRepeatedAfterAStop) {
+  SoakRun run(kUnansweredSeed, SoakRun::Limits());
+  const std::vector<std::string> violations = run.RunStopAfterUnansweredStart();
+  CheckNoViolation(violations, run.accepted());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(RunHistoryTest)
--- a/tests/soak/worker_standin.cc
+++ b/tests/soak/worker_standin.cc
@@ -286,16 +286,7 @@
   started.run = run;
   started.started_at = absl::Now();
   started.gang = gangs_->IsGang(StepOf(task)) ? StepOf(task) : "";
-  const uint64_t hash = StableHash(started.gang.empty() ? task : started.gang);
-  started.duration =
-      kMinTaskDuration +
-      absl::Milliseconds(static_cast<int64_t>(hash % static_cast<uint64_t>(kTaskDurationRangeMs)));
-  if (long_running) {
-    const uint64_t run_hash = StableHash(absl::StrCat(task, "#", run));
-    started.duration =
-        kMinLongRun +
-        absl::Milliseconds(static_cast<int64_t>(run_hash % static_cast<uint64_t>(kLongRunRangeMs)));
-  }
+  started.duration = DurationOf(started);
   if (!started.gang.empty()) {
     gangs_->MemberStarted(started.gang, run, order.value("checkpoint", ""));
   }
@@ -310,9 +301,28 @@
     crashing_task_ = task;
   }
   history_->Started(id_, task, run, order.at("spec").get<std::string>());
+  if (cut_off_after_start_ > absl::ZeroDuration()) {
+    cut_off_until_ = absl::Now() + cut_off_after_start_;
+    answers_delayed_until_ = cut_off_until_;
+    cut_off_after_start_ = absl::ZeroDuration();
+  }
   return 200;
 }
 
+absl::Duration WorkerStandin::DurationOf(const Run& run) const {
+  if (run.long_running) {
+    const uint64_t hash = StableHash(absl::StrCat(run.task, "#", run.run));
+    return kMinLongRun +
+           absl::Milliseconds(static_cast<int64_t>(hash % static_cast<uint64_t>(kLongRunRangeMs)));
+  }
+  if (run.gang.empty() && task_duration_ > absl::ZeroDuration()) {
+    return task_duration_;
+  }
+  const uint64_t hash = StableHash(run.gang.empty() ? run.task : run.gang);
+  return kMinTaskDuration + absl::Milliseconds(static_cast<int64_t>(
+                                hash % static_cast<uint64_t>(kTaskDurationRangeMs)));
+}
+
 int WorkerStandin::Stop(const json& order, json* answer) {
   absl::MutexLock lock(&mutex_);
   if (!CheckFencingToken(order, answer)) {
@@ -491,6 +501,16 @@
   answers_delayed_until_ = cut_off_until_;
 }
 
+void WorkerStandin::CutOffAfterNextStart(absl::Duration time) {
+  absl::MutexLock lock(&mutex_);
+  cut_off_after_start_ = time;
+}
+
+void WorkerStandin::SetTaskDuration(absl::Duration time) {
+  absl::MutexLock lock(&mutex_);
+  task_duration_ = time;
+}
+
 bool WorkerStandin::Runs(const std::string& task) const {
   absl::MutexLock lock(&mutex_);
   return running_.count(task) > 0;
--- a/tests/soak/worker_standin.h
+++ b/tests/soak/worker_standin.h
@@ -55,6 +55,10 @@
   // For `time`, calls do not reach the worker and its answers reach nobody, but its runs go on.
   // Every second start order that is sent meanwhile arrives afterwards.
   void CutOff(absl::Duration time);
+  // Cuts the worker off for `time` once it has executed the next start order, whose answer is lost.
+  void CutOffAfterNextStart(absl::Duration time);
+  // Tasks that start from now on take `time`, apart from gangs and long-running tasks.
+  void SetTaskDuration(absl::Duration time);
   // Ends the process for good, until ComeBack().
   void Lose();
   // Starts the next process under the same id, at the same address or at another one.
@@ -104,6 +108,8 @@
   bool CheckFencingToken(const nlohmann::json& order, nlohmann::json* answer)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ExtendLease(const nlohmann::json& order) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Returns how long a run takes that starts now.
+  absl::Duration DurationOf(const Run& run) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Returns how the run ends now, or an empty text if it goes on.
   std::string OutcomeOf(const Run& run) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   std::string OutcomeOfGang(const Run& run) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -138,6 +144,10 @@
   int64_t incarnation_ ABSL_GUARDED_BY(mutex_) = 0;
   absl::Time answers_delayed_until_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
   absl::Time cut_off_until_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  // If it is not zero, the next start order cuts the worker off for this time.
+  absl::Duration cut_off_after_start_ ABSL_GUARDED_BY(mutex_);
+  // Zero: a hash of the task's name determines the duration.
+  absl::Duration task_duration_ ABSL_GUARDED_BY(mutex_);
   bool draining_ ABSL_GUARDED_BY(mutex_) = false;
   bool lost_ ABSL_GUARDED_BY(mutex_) = false;
   // No start is refused for lack of room if this is 0.
