cell: Keep a task from starting while a listed attempt of it is being stopped

Cause: an owner wants an attempt stopped, among others, when its start gets no answer for 0.5 s; the task stays active until the attempt is known to be over. The handover roster lists such attempts in "stopping". The next owner did not bind them to their tasks, so these were waiting and started at once on other workers. One flag, "to be stopped", was read as "does not occupy its task".

Fix: the newest listed attempt is the current one of its task, whether it is wanted or not. The next owner stops it, and starts the task once its end, its absence from a report or the end of its lease is known, as the former owner would have.

--- a/packages/cell/ownership/pool_scheduler.h
+++ b/packages/cell/ownership/pool_scheduler.h
@@ -278,9 +278,10 @@
   void ApplyRunning(CellWorker* worker, const RunningAttempt& running, absl::Time now);
   // Adds the attempts that the earlier owner listed for the worker. No others can run on it.
   void InheritAttempts(CellWorker* worker, const RosterEntry& entry, absl::Time now);
-  // Makes the attempt the current one of its task if the task is waiting, and otherwise marks the
-  // attempt to be stopped. Reserves its capacity on the worker in both cases. Returns whether the
-  // attempt is wanted.
+  // Makes the attempt the current one of its task if the task has no newer one, also if the attempt
+  // is to be stopped: the task must not start again while it may run. Any other attempt is marked
+  // to be stopped. Reserves its capacity on the worker in all cases. Returns whether the attempt is
+  // wanted.
   bool BindAttempt(CellWorker* worker, Attempt* attempt);
   void AdoptAttempt(CellWorker* worker, const RunningAttempt& running, absl::Time now);
   // Logs how the owner learned of an attempt that an earlier owner started: "roster" or "report".
--- a/packages/cell/ownership/pool_scheduler_reports.cc
+++ b/packages/cell/ownership/pool_scheduler_reports.cc
@@ -268,9 +268,11 @@
     // The roster may be older than the last starts of the earlier owner and list an attempt that
     // had already been replaced by a newer one.
     const bool replaces = task.phase == TaskPhase::kActive && attempt->key.run > task.last_run;
-    wanted = (task.phase == TaskPhase::kWaiting || replaces) && !job->cancel_requested &&
-             !attempt->stop_wanted && attempt->key.run >= task.last_run;
-    if (wanted) {
+    const bool newest =
+        (task.phase == TaskPhase::kWaiting || replaces) && attempt->key.run >= task.last_run;
+    wanted = newest && !job->cancel_requested && !attempt->stop_wanted;
+    if (newest) {
+      // An attempt that is being stopped may still run, so its task does not wait for a start.
       if (replaces) {
         StopAttempt(task.worker, AttemptKey{attempt->key.task, task.last_run});
       } else {
@@ -279,6 +281,8 @@
       task.phase = TaskPhase::kActive;
       task.worker = worker->description.id;
       task.last_run = attempt->key.run;
+    }
+    if (wanted) {
       EndWait(*attempt->task, worker->description.id, attempt->known_since);
     }
   } else {
--- a/tests/cell/handover_test.cc
+++ b/tests/cell/handover_test.cc
@@ -113,6 +113,7 @@
 // another member could not be started.
 BOOST_AUTO_TEST_CASE(GangBeingStoppedStartsAgainOnceAllMembersHaveEnded) {
   StepSpec step = Fixture::Step(2, 1000);
+  step.max_per_worker = 1;
   step.gang = true;
   HandoverFixture fixture(step);
   fixture.StartTasks();
