cell: Ignore claims of a lost lease that a delayed answer still shows

An instance that loses its lease forgets its claims. An answer of the store's watch that had been under way since the claim was made restored the claim, and the instance, registered again, owned the part with the old term until the next answer, although another instance may have claimed it.

A claim of this process counts only if it hangs on the present lease.

--- a/packages/cell/membership/cell_membership_entries.cc
+++ b/packages/cell/membership/cell_membership_entries.cc
@@ -123,10 +123,16 @@
     return Unreadable("The key of a claim names no part of a pool");
   }
   BOOST_LEAF_AUTO(record, DecodeJson(entry.value, kStoredMember, DecodeMemberRecord));
+  PartClaim claim{part,        record.member,  record.incarnation,
+                  record.term, entry.revision, entry.lease.has_value()};
+  // The store removes the claims of a lease with the lease, but a delayed answer may still show
+  // them.
+  if (IsOwnClaim(claim) && entry.lease != lease_) {
+    return {};
+  }
   const auto known = claims_.find(part);
   if (known == claims_.end() || known->second.revision < entry.revision) {
-    claims_[part] = PartClaim{part,        record.member,  record.incarnation,
-                              record.term, entry.revision, entry.lease.has_value()};
+    claims_[part] = std::move(claim);
     unreadable_claims_.erase(part);
     unowned_since_.erase(part);
   }
--- a/tests/cell/cell_membership_test.cc
+++ b/tests/cell/cell_membership_test.cc
@@ -8,8 +8,11 @@
 #include <memory>
 #include <set>
 
+#include "absl/synchronization/notification.h"
 #include "base/event_log.h"
 #include "base/system_clock.h"
+#include "cell/records/cell_keys.h"
+#include "cell/store/observed_store.h"
 #include "tests/cell/eventually.h"
 #include "tests/fakes/fake_store.h"
 
@@ -18,6 +21,28 @@
 
 const PartName kPart("rendering.0.1");
 
+// A store that delays the first answer of a watch that shows a claim of kPart until Release().
+class DelayedWatchStore : public ObservedStore {
+ public:
+  using ObservedStore::ObservedStore;
+
+  Result<WatchBatch> Watch(const std::string& prefix, Revision after,
+                           absl::Duration wait) override {
+    BOOST_LEAF_AUTO(batch, ObservedStore::Watch(prefix, after, wait));
+    const bool shows_claim =
+        std::any_of(batch.changed.begin(), batch.changed.end(),
+                    [](const StoreEntry& entry) { return entry.key == cell_keys::Claim(kPart); });
+    if (shows_claim) {
+      released_.WaitForNotification();
+    }
+    return batch;
+  }
+  void Release() { released_.Notify(); }
+
+ private:
+  absl::Notification released_;
+};
+
 // Membership of one instance that records the calls of its callbacks.
 class TestInstance {
  public:
@@ -346,6 +371,40 @@
   BOOST_TEST(Eventually([&] { return a.term() == 2; }));
 }
 
+// Guards against two owners of a part: an answer of the watch that was delayed since the claim was
+// made arrives after the lease has been lost, and shows the instance a claim of its own.
+BOOST_AUTO_TEST_CASE(DelayedWatchDoesNotRestoreAClaimOfALostLease) {
+  SystemClock clock;
+  HybridClock hybrid_clock(&clock);
+  EventLog events("test", &hybrid_clock);
+  FakeStore store(&clock);
+  DelayedWatchStore delayed(&store, &clock);
+  store.Put("pomelotray/control/parts/rendering", "1");
+  std::atomic<int> claimed{0};
+  std::atomic<int> lost{0};
+  CellMembership::Callbacks callbacks;
+  callbacks.claimed = [&claimed](const PartClaim&) { ++claimed; };
+  callbacks.lost = [&lost](const PartName&) { ++lost; };
+  callbacks.store_down_for_all_members = [] { return false; };
+  CellMembership membership({InstanceId("a"), "a:1"}, "1", &delayed, &clock, &events, callbacks);
+  membership.SetPools({PoolName("rendering")});
+  membership.Start();
+  BOOST_REQUIRE(Eventually([&] { return claimed == 1; }));
+  // Another claim would be a valid one.
+  store.SetHook([](const FakeStore::Call& call) {
+    return call.kind == "commit" && call.key == cell_keys::Claim(kPart) ? StoreFault::kDown
+                                                                        : StoreFault::kNone;
+  });
+  store.ExpireAllLeases();
+  BOOST_REQUIRE(Eventually([&] { return lost == 1; }));
+  delayed.Release();
+  store.Put("pomelotray/control/parts/animation", "1");
+  BOOST_REQUIRE(
+      Eventually([&] { return membership.PartCount(PoolName("animation")).has_value(); }));
+  BOOST_TEST(claimed == 1);
+  membership.Stop();
+}
+
 // A restarted process replaces the claim of its predecessor on the same instance without waiting
 // for the lease to expire.
 BOOST_AUTO_TEST_CASE(RestartedInstanceReplacesItsOwnClaim) {
