cell: Start nothing at a worker's new address until the roster has it

A new owner calls the workers at the addresses of the stored roster. If a worker has moved and another one uses its former address, the call is refused as meant for another worker, and the owner took all tasks of the moved one for lost before it had read the directory. The former owner may have started tasks at the new address before it had stored the roster.

A moved worker now gets no starts until the roster with its new address is stored, which follows at once.

--- a/packages/cell/ownership/pool_scheduler_losses.cc
+++ b/packages/cell/ownership/pool_scheduler_losses.cc
@@ -267,10 +267,13 @@
 }
 
 void PoolScheduler::WorkerMoved(const WorkerId& id, absl::Time now) {
-  const CellWorker* const worker = FindWorker(id);
+  CellWorker* const worker = FindWorker(id);
   if (worker == nullptr) {
     return;
   }
+  // The next owner calls the address in the roster. If another worker answers there, it concludes
+  // that nothing runs on this one.
+  worker->on_roster = false;
   std::vector<AttemptKey> unanswered;
   for (const auto& [key, attempt] : worker->attempts) {
     if (attempt.phase == AttemptPhase::kOrdered) {
--- a/packages/cell/workers/cell_worker.h
+++ b/packages/cell/workers/cell_worker.h
@@ -110,7 +110,8 @@
   // The current incarnation of the worker has accepted the owner's fencing token and has reported
   // its attempts.
   bool fenced = false;
-  // The worker is in the stored roster, so a later owner knows that tasks may be running on it.
+  // The worker is in the stored roster with its present address, so a later owner knows that tasks
+  // may be running on it.
   bool on_roster = false;
   // The stored roster may say that the leases on the worker are not extended (see
   // RosterEntry::lease_left), so they must not be.
