--- a/tests/cell/pool_fault_run_test.cc
+++ b/tests/cell/pool_fault_run_test.cc
@@ -187,6 +187,18 @@
   CheckSeeds(faults, ManyLongRunningTasksWithSlowAdviser());
 }
 
+// Guards against a second run of a task after a planned stop of the owner, which lists attempts
+// that are being stopped because their starts were not answered, their gang is broken or their job
+// was cancelled.
+BOOST_AUTO_TEST_CASE(PlannedStopsOfOwnersRepeatNoTask) {
+  PoolSimulation::Faults faults;
+  faults.worker_crashes = 2;
+  faults.owner_changes = 1;
+  faults.planned_stops = 12;
+  faults.lost_answers = 0.05;
+  CheckSeeds(faults);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/cell/pool_simulation.cc
+++ b/tests/cell/pool_simulation.cc
@@ -314,6 +314,9 @@
   if (Happens(faults_.owner_changes)) {
     ChangeOwner();
   }
+  if (faults_.planned_stops > 0 && Happens(faults_.planned_stops)) {
+    ChangeOwner(/*planned=*/true);
+  }
   if (Happens(faults_.capacity_changes)) {
     ChangeCapacityOfRandomWorker();
   }
@@ -486,16 +489,21 @@
   scheduler_->MarkCommitted(records);
 }
 
-void PoolSimulation::ChangeOwner() {
+void PoolSimulation::ChangeOwner(bool planned) {
   // Without the store, nobody else can become the owner.
   if (Now() < store_down_until_) {
     return;
   }
+  if (planned) {
+    stored_roster_ = EncodeRoster(scheduler_->BuildHandoverRoster(Now()));
+    stored_roster_without_times_.clear();
+    roster_written_ = Now();
+  }
   ++owner_;
   ++term_;
   last_fault_ = Now();
   inherited_leases_end_ = Now() + kMaxLease;
-  Note("owner change");
+  Note(planned ? "planned owner change" : "owner change");
   scheduler_ = std::make_unique<PoolScheduler>(PoolPart{PoolName(kPool), 0, 1}, term_, PoolLimits(),
                                                &events_);
   std::vector<JobIntake> jobs;
@@ -543,6 +551,18 @@
   }
 }
 
+bool PoolSimulation::LosesAnswer(const WorkerOrder& order, Worker* worker) {
+  // Draws no random number if the fault is off, so that the runs without it stay as they are.
+  if (faults_.lost_answers == 0 || order.kind != WorkerOrder::Kind::kStart ||
+      Now() - begin_ >= kFaultTime || Below(1000) >= faults_.lost_answers * 1000) {
+    return false;
+  }
+  worker->cut_until = Now() + Millis(500, 4000);
+  last_fault_ = Now();
+  Note(absl::StrCat("lost the answer to the start of ", order.key.task));
+  return true;
+}
+
 void PoolSimulation::Deliver(const std::string& id, const WorkerOrder& order, FencingToken token,
                              WorkerTime lease_end, int owner) {
   const WorkerEntry it = workers_.find(id);
@@ -552,6 +572,10 @@
     delay = Below(2) == 0 ? Millis(5, 20) : absl::Milliseconds(500);
   } else {
     outcome.answer = Execute(&it->second, order, token, lease_end);
+    if (LosesAnswer(order, &it->second)) {
+      outcome.answer.reset();
+      delay = absl::Milliseconds(500);
+    }
   }
   After(delay, [this, id, order, outcome, owner] {
     if (owner != owner_) {
--- a/tests/cell/pool_simulation.h
+++ b/tests/cell/pool_simulation.h
@@ -44,6 +44,10 @@
     double refusals = 0;
     double cut_offs = 3;
     double owner_changes = 3;
+    // Planned stops of the owner, which list for the next one what may run on each worker.
+    double planned_stops = 0;
+    // Share of the start orders after which the worker is cut off, so that the answer is lost.
+    double lost_answers = 0;
     double store_outages = 2;
     double capacity_changes = 10;
   };
@@ -210,8 +214,12 @@
   void Publish();
   void UpdateDirectory();
   void CommitProgress();
-  void ChangeOwner();
+  // The next owner takes over. With `planned`, the former one stores its handover list first.
+  void ChangeOwner(bool planned = false);
   void SendOrders();
+  // Cuts the worker off if the answer to the order, which it has just executed, is to be lost.
+  // Returns whether it is.
+  bool LosesAnswer(const WorkerOrder& order, Worker* worker);
   void SendQuestion(const AdviceRequest& request);
   Advice Answer(const AdviceQuestion& question) const;
   // Writes which of the named workers the adviser allows to the trace.
