--- a/packages/cell/ownership/pool_owner.cc
+++ b/packages/cell/ownership/pool_owner.cc
@@ -28,8 +28,6 @@
 constexpr absl::Duration kMinRosterInterval = absl::Milliseconds(50);
 constexpr absl::Duration kLoadRetryInterval = absl::Milliseconds(200);
 constexpr absl::Duration kPermissionPollInterval = absl::Milliseconds(50);
-// The platform's store accepts values of up to 1 MB.
-constexpr size_t kMaxRosterBytes = 900'000;
 // A removed job has at most four keys; one entry of the transaction is the claim's condition.
 constexpr size_t kRemovalBatch = (kMaxTransactionEntries - 1) / 4;
 // Delay before the finished jobs are loaded, so that the new owner's first task starts come first.
@@ -268,51 +266,6 @@
   return false;
 }
 
-void PoolOwner::StopOrders() {
-  absl::MutexLock lock(&mutex_);
-  finishing_ = true;
-}
-
-std::optional<StoreWrite> PoolOwner::PrepareHandover(absl::Time deadline) {
-  StopOrders();
-  std::vector<RosterEntry> roster;
-  {
-    absl::MutexLock lock(&mutex_);
-    while (!halted_ && scheduler_.HasUnstoredChanges() && context_.clock->Now() < deadline) {
-      context_.clock->WaitUntil(&commit_done_, &mutex_, deadline);
-    }
-    if (!serving_) {
-      return std::nullopt;
-    }
-    roster = scheduler_.BuildHandoverRoster(context_.clock->Now());
-  }
-  RecordHandover(roster);
-  std::string text = EncodeRoster(roster);
-  if (text.size() > kMaxRosterBytes) {
-    return std::nullopt;
-  }
-  return StoreWrite{cell_keys::Roster(claim_.part), std::move(text), EntryLifetime::Permanent()};
-}
-
-void PoolOwner::RecordHandover(const std::vector<RosterEntry>& roster) const {
-  size_t attempts = 0;
-  size_t unconfirmed = 0;
-  size_t stopping = 0;
-  for (const RosterEntry& entry : roster) {
-    attempts += entry.attempts.size();
-    unconfirmed += entry.unconfirmed.size();
-    stopping += entry.stopping.size();
-  }
-  context_.events->Record(EventCode::kHandoverListed)
-      .With("part", claim_.part.value())
-      .With("term", claim_.term)
-      .With("workers", static_cast<int64_t>(roster.size()))
-      .With("attempts", static_cast<int64_t>(attempts))
-      .With("unconfirmed", static_cast<int64_t>(unconfirmed))
-      .With("stopping", static_cast<int64_t>(stopping))
-      .Emit();
-}
-
 void PoolOwner::ApplyNewEntry(const std::string& key, const std::string& value) {
   {
     // A delayed notification may concern a job that an earlier owner has finished.
--- a/packages/cell/ownership/pool_owner.h
+++ b/packages/cell/ownership/pool_owner.h
@@ -124,6 +124,7 @@
   bool WaitForPermission();
   void ScheduleLoop();
   void RunSchedulingRound();
+  // Logs how many attempts the list for the next owner contains.
   void RecordHandover(const std::vector<RosterEntry>& roster) const;
   // Stores the changes of the jobs that belong to one commit stream.
   void CommitLoop(size_t stream);
