--- a/tests/soak/instance_group.cc
+++ b/tests/soak/instance_group.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
@@ -148,9 +149,10 @@
   }
 }
 
-std::optional<int> InstanceGroup::FindInstance(const std::string& id) const {
-  for (int i = 0; i < size(); ++i) {
-    if (id == InstanceName(i)) {
+std::optional<int> InstanceGroup::FindOwner(const std::string& claim) const {
+  const nlohmann::json owner = nlohmann::json::parse(claim, nullptr, /*allow_exceptions=*/false);
+  for (int i = 0; i < size() && owner.is_object(); ++i) {
+    if (owner.value("instance", "") == InstanceName(i)) {
       return i;
     }
   }
--- a/tests/soak/instance_group.h
+++ b/tests/soak/instance_group.h
@@ -39,8 +39,8 @@
   // Starts and continues the processes whose time is over, or all of them if `all` is set. An end
   // of a process that nobody caused is a violation.
   void EndFaults(bool all);
-  // Returns the index of the instance with the given id, or no value.
-  std::optional<int> FindInstance(const std::string& id) const;
+  // Returns the index of the instance that the stored claim names, or no value if there is none.
+  std::optional<int> FindOwner(const std::string& claim) const;
 
  private:
   struct Instance {
--- a/tests/soak/long_running_soak.cc
+++ b/tests/soak/long_running_soak.cc
@@ -199,9 +199,7 @@
 }
 
 std::optional<int> LongRunningSoak::Owner() {
-  const json claim = json::parse(store_.Get("pomelotray/control/claims/work.0.1"), nullptr,
-                                 /*allow_exceptions=*/false);
-  return claim.is_object() ? instances_.FindInstance(claim.value("instance", "")) : std::nullopt;
+  return instances_.FindOwner(store_.Get("pomelotray/control/claims/work.0.1"));
 }
 
 std::optional<int> LongRunningSoak::FindWorkerOf(const std::string& task) const {
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -19,11 +19,10 @@
 constexpr uint64_t kGangInterval = 3;
 // Longer than a gang runs and an owner waits for the store before it sends its next hold.
 constexpr absl::Duration kGangOutage = absl::Seconds(2);
-// An owner waits 0.5 s for the answer to a start.
-constexpr absl::Duration kUnansweredStart = absl::Milliseconds(900);
-// Longer than the takeover that follows, ...
+// By then the owner no longer waits for the answer to a start, which it does for 0.5 s.
+constexpr absl::Duration kStopAfterStart = absl::Milliseconds(900);
+// The cut lasts longer than the takeover that follows, and the task longer than the cut.
 constexpr absl::Duration kCutOff = absl::Seconds(3);
-// ... and a task that outlasts it.
 constexpr absl::Duration kLongTask = absl::Seconds(5);
 // By then an instance that reaches the store has learned of a worker's capacity: the time in which
 // it has to notice changes, and one interval in which the worker publishes it.
@@ -270,27 +269,21 @@
   return history_.violations();
 }
 
-std::optional<int> SoakRun::Owner() {
-  const PartName part(absl::StrCat(PoolOf(0), ".0.1"));
-  const json claim = json::parse(store_.Get(cell_keys::Claim(part)), nullptr,
-                                 /*allow_exceptions=*/false);
-  return claim.is_object() ? instances_.FindInstance(claim.value("instance", "")) : std::nullopt;
-}
-
 std::vector<std::string> SoakRun::RunStopAfterUnansweredStart() {
   absl::SleepFor(kStartDelay);
   for (const std::unique_ptr<WorkerStandin>& worker : workers_) {
     worker->SetTaskDuration(kLongTask);
     worker->CutOffAfterNextStart(kCutOff);
   }
-  const std::optional<int> owner = Owner();
+  const PartName part(absl::StrCat(PoolOf(0), ".0.1"));
+  const std::optional<int> owner = instances_.FindOwner(store_.Get(cell_keys::Claim(part)));
   if (!owner.has_value()) {
     history_.AddViolation("no instance owns the pool");
     return history_.violations();
   }
   const std::string id = JobName(0, 0);
   Submit(id, {{{"count", 1}, {"cpu", 1000}, {"mem-mb", 10}, {"estimate-ms", 5000}}}, &random_);
-  absl::SleepFor(kUnansweredStart);
+  absl::SleepFor(kStopAfterStart);
   instances_.Terminate(*owner);
   EndFaults(/*all=*/true);
   WaitForCompletion();
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -4,7 +4,6 @@
 #include <atomic>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -61,8 +60,6 @@
   void ChangeCapacity(int worker);
   // Ends the store and instance faults whose time is over, or all of them if `all` is set.
   void EndFaults(bool all);
-  // Returns the index of the instance that owns the first pool, if there is one.
-  std::optional<int> Owner();
   void CallerLoop(int caller);
   std::string JobName(int caller, int number) const;
   // Returns the path prefix of the queue that the job is submitted to.
