--- a/review/world-3/cases.cc
+++ b/review/world-3/cases.cc
@@ -214,12 +214,58 @@
   return accepted < kJobs || done.empty() ? kNotRun : broken ? kBroken : kHeld;
 }
 
+// Case 13. The store carries out the write of a job late and doesn't answer. The client gives up,
+// cancels, and is told that there is no such job.
+int PlayLateJob(World* world) {
+  constexpr int kDeadlineMs = 700;
+  constexpr int64_t kLateMs = 5000;
+  constexpr int64_t kCancelMs = 3000;
+  constexpr int kJobs = 3;
+  world->store.Put("op/config", Configuration(7, {"desk"}, 3));
+  world->AddWorkers("desk", 4, 16'000);
+  if (!world->StartInstances(3, 1)) {
+    return kNotRun;
+  }
+  const json steps =
+      json::array({{{"count", 2}, {"cpu", 2000}, {"mem-mb", 1000}, {"estimate-ms", 1000}}});
+  std::map<std::string, int64_t> cancelled;
+  for (int number = 0; number < kJobs; ++number) {
+    const std::string id = JobId(number);
+    if (world->trouble) {
+      world->store.LoseNextWrite("/job/" + id, kLateMs);
+    }
+    const int handed_in = world->client->SubmitOnce("/desk/", id, "ms=1000", steps, kDeadlineMs);
+    if (world->trouble && handed_in >= 200 && handed_in < 300) {
+      return kNotRun;
+    }
+    const int answer = world->client->Cancel("/desk/", id);
+    if (answer != 410 && (answer < 200 || answer >= 300)) {
+      return kNotRun;
+    }
+    cancelled[id] = NowMs();
+    SleepMs(9000);
+  }
+  bool broken = false;
+  for (const Runs::Run& run : world->runs.All()) {
+    const std::string id = run.task.substr(0, run.task.find('.'));
+    if (run.started_ms > cancelled.at(id) + kCancelMs) {
+      broken = true;
+      world->record.Line("BROKEN (UNASKED): task " + run.task + " starts on " + run.worker + " " +
+                         std::to_string(run.started_ms - cancelled.at(id)) +
+                         " ms after the answer to the cancel; it ends: " + run.how);
+    }
+  }
+  return broken ? kBroken : kHeld;
+}
+
 }  // namespace
 }  // namespace world
 
 int main(int argc, char** argv) {
   const std::map<std::string, std::function<int(world::World*)>> cases = {
-      {"flapping-worker", world::PlayFlappingWorker}, {"moved-route", world::PlayMovedRoute}};
+      {"flapping-worker", world::PlayFlappingWorker},
+      {"moved-route", world::PlayMovedRoute},
+      {"late-job", world::PlayLateJob}};
   const auto play = argc == 3 ? cases.find(argv[1]) : cases.end();
   if (play == cases.end()) {
     std::cerr << "usage: cases-3 <case> <folder>\n";
--- a/review/world-3/world.cc
+++ b/review/world-3/world.cc
@@ -26,7 +26,6 @@
 constexpr int kFrontPort = 21'401;
 constexpr int kReadyPort = 21'402;
 constexpr int kFirstInternalPort = 21'410;
-constexpr int kCallTimeoutMs = 3000;
 
 constexpr std::string_view kBase64 =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -164,6 +163,24 @@
   delay_ms_ = delay_ms;
 }
 
+void Store::LoseNextWrite(const std::string& part, int64_t late_ms) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  lost_part_ = part;
+  late_ms_ = late_ms;
+}
+
+bool Store::IsToBeLost(const json& transaction) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const json& row : transaction.at("writes")) {
+    if (!lost_part_.empty() &&
+        row.at("key").get<std::string>().find(lost_part_) != std::string::npos) {
+      lost_part_.clear();
+      return true;
+    }
+  }
+  return false;
+}
+
 void Store::Write(const std::string& key, const std::string& value, int64_t lease) {
   Item& item = items_[key];
   item.value = value;
@@ -301,8 +318,17 @@
   if (call.path == "/pomelotray/kv-watch") {
     return Watch(call);
   }
+  const json body = call.body.empty() ? json::object() : json::parse(call.body);
+  const bool lost = call.path == "/pomelotray/kv-txn" && IsToBeLost(body);
+  if (lost) {
+    SleepMs(late_ms_);
+  }
   const std::lock_guard<std::mutex> lock(mutex_);
   EndLeases();
+  if (lost) {
+    Commit(body);
+    return HttpAnswer{503, "{}", true};
+  }
   if (call.path == "/pomelotray/kv-key") {
     const std::string key = TextOf(call, "key");
     const auto item = items_.find(key);
@@ -313,11 +339,11 @@
     return Answer(200, Range(call));
   }
   if (call.path == "/pomelotray/kv-txn") {
-    return Commit(json::parse(call.body));
+    return Commit(body);
   }
   const int64_t id = std::strtoll(call.path.c_str() + call.path.rfind('/') + 1, nullptr, 10);
   if (call.path == "/pomelotray/kv-lease") {
-    const int64_t ttl = json::parse(call.body).at("ttl-ms").get<int64_t>();
+    const int64_t ttl = body.at("ttl-ms").get<int64_t>();
     const int64_t lease = next_lease_++;
     leases_[lease] = Lease{ttl, NowMs() + ttl};
     return Answer(200, {{"lease", lease}, {"ttl-ms", ttl}});
@@ -706,8 +732,8 @@
 
 // Client
 
-HttpAnswer Client::Send(const std::string& method, const std::string& path,
-                        const std::string& body) {
+HttpAnswer Client::Send(const std::string& method, const std::string& path, const std::string& body,
+                        int deadline_ms) {
   int index = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -715,7 +741,8 @@
   }
   HttpAnswer answer =
       SendHttp(instances_->front(index), method, path,
-               {{"Host", kHost}, {"X-Pomelotray-Deadline-Ms", "3000"}}, body, kCallTimeoutMs);
+               {{"Host", kHost}, {"X-Pomelotray-Deadline-Ms", std::to_string(deadline_ms)}}, body,
+               deadline_ms);
   record_->Line(method + " " + path + " at node-" + std::to_string(index) + " -> " +
                 std::to_string(answer.status) + " " + answer.body);
   return answer;
@@ -734,6 +761,12 @@
   return false;
 }
 
+int Client::SubmitOnce(const std::string& prefix, const std::string& id, const std::string& spec,
+                       const json& steps, int deadline_ms) {
+  return Send("POST", prefix + id, json{{"spec", spec}, {"steps", steps}}.dump(), deadline_ms)
+      .status;
+}
+
 std::string Client::StateOf(const std::string& prefix, const std::string& id) {
   const HttpAnswer answer = Send("GET", prefix + id, "");
   const json body = json::parse(answer.body, nullptr, /*allow_exceptions=*/false);
--- a/review/world-3/world.h
+++ b/review/world-3/world.h
@@ -51,6 +51,9 @@
   // The store accepts calls, but answers none and does nothing ("silent"), until it is up again.
   void SetSilent(bool silent);
   void SetDelayMs(int64_t delay_ms);
+  // The next transaction that writes a key with `part` in it gets no answer. It is carried out
+  // after `late_ms`, if its condition still holds then.
+  void LoseNextWrite(const std::string& part, int64_t late_ms);
 
  private:
   struct Item {
@@ -75,6 +78,7 @@
   HttpAnswer Commit(const nlohmann::json& transaction);
   nlohmann::json Range(const HttpCall& call);
   static nlohmann::json ItemJson(const std::string& key, const Item& item);
+  bool IsToBeLost(const nlohmann::json& transaction);
   void EndLeases();
   void EndLease(int64_t lease);
   void Write(const std::string& key, const std::string& value, int64_t lease);
@@ -85,6 +89,8 @@
   bool silent_ = false;
   bool stopping_ = false;
   int64_t delay_ms_ = 0;
+  std::string lost_part_;
+  int64_t late_ms_ = 0;
   int64_t revision_ = 100;
   int64_t next_lease_ = 7;
   std::map<std::string, Item> items_;
@@ -223,12 +229,16 @@
   // accepted.
   bool Submit(const std::string& prefix, const std::string& id, const std::string& spec,
               const nlohmann::json& steps);
+  // Sends one request and waits for `deadline_ms`. Returns the status, 0 for no answer.
+  int SubmitOnce(const std::string& prefix, const std::string& id, const std::string& spec,
+                 const nlohmann::json& steps, int deadline_ms);
   // Returns the state, or the status of the answer as text; "0" for no answer.
   std::string StateOf(const std::string& prefix, const std::string& id);
   int Cancel(const std::string& prefix, const std::string& id);
 
  private:
-  HttpAnswer Send(const std::string& method, const std::string& path, const std::string& body);
+  HttpAnswer Send(const std::string& method, const std::string& path, const std::string& body,
+                  int deadline_ms = 3000);
 
   const Instances* const instances_;
   Record* const record_;
