--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# One of ten executors goes down and up by turns. See claim.txt. TROUBLE=0: the same without that.
+# A queue's route is removed and added again, for another service. See claim.txt. TROUBLE=0: no change of routes.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bin/cases-3 ] && [ -x target/bin/pomelotrayd ] || exit 2
-target/bin/cases-3 flapping-worker review/11
+target/bin/cases-3 moved-route review/11
