--- a/review/world-3/cases.cc
+++ b/review/world-3/cases.cc
@@ -220,8 +220,8 @@
   if (static_cast<int>(before.size()) != kTasks || owner < 0) {
     return kNotRun;
   }
-  const Runs::Run first = before.front();
-  const Runs::Run second = before.back();
+  const Runs::Run& first = before.front();
+  const Runs::Run& second = before.back();
   const auto lose = [world](const std::string& id) {
     for (const std::unique_ptr<Worker>& worker : world->workers) {
       if (worker->id() == id) {
