cell: Let an entry of the id decide which job an id names

What callers saw: after the route of a queue went to another service, with or without a removal in between, each accepted job of the queue was answered 410 to GET and DELETE, was missing from `pending`, and ran a second time when its request arrived once more.

Cause: an instance computed the part that holds a job from the route in force. The look-up, the cancellation and the conditions of the creation rested on it, so that one id could be a job in each of two parts. Versions differ between instances for up to config-apply-ms, so moves are not needed for it.

Fix: the entry ids/<id> names the part that holds the job. It is created in the transaction that stores the job, on condition that it does not exist, and ends with the last entry of the job. Look-ups and cancellations go by it; the route decides only where a new job is stored. Whichever version, instance or route a request meets, the store refuses a second job of the id. Relays carry out the whole operation, so that an id that another workspace uses is noticed by way of them, too.

On related paths: a repeated submission whose conflict could not be read was answered 200 and is an unknown outcome now; a cancellation of a job that is being removed left an entry for good.

ExistingEntryCountsAsStored and the tests of the relay keep their checks with the new interface; FinishedJobIsNotCreatedAgain became EntriesAreCreatedTogetherOrNotAtAll, which checks the same for each condition.

Calls of the store: a submission takes one write as before, with five entries of its transaction instead of three; a cancel of a known job takes a read more; a takeover reads nothing more.

--- a/packages/base/event_catalog.cc
+++ b/packages/base/event_catalog.cc
@@ -47,7 +47,7 @@
       {Code::kStoreAnswerLost, kWarning, "store_answer_lost",
        "The outcome of a store write was unknown and is read back."},
       {Code::kWriteRelayFailed, kWarning, "write_relay_failed",
-       "Another instance did not write an entry on behalf of this one."},
+       "Another instance did not store a job or a cancellation on behalf of this one."},
       {Code::kStoreCallFailed, kWarning, "store_call_failed",
        "A store call failed that is tried again later or that is not needed."},
       {Code::kOwnerNoticeLost, kInfo, "owner_notice_lost",
--- a/packages/cell/intake/cell_service.cc
+++ b/packages/cell/intake/cell_service.cc
@@ -1,7 +1,6 @@
 #include "cell/intake/cell_service.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 #include <vector>
 
@@ -25,6 +24,25 @@
 constexpr absl::Duration kNotificationTimeout = absl::Milliseconds(200);
 constexpr size_t kMaxQueuedNotifications = 64;
 
+// Methods of writes that one instance carries out for another.
+constexpr char kRegisterMethod[] = "register_job";
+constexpr char kCancelMethod[] = "cancel_job";
+
+// Converts what JobRegistry needs of a caller's rights to and from the form that is sent to peers.
+json EncodeCaller(const CallerRights& caller) {
+  return {{"submits_for", caller.submits_for.value()},
+          {"customer", caller.customer.value()},
+          {"sees_all_jobs", caller.sees_all_jobs}};
+}
+
+CallerRights DecodeCaller(const json& value) {
+  CallerRights caller;
+  caller.submits_for = CustomerId(value.value("submits_for", std::string()));
+  caller.customer = CustomerId(value.value("customer", std::string()));
+  caller.sees_all_jobs = value.value("sees_all_jobs", false);
+  return caller;
+}
+
 std::optional<CellJobState> ParseState(const json& value) {
   for (const CellJobState state :
        {CellJobState::kQueued, CellJobState::kRunning, CellJobState::kCompleted,
@@ -64,11 +82,14 @@
               "The queue has no job with this id; check the queue name and the job id.");
 }
 
-// Returns the number of waiting jobs of the queue in an owner's answer to a "pending" call.
-Result<int64_t> DecodePending(const json& answer, const std::string& queue) {
+// Returns the number of waiting jobs by queue in an owner's answer to a "pending" call.
+Result<PendingCounts::ByQueue> DecodePending(const json& answer) {
   try {
-    const json& queues = answer.at("queues");
-    return queues.contains(queue) ? IntegerFromJson(queues.at(queue), 0, kMaxJsonCount) : 0;
+    PendingCounts::ByQueue counts;
+    for (const auto& [queue, count] : answer.at("queues").items()) {
+      counts[queue] = IntegerFromJson(count, 0, kMaxJsonCount);
+    }
+    return counts;
   } catch (const json::exception& error) {
     return Fail(ErrorKind::kInternal,
                 std::string("The answer of a peer to a \"pending\" call cannot be decoded: ") +
@@ -95,6 +116,11 @@
       find_owner_(std::move(find_owner)),
       relay_(self_, peers, clock, events),
       writer_(store, clock, membership),
+      registry_(store, &writer_, events,
+                [this](const PartName& part, const NewEntry& entry) {
+                  NotifyOwner(part, entry.key, entry.value);
+                }),
+      pending_(clock),
       notification_thread_([this] { NotifyLoop(); }) {}
 
 CellService::~CellService() { Stop(); }
@@ -169,54 +195,50 @@
   const CreationLimits limits = {MaxOutageWait(LatencyObjective(route.policy, spec)), deadline};
   const JobIntake intake{id, route.policy, std::move(spec), clock_->Now(), caller.submits_for};
   BOOST_LEAF_AUTO(part, PartOf(route, id));
-  BOOST_LEAF_AUTO(created,
-                  CreateEntry(EntryCreation{part, cell_keys::Job(part, id), EncodeIntake(intake),
-                                            cell_keys::Finished(part, id)},
-                              limits));
-  return created ? Result<void>() : CheckIsOwnJob(part, id, caller);
-}
-
-Result<void> CellService::CheckIsOwnJob(const PartName& part, const JobId& id,
-                                        const CallerRights& caller) {
-  if (caller.sees_all_jobs) {
-    return {};
-  }
-  const Outcome<JobStatus> existing = Capture([&] { return StatusFromStore(part, id); });
-  if (existing.ok() && !caller.MaySee(existing.value().customer)) {
+  json body = EncodeCaller(caller);
+  body["part"] = part.value();
+  body["job"] = id.value();
+  body["intake"] = EncodeIntake(intake);
+  BOOST_LEAF_AUTO(answer, Write(RelayedWrite{kRegisterMethod, id, std::move(body)}, limits));
+  if (answer.value("in_use", false)) {
     return Fail(ErrorKind::kInvalidArgument, "The job id is in use; choose another one.");
   }
   return {};
 }
 
-Result<bool> CellService::CreateEntry(const EntryCreation& entry, const CreationLimits& limits) {
+Result<json> CellService::Write(const RelayedWrite& write, const CreationLimits& limits) {
   const absl::Time give_up = clock_->Now() + limits.max_wait;
   if (membership_->IsStoreAvailable()) {
-    const Outcome<bool> created = Capture([&] { return CreateLocally(entry, limits); });
-    if (created.ok() || created.error().kind != ErrorKind::kStoreUnavailable) {
-      return created.ToResult();
+    const Outcome<json> written =
+        Capture([&] { return AnswerWrite(write.method, write.body, limits); });
+    if (written.ok() || written.error().kind != ErrorKind::kStoreUnavailable) {
+      return written.ToResult();
     }
   }
-  const Outcome<void> relayed =
-      Capture([&] { return relay_.Create(entry, membership_->members(), limits.deadline); });
+  const Outcome<json> relayed =
+      Capture([&] { return relay_.Send(write, membership_->members(), limits.deadline); });
   const absl::Duration remaining = give_up - clock_->Now();
-  if (relayed.ok()) {
-    return true;
+  if (relayed.ok() || relayed.error().kind != ErrorKind::kStoreUnavailable ||
+      remaining <= absl::ZeroDuration()) {
+    return relayed.ToResult();
   }
-  if (relayed.error().kind != ErrorKind::kStoreUnavailable || remaining <= absl::ZeroDuration()) {
-    return Fail(relayed.error());
-  }
-  // No instance reaches the store. The entry is sent as soon as it is back.
-  return CreateLocally(entry, CreationLimits{remaining, limits.deadline});
+  // No instance reaches the store. The entries are sent as soon as it is back.
+  return AnswerWrite(write.method, write.body, CreationLimits{remaining, limits.deadline});
 }
 
-Result<bool> CellService::CreateLocally(const EntryCreation& entry, const CreationLimits& limits) {
-  BOOST_LEAF_AUTO(created, writer_.Create(entry, limits));
-  // No notification for an entry that existed already: its job may have finished. If it has not,
-  // the owner learns of it through its watch.
-  if (created) {
-    NotifyOwner(entry.part, entry.key, entry.value);
+Result<json> CellService::AnswerWrite(const std::string& method, const json& body,
+                                      const CreationLimits& limits) {
+  const auto text = [&body](const char* field) { return body.value(field, std::string()); };
+  const JobId id(text("job"));
+  const PartName part(text("part"));
+  const CallerRights caller = DecodeCaller(body);
+  if (method == kRegisterMethod) {
+    BOOST_LEAF_AUTO(registration,
+                    registry_.Register(NewJob{id, part, text("intake")}, caller, limits));
+    return json{{"in_use", registration == Registration::kInUse}};
   }
-  return created;
+  BOOST_LEAF_AUTO(exists, registry_.Cancel(id, part, caller, limits));
+  return json{{"exists", exists}};
 }
 
 Result<json> CellService::CallOwner(const PartName& part, const std::string& method, json body,
@@ -241,40 +263,47 @@
   return DecodeStatus(answer);
 }
 
-Result<JobStatus> CellService::StatusFromStore(const PartName& part, const JobId& id) {
-  // A job's entries are read in the order in which they replace each other. In any other order a
-  // concurrent replacement could make the job look missing.
-  BOOST_LEAF_AUTO(progress, store_->Get(cell_keys::Progress(part, id)));
-  if (progress.has_value()) {
-    return DecodeJobStatus(progress->value);
+Result<JobStatus> CellService::FindStatus(const QueueRoute& route, const JobId& id,
+                                          absl::Time deadline, const char** source) {
+  *source = "owner";
+  const auto ask_owner = [&](const PartName& part) -> std::optional<JobStatus> {
+    const Outcome<std::optional<JobStatus>> answer =
+        Capture([&] { return StatusFromOwner(part, id, deadline); });
+    return answer.ok() ? answer.value() : std::nullopt;
+  };
+  // Most jobs are where the route in force would store them. An owner knows a job only if the id
+  // names it, so its answer holds whatever route led to it.
+  const Outcome<PartName> expected = Capture([&] { return PartOf(route, id); });
+  if (expected.ok()) {
+    const std::optional<JobStatus> status = ask_owner(expected.value());
+    if (status.has_value()) {
+      return *status;
+    }
   }
-  BOOST_LEAF_AUTO(intake, store_->Get(cell_keys::Job(part, id)));
-  if (intake.has_value()) {
-    // An entry that cannot be decoded was not written by an instance and belongs to nobody.
-    const Outcome<CustomerId> customer =
-        Capture([&] { return DecodeIntakeCustomer(intake->value); });
-    return JobStatus{CellJobState::kQueued, customer.ok() ? customer.value() : CustomerId()};
+  BOOST_LEAF_AUTO(record, registry_.Find(id));
+  if (!record.has_value() && !expected.ok()) {
+    return Fail(expected.error());
   }
-  BOOST_LEAF_AUTO(finished, store_->Get(cell_keys::Finished(part, id)));
-  if (finished.has_value()) {
-    return DecodeJobStatus(finished->value);
+  const PartName part = record.has_value() ? record->part : expected.value();
+  if (!expected.ok() || part != expected.value()) {
+    const std::optional<JobStatus> status = ask_owner(part);
+    if (status.has_value()) {
+      return *status;
+    }
   }
-  return FailAsMissing();
+  *source = "store";
+  BOOST_LEAF_AUTO(status, registry_.StatusInPart(part, id));
+  if (!status.has_value()) {
+    return FailAsMissing();
+  }
+  return *status;
 }
 
 Result<CellJobState> CellService::State(const QueueRoute& route, const JobId& id,
                                         const CallerRights& caller, absl::Time deadline) {
-  BOOST_LEAF_AUTO(part, PartOf(route, id));
-  const Outcome<std::optional<JobStatus>> answer =
-      Capture([&] { return StatusFromOwner(part, id, deadline); });
-  const bool known = answer.ok() && answer.value().has_value();
+  const char* source = "store";
   const Outcome<CellJobState> state = Capture([&]() -> Result<CellJobState> {
-    JobStatus status;
-    if (known) {
-      status = *answer.value();
-    } else {
-      BOOST_LEAF_ASSIGN(status, StatusFromStore(part, id));
-    }
+    BOOST_LEAF_AUTO(status, FindStatus(route, id, deadline, &source));
     if (!caller.MaySee(status.customer)) {
       return FailAsMissing();
     }
@@ -284,7 +313,7 @@
       .Job(id)
       .With(event_field::kState,
             state.ok() ? CellJobStateName(state.value()) : ErrorKindName(state.error().kind))
-      .With("source", known ? "owner" : "store")
+      .With("source", source)
       .Emit();
   return state.ToResult();
 }
@@ -292,22 +321,44 @@
 Result<void> CellService::Cancel(const QueueRoute& route, const JobId& id,
                                  const CallerRights& caller, absl::Time deadline) {
   BOOST_LEAF_AUTO(part, PartOf(route, id));
-  BOOST_LEAF_CHECK(State(route, id, caller, deadline));
-  BOOST_LEAF_CHECK(CreateEntry(EntryCreation{part, cell_keys::Cancel(part, id), "1", ""},
-                               CreationLimits{absl::ZeroDuration(), deadline}));
+  json body = EncodeCaller(caller);
+  body["part"] = part.value();
+  body["job"] = id.value();
+  BOOST_LEAF_AUTO(answer, Write(RelayedWrite{kCancelMethod, id, std::move(body)},
+                                CreationLimits{absl::ZeroDuration(), deadline}));
+  if (!answer.value("exists", false)) {
+    return FailAsMissing();
+  }
   events_->Record(EventCode::kJobCancelled).Job(id).Emit();
   return {};
 }
 
 Result<int64_t> CellService::Pending(const QueueRoute& route, absl::Time deadline) {
   BOOST_LEAF_AUTO(count, PartCount(route));
-  int64_t pending = 0;
+  std::vector<PartName> present;
   for (const PoolPart& part : PoolPart::All(route.policy.pool, count)) {
-    BOOST_LEAF_AUTO(answer, CallOwner(part.Name(), "pending", json::object(), deadline));
-    BOOST_LEAF_AUTO(waiting, DecodePending(answer, route.policy.name));
-    pending += waiting;
+    present.push_back(part.Name());
   }
-  return pending;
+  return pending_.Count(route.policy.name, present, AllParts(),
+                        [&](const PartName& part) -> Result<PendingCounts::ByQueue> {
+                          BOOST_LEAF_AUTO(answer,
+                                          CallOwner(part, "pending", json::object(), deadline));
+                          return DecodePending(answer);
+                        });
+}
+
+std::vector<PartName> CellService::AllParts() const {
+  std::vector<PartName> parts;
+  const std::shared_ptr<const CellConfiguration> configuration = this->configuration();
+  if (configuration == nullptr) {
+    return parts;
+  }
+  for (const PoolName& pool : configuration->pools) {
+    for (const PoolPart& part : PoolPart::All(pool, membership_->PartCount(pool).value_or(0))) {
+      parts.push_back(part.Name());
+    }
+  }
+  return parts;
 }
 
 Result<int> CellService::PartCount(const QueueRoute& route) const {
@@ -330,15 +381,12 @@
   if (call.method == "store_health") {
     return json{{"answers", membership_->IsStoreAvailable()}};
   }
-  if (call.method == "create") {
+  if (call.method == kRegisterMethod || call.method == kCancelMethod) {
     if (!membership_->IsStoreResponding()) {
       return Fail(ErrorKind::kStoreUnavailable,
                   "The store is not available to this instance either; ask another instance.");
     }
-    BOOST_LEAF_CHECK(CreateLocally(
-        EntryCreation{PartName(text("part")), text("key"), text("value"), text("successor_key")},
-        CreationLimits{absl::ZeroDuration(), call.deadline}));
-    return json::object();
+    return AnswerWrite(call.method, call.body, CreationLimits{absl::ZeroDuration(), call.deadline});
   }
   const std::shared_ptr<PoolOwner> owner = find_owner_(PartName(text("part")));
   if (owner == nullptr || !owner->IsServing()) {
--- a/packages/cell/intake/cell_service.h
+++ b/packages/cell/intake/cell_service.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
@@ -15,6 +16,8 @@
 #include "base/event_log.h"
 #include "cell/cell_configuration.h"
 #include "cell/intake/caller_authorization.h"
+#include "cell/intake/job_registry.h"
+#include "cell/intake/pending_counts.h"
 #include "cell/intake/submission_writer.h"
 #include "cell/intake/write_relay.h"
 #include "cell/membership/cell_membership.h"
@@ -31,7 +34,8 @@
 
 // Handles the requests that callers may send to any instance. The instance that receives a job or a
 // cancellation writes it to the store. Job states are read from the owner of the job's part, or
-// from the store if the owner does not answer. Thread-safe.
+// from the store if the owner does not answer. The part of a job is the one that the entry of its
+// id names (JobRegistry); the route in force decides only where a new job is stored. Thread-safe.
 class CellService {
  public:
   using FindOwner = std::function<std::shared_ptr<PoolOwner>(const PartName&)>;
@@ -56,7 +60,8 @@
                              absl::Time deadline);
   Result<void> Cancel(const QueueRoute& route, const JobId& id, const CallerRights& caller,
                       absl::Time deadline);
-  // Returns the number of jobs in the queue none of whose tasks has started.
+  // Returns the number of jobs of the queue none of whose tasks has started, whichever pool they
+  // were submitted to.
   Result<int64_t> Pending(const QueueRoute& route, absl::Time deadline);
 
   // Answers a call of another instance.
@@ -65,18 +70,22 @@
 
  private:
   Result<int> PartCount(const QueueRoute& route) const;
-  // Returns the part of the queue's pool to which the job belongs.
+  // Returns the part that stores a new job with this id for the queue.
   Result<PartName> PartOf(const QueueRoute& route, const JobId& id) const;
-  // Creates an entry from this instance or, if the store refuses this instance, through another
-  // one. If no instance reaches the store, waits for it within the limits. Returns false if the
-  // entry existed or may have existed before; another instance does not tell.
-  Result<bool> CreateEntry(const EntryCreation& entry, const CreationLimits& limits);
-  Result<bool> CreateLocally(const EntryCreation& entry, const CreationLimits& limits);
+  // Carries out a write from this instance or, if the store refuses this instance, through another
+  // one. If no instance reaches the store, waits for it within the limits. The answer is that of
+  // AnswerWrite().
+  Result<nlohmann::json> Write(const RelayedWrite& write, const CreationLimits& limits);
+  // Carries out a write of this instance or of another one for which this one relays.
+  Result<nlohmann::json> AnswerWrite(const std::string& method, const nlohmann::json& body,
+                                     const CreationLimits& limits);
   Result<std::optional<JobStatus>> StatusFromOwner(const PartName& part, const JobId& id,
                                                    absl::Time deadline);
-  Result<JobStatus> StatusFromStore(const PartName& part, const JobId& id);
-  // Fails with kInvalidArgument if the stored job with this id is one that the caller may not see.
-  Result<void> CheckIsOwnJob(const PartName& part, const JobId& id, const CallerRights& caller);
+  // Finds the job whichever part holds it. `source` becomes "owner" or "store".
+  Result<JobStatus> FindStatus(const QueueRoute& route, const JobId& id, absl::Time deadline,
+                               const char** source);
+  // Returns the parts of all pools of the configuration.
+  std::vector<PartName> AllParts() const;
   Result<nlohmann::json> CallOwner(const PartName& part, const std::string& method,
                                    nlohmann::json body, absl::Time deadline);
 
@@ -100,6 +109,8 @@
 
   WriteRelay relay_;
   SubmissionWriter writer_;
+  JobRegistry registry_;
+  PendingCounts pending_;
   mutable absl::Mutex mutex_;
   std::shared_ptr<const CellConfiguration> configuration_ ABSL_GUARDED_BY(mutex_);
   absl::CondVar notification_queued_;
--- a/packages/cell/intake/submission_writer.cc
+++ b/packages/cell/intake/submission_writer.cc
@@ -8,8 +8,6 @@
 namespace pomelotray {
 namespace {
 
-// Each entry needs two conditions and one write in the transaction.
-constexpr size_t kMaxBatchEntries = kMaxTransactionEntries / 3;
 // Delay before a transaction that got no answer is sent again.
 constexpr absl::Duration kRetryDelay = absl::Milliseconds(100);
 // Interval at which waiting entries are checked during an outage.
@@ -34,10 +32,9 @@
   }
 }
 
-Result<bool> SubmissionWriter::Create(const EntryCreation& new_entry,
-                                      const CreationLimits& limits) {
-  const std::shared_ptr<PendingEntry> entry = std::make_shared<PendingEntry>();
-  entry->new_entry = new_entry;
+Result<bool> SubmissionWriter::Create(const EntryCreation& creation, const CreationLimits& limits) {
+  const std::shared_ptr<PendingCreation> entry = std::make_shared<PendingCreation>();
+  entry->creation = creation;
   entry->send_by = std::min(clock_->Now() + limits.max_wait, limits.deadline);
   entry->deadline = limits.deadline;
   absl::MutexLock lock(&mutex_);
@@ -61,7 +58,7 @@
   return Fail(queued ? UnsentError(*entry) : UnknownOutcomeError());
 }
 
-Error SubmissionWriter::UnsentError(const PendingEntry& entry) {
+Error SubmissionWriter::UnsentError(const PendingCreation& entry) {
   if (entry.maybe_written) {
     return UnknownOutcomeError();
   }
@@ -90,14 +87,14 @@
         if (queue_.empty()) {
           queued_.Wait(&mutex_);
         } else {
-          ReturnUnsent([now = clock_->Now()](const PendingEntry& entry) {
+          ReturnUnsent([now = clock_->Now()](const PendingCreation& entry) {
             return !entry.maybe_written && now >= entry.send_by;
           });
           clock_->WaitUntil(&queued_, &mutex_, clock_->Now() + kOutagePollInterval);
         }
       }
       if (!MaySend()) {
-        ReturnUnsent([](const PendingEntry&) { return true; });
+        ReturnUnsent([](const PendingCreation&) { return true; });
         return;
       }
       batch = TakeBatch();
@@ -106,9 +103,9 @@
   }
 }
 
-void SubmissionWriter::ReturnUnsent(const std::function<bool(const PendingEntry&)>& matches) {
+void SubmissionWriter::ReturnUnsent(const std::function<bool(const PendingCreation&)>& matches) {
   for (auto it = queue_.begin(); it != queue_.end();) {
-    PendingEntry& entry = **it;
+    PendingCreation& entry = **it;
     if (!matches(entry)) {
       ++it;
       continue;
@@ -122,13 +119,15 @@
 
 SubmissionWriter::Batch SubmissionWriter::TakeBatch() {
   Batch batch;
-  while (!queue_.empty() && batch.size() < kMaxBatchEntries) {
+  size_t size = 0;
+  while (!queue_.empty()) {
+    const std::shared_ptr<PendingCreation> entry = queue_.front();
+    size += entry->creation.TransactionSize();
     // A transaction must not write the same key twice.
-    const std::shared_ptr<PendingEntry> entry = queue_.front();
     const bool duplicate = std::any_of(batch.begin(), batch.end(), [&](const auto& other) {
-      return other->new_entry.key == entry->new_entry.key;
+      return other->creation.job == entry->creation.job;
     });
-    if (duplicate) {
+    if (duplicate || (size > kMaxTransactionEntries && !batch.empty())) {
       break;
     }
     batch.push_back(entry);
@@ -139,14 +138,8 @@
 
 Outcome<Revision> SubmissionWriter::Commit(const Batch& batch) {
   StoreTransaction transaction;
-  for (const std::shared_ptr<PendingEntry>& entry : batch) {
-    const EntryCreation& new_entry = entry->new_entry;
-    transaction.conditions.push_back(StoreCondition{new_entry.key, Revision(0)});
-    if (!new_entry.successor_key.empty()) {
-      transaction.conditions.push_back(StoreCondition{new_entry.successor_key, Revision(0)});
-    }
-    transaction.writes.push_back(
-        StoreWrite{new_entry.key, new_entry.value, EntryLifetime::Permanent()});
+  for (const std::shared_ptr<PendingCreation>& entry : batch) {
+    AddCreation(entry->creation, &transaction);
   }
   return Capture([&] { return store_->Commit(transaction); });
 }
@@ -155,7 +148,7 @@
   const Outcome<Revision> written = Commit(batch);
   if (!written.ok() && written.error().kind == ErrorKind::kConflict && batch.size() > 1) {
     // At least one of the keys exists. Each entry is retried in a transaction of its own.
-    for (const std::shared_ptr<PendingEntry>& entry : batch) {
+    for (const std::shared_ptr<PendingCreation>& entry : batch) {
       WriteBatch({entry});
     }
     return;
@@ -166,7 +159,7 @@
     // store again.
     availability_->ReportStoreFailure();
   }
-  for (const std::shared_ptr<PendingEntry>& entry : batch) {
+  for (const std::shared_ptr<PendingCreation>& entry : batch) {
     if (stored) {
       Complete(entry, written.ok());
     } else {
@@ -177,13 +170,14 @@
     {
       // Another instance may reach the store, so these entries are not kept waiting here.
       absl::MutexLock lock(&mutex_);
-      ReturnUnsent([](const PendingEntry& entry) { return !entry.maybe_written; });
+      ReturnUnsent([](const PendingCreation& entry) { return !entry.maybe_written; });
     }
     clock_->SleepFor(kRetryDelay);
   }
 }
 
-void SubmissionWriter::RetryOrFail(const std::shared_ptr<PendingEntry>& entry, const Error& error) {
+void SubmissionWriter::RetryOrFail(const std::shared_ptr<PendingCreation>& entry,
+                                   const Error& error) {
   entry->maybe_written = entry->maybe_written || error.kind != ErrorKind::kStoreUnavailable;
   if (!entry->maybe_written) {
     Complete(entry, Error{ErrorKind::kStoreUnavailable, error.message, kStoreRetryAfter});
@@ -199,7 +193,7 @@
   queue_.push_back(entry);
 }
 
-void SubmissionWriter::Complete(const std::shared_ptr<PendingEntry>& entry,
+void SubmissionWriter::Complete(const std::shared_ptr<PendingCreation>& entry,
                                 const Outcome<bool>& outcome) {
   absl::MutexLock lock(&mutex_);
   entry->outcome = outcome;
--- a/packages/cell/intake/write_relay.cc
+++ b/packages/cell/intake/write_relay.cc
@@ -1,7 +1,6 @@
 #include "cell/intake/write_relay.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "cell/store/store_failure.h"
@@ -16,26 +15,26 @@
 constexpr absl::Duration kMinRelayTime = absl::Milliseconds(100);
 // With one relay partitioned from the store and two still starting, one more remains to try.
 constexpr size_t kMaxRelays = 4;
-// How long a refusal by all relays also applies to other entries. An outage of the store for all
+// How long a refusal by all relays also applies to other writes. An outage of the store for all
 // instances lasts for seconds, and without the cache each refused caller would cost four more
 // calls.
 constexpr absl::Duration kRefusalCacheDuration = absl::Milliseconds(250);
 
-// Returns whether a relay that failed with this error may have written the entry. A relay that
+// Returns whether a relay that failed with this error may have written anything. A relay that
 // refused the call, or that the call did not reach, has written nothing.
 bool MayHaveWritten(ErrorKind kind) {
   return kind == ErrorKind::kOutcomeUnknown || kind == ErrorKind::kInternal;
 }
 
-// Returns up to kMaxRelays members other than this instance, in an order that depends on the key.
-// With one order for all keys, the first member would receive the writes of every instance to which
+// Returns up to kMaxRelays members other than this instance, in an order that depends on the job.
+// With one order for all jobs, the first member would receive the writes of every instance to which
 // the store is unavailable.
-std::vector<CellMember> RelaysFor(const std::string& key, const InstanceId& self,
+std::vector<CellMember> RelaysFor(const JobId& job, const InstanceId& self,
                                   const std::vector<CellMember>& members) {
   std::vector<std::pair<uint64_t, CellMember>> ranked;
   for (const CellMember& member : members) {
     if (member.id != self) {
-      ranked.emplace_back(StableHash(key + "/" + member.id.value()), member);
+      ranked.emplace_back(StableHash(job.value() + "/" + member.id.value()), member);
     }
   }
   std::sort(ranked.begin(), ranked.end(),
@@ -52,8 +51,9 @@
 WriteRelay::WriteRelay(InstanceId self, PeerPort* peers, const Clock* clock, EventLog* events)
     : self_(std::move(self)), peers_(peers), clock_(clock), events_(events) {}
 
-Result<void> WriteRelay::Create(const EntryCreation& entry, const std::vector<CellMember>& members,
-                                absl::Time deadline) {
+Result<nlohmann::json> WriteRelay::Send(const RelayedWrite& write,
+                                        const std::vector<CellMember>& members,
+                                        absl::Time deadline) {
   if (IsRefusalCached()) {
     return StoreUnavailable(
         "The store was unavailable to four other instances a moment ago; send the request again "
@@ -61,17 +61,17 @@
   }
   bool maybe_written = false;
   size_t refusals = 0;
-  for (const CellMember& relay : RelaysFor(entry.key, self_, members)) {
+  for (const CellMember& relay : RelaysFor(write.job, self_, members)) {
     if (deadline - clock_->Now() < kMinRelayTime) {
       break;
     }
-    const Outcome<void> created = CreateAt(relay, entry, deadline);
-    if (created.ok()) {
-      return {};
+    Outcome<nlohmann::json> answer = SendTo(relay, write, deadline);
+    if (answer.ok()) {
+      return std::move(answer.value());
     }
-    LogFailure(relay, entry, created.error());
-    maybe_written = maybe_written || MayHaveWritten(created.error().kind);
-    refusals += created.error().kind == ErrorKind::kStoreUnavailable ? 1 : 0;
+    LogFailure(relay, write, answer.error());
+    maybe_written = maybe_written || MayHaveWritten(answer.error().kind);
+    refusals += answer.error().kind == ErrorKind::kStoreUnavailable ? 1 : 0;
   }
   if (refusals == kMaxRelays) {
     absl::MutexLock lock(&mutex_);
@@ -89,27 +89,22 @@
   return clock_->Now() < refusal_cached_until_;
 }
 
-Result<void> WriteRelay::StoreUnavailable(const char* reason) {
+boost::leaf::error_id WriteRelay::StoreUnavailable(const char* reason) {
   return Fail(ErrorKind::kStoreUnavailable, reason, kStoreRetryAfter);
 }
 
-Outcome<void> WriteRelay::CreateAt(const CellMember& member, const EntryCreation& entry,
-                                   absl::Time deadline) const {
-  const nlohmann::json body = {{"part", entry.part.value()},
-                               {"key", entry.key},
-                               {"value", entry.value},
-                               {"successor_key", entry.successor_key}};
+Outcome<nlohmann::json> WriteRelay::SendTo(const CellMember& member, const RelayedWrite& write,
+                                           absl::Time deadline) const {
   const absl::Duration timeout = std::min(kRelayTimeout, deadline - clock_->Now());
-  return Capture([&]() -> Result<void> {
-    BOOST_LEAF_CHECK(peers_->Call(member.peer_address, "create", body, timeout));
-    return {};
-  });
+  return Capture(
+      [&] { return peers_->Call(member.peer_address, write.method, write.body, timeout); });
 }
 
-void WriteRelay::LogFailure(const CellMember& member, const EntryCreation& entry,
+void WriteRelay::LogFailure(const CellMember& member, const RelayedWrite& write,
                             const Error& error) const {
   events_->Record(EventCode::kWriteRelayFailed)
-      .With("key", entry.key)
+      .Job(write.job)
+      .With("method", write.method)
       .With(event_field::kPeer, member.id.value())
       .With("error", ErrorKindName(error.kind))
       .With(event_field::kReason, error.message)
--- a/packages/cell/intake/write_relay.h
+++ b/packages/cell/intake/write_relay.h
@@ -1,6 +1,7 @@
 #ifndef POMELOTRAY_CELL_INTAKE_WRITE_RELAY_H_
 #define POMELOTRAY_CELL_INTAKE_WRITE_RELAY_H_
 
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -10,32 +11,38 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "base/strong_id.h"
-#include "cell/intake/entry_creation.h"
 #include "cell/membership/part_assignment.h"
 #include "ports/peer_port.h"
 
 namespace pomelotray {
 
-// Creates entries through other instances (relays) while the store is not available to this one.
-// Logs each relay that failed to create the entry. To avoid retry amplification while the store is
-// down for all instances, a refusal by all relays is cached for a short time and applied to other
-// entries without calling the relays. Thread-safe.
+// A call that makes another instance write entries of a job.
+struct RelayedWrite {
+  std::string method;
+  JobId job;
+  nlohmann::json body;
+};
+
+// Sends writes to other instances (relays) while the store is not available to this one. Logs each
+// relay that failed to carry out the write. To avoid retry amplification while the store is down
+// for all instances, a refusal by all relays is cached for a short time and applied to other writes
+// without calling the relays. Thread-safe.
 class WriteRelay {
  public:
   WriteRelay(InstanceId self, PeerPort* peers, const Clock* clock, EventLog* events);
 
-  // Errors: kStoreUnavailable if the entry was not written and never will be, kOutcomeUnknown if it
-  // may be.
-  Result<void> Create(const EntryCreation& entry, const std::vector<CellMember>& members,
-                      absl::Time deadline);
+  // Returns the answer of the first relay that carries out the write. Errors: kStoreUnavailable if
+  // nothing was written and never will be, kOutcomeUnknown if it may be.
+  Result<nlohmann::json> Send(const RelayedWrite& write, const std::vector<CellMember>& members,
+                              absl::Time deadline);
 
  private:
-  // Returns whether all relays of a recent entry reported that the store is unavailable.
+  // Returns whether all relays of a recent write reported that the store is unavailable.
   bool IsRefusalCached() const;
-  static Result<void> StoreUnavailable(const char* reason);
-  Outcome<void> CreateAt(const CellMember& member, const EntryCreation& entry,
-                         absl::Time deadline) const;
-  void LogFailure(const CellMember& member, const EntryCreation& entry, const Error& error) const;
+  static boost::leaf::error_id StoreUnavailable(const char* reason);
+  Outcome<nlohmann::json> SendTo(const CellMember& member, const RelayedWrite& write,
+                                 absl::Time deadline) const;
+  void LogFailure(const CellMember& member, const RelayedWrite& write, const Error& error) const;
 
   const InstanceId self_;
   PeerPort* const peers_;
--- a/packages/cell/ownership/pool_owner.cc
+++ b/packages/cell/ownership/pool_owner.cc
@@ -28,8 +28,8 @@
 constexpr absl::Duration kMinRosterInterval = absl::Milliseconds(50);
 constexpr absl::Duration kLoadRetryInterval = absl::Milliseconds(200);
 constexpr absl::Duration kPermissionPollInterval = absl::Milliseconds(50);
-// A removed job has at most four keys; one entry of the transaction is the claim's condition.
-constexpr size_t kRemovalBatch = (kMaxTransactionEntries - 1) / 4;
+// A removed job has at most five keys; one entry of the transaction is the claim's condition.
+constexpr size_t kRemovalBatch = (kMaxTransactionEntries - 1) / 5;
 // Delay before the finished jobs are loaded, so that the new owner's first task starts come first.
 constexpr absl::Duration kFinishedJobsDelay = absl::Seconds(1);
 
@@ -473,6 +473,7 @@
     transaction.removals.push_back(cell_keys::Cancel(claim_.part, id));
     transaction.removals.push_back(cell_keys::Progress(claim_.part, id));
     transaction.removals.push_back(cell_keys::Finished(claim_.part, id));
+    transaction.removals.push_back(cell_keys::JobIdEntry(id));
   }
   // If this fails, a later owner removes the entries.
   const Outcome<Revision> written = Capture([&] { return context_.store->Commit(transaction); });
--- a/packages/cell/records/cell_keys.h
+++ b/packages/cell/records/cell_keys.h
@@ -25,6 +25,9 @@
 // The workers on which attempts of the part may be running (see RosterEntry).
 inline std::string Roster(const PartName& part) { return "pomelotray/roster/" + part.value(); }
 
+// Names the job of an id, whichever part holds it (see JobIdRecord).
+inline std::string JobIdEntry(const JobId& id) { return "pomelotray/ids/" + id.value(); }
+
 // Jobs and cancellations, as stored by the instance that accepted the request.
 inline std::string IntakePrefix(const PartName& part) {
   return "pomelotray/intake/" + part.value() + "/";
--- a/tests/cell/pool_owner_fixture.h
+++ b/tests/cell/pool_owner_fixture.h
@@ -34,9 +34,13 @@
 // succeeds at once.
 class SimulatedWorkers : public WorkerConnector, public WorkerDirectory {
  public:
-  explicit SimulatedWorkers(int count) {
+  explicit SimulatedWorkers(int count) { AddWorkers("w", PoolName("rendering"), count); }
+
+  // Adds workers whose ids begin with `prefix`. Called before the first call of List().
+  void AddWorkers(const std::string& prefix, const PoolName& pool, int count) {
     for (int i = 0; i < count; ++i) {
-      listed_.push_back(SchedulerFixture::Worker(absl::StrCat("w", i), 1000));
+      listed_.push_back(SchedulerFixture::Worker(absl::StrCat(prefix, i), 1000));
+      listed_.back().pool = pool;
     }
   }
 
--- a/tests/cell/submission_writer_test.cc
+++ b/tests/cell/submission_writer_test.cc
@@ -42,9 +42,11 @@
 struct TestWriter {
   Outcome<bool> Create(const std::string& key, absl::Duration max_wait = kCreateTimeout,
                        absl::Duration timeout = kCreateTimeout) {
-    const EntryCreation entry{PartName("p.0.1"), key, "value", key + ".successor"};
+    const EntryCreation creation{JobId(key),
+                                 {NewEntry{key, "value"}, NewEntry{key + ".second", "value"}},
+                                 {StoreCondition{key + ".absent", Revision(0)}}};
     return Capture([&] {
-      return writer.Create(entry, CreationLimits{max_wait, clock.Now() + timeout});
+      return writer.Create(creation, CreationLimits{max_wait, clock.Now() + timeout});
     });
   }
 
@@ -117,17 +119,44 @@
   BOOST_TEST(test.store.Peek("k")->value == "first");
 }
 
-// Guards against a second run of a finished job, whose intake entry has been replaced by a final
-// state. A repeated request must not create the job again and must not report it as created,
-// because the owner would be notified of a new job.
-BOOST_AUTO_TEST_CASE(FinishedJobIsNotCreatedAgain) {
+// Guards against a second run of a job: if one of its entries exists, or a further condition does
+// not hold, nothing may be created, and it must not be reported as created, because the owner would
+// be notified of a new job.
+BOOST_AUTO_TEST_CASE(EntriesAreCreatedTogetherOrNotAtAll) {
+  for (const char* existing : {"k", "k.second", "k.absent"}) {
+    TestWriter test;
+    test.store.Put(existing, "earlier");
+    const Outcome<bool> created = test.Create("k");
+    BOOST_REQUIRE(created.ok());
+    BOOST_TEST(!created.value());
+    for (const char* key : {"k", "k.second"}) {
+      BOOST_TEST(test.store.Peek(key).has_value() == (key == std::string(existing)));
+    }
+    BOOST_TEST(test.Create("other").value());
+    BOOST_TEST(test.store.Peek("other.second").has_value());
+  }
+}
+
+// Guards against a transaction that the store refuses because it has too many entries: all callers
+// of a burst would be refused with it.
+BOOST_AUTO_TEST_CASE(TransactionsOfABurstStayWithinTheLimitOfTheStore) {
+  constexpr int kCallers = 3 * static_cast<int>(kMaxTransactionEntries);
   TestWriter test;
-  test.store.Put("k.successor", "completed");
-  const Outcome<bool> created = test.Create("k");
-  BOOST_REQUIRE(created.ok());
-  BOOST_TEST(!created.value());
-  BOOST_TEST(!test.store.Peek("k").has_value());
-  BOOST_TEST(test.Create("other").value());
+  absl::Notification released;
+  test.store.SetHook([&released](const FakeStore::Call&) {
+    released.WaitForNotification();
+    return StoreFault::kNone;
+  });
+  std::vector<std::unique_ptr<BackgroundCreation>> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(
+        std::make_unique<BackgroundCreation>(&test, "k" + std::to_string(i), absl::Hours(1)));
+  }
+  BOOST_REQUIRE(Eventually([&] { return test.store.Calls("commit") == 1; }));
+  released.Notify();
+  for (const std::unique_ptr<BackgroundCreation>& caller : callers) {
+    BOOST_TEST(caller->Wait() == "created");
+  }
 }
 
 // Load: the store goes silent while callers keep arriving. Guards against one unknown outcome for
--- a/tests/cell/write_relay_test.cc
+++ b/tests/cell/write_relay_test.cc
@@ -40,9 +40,10 @@
                                      {InstanceId("i2"), "a2"},
                                      {InstanceId("i3"), "a3"}};
 
-  Outcome<void> Create(const std::string& key, absl::Duration time_left = absl::Seconds(3)) {
-    const EntryCreation entry{PartName("p.0.1"), key, "value", ""};
-    return Capture([&] { return relay.Create(entry, members, clock.Now() + time_left); });
+  Outcome<nlohmann::json> Create(const std::string& id,
+                                 absl::Duration time_left = absl::Seconds(3)) {
+    const RelayedWrite write{"register_job", JobId(id), {{"job", id}}};
+    return Capture([&] { return relay.Send(write, members, clock.Now() + time_left); });
   }
   int LoggedFailures() {
     const std::vector<Event> all = events.Select({});
@@ -60,7 +61,7 @@
   peers.FailWith("a1", ErrorKind::kNotReady);
   peers.FailWith("a2", ErrorKind::kDeadlineExceeded);
   peers.FailWith("a3", ErrorKind::kOverloaded);
-  const Outcome<void> created = Create("job");
+  const Outcome<nlohmann::json> created = Create("job");
   BOOST_REQUIRE(!created.ok());
   BOOST_TEST(ErrorKindName(created.error().kind) == ErrorKindName(ErrorKind::kStoreUnavailable));
   BOOST_TEST(created.error().retry_after.has_value());
@@ -72,7 +73,7 @@
   peers.FailWith("a1", ErrorKind::kOutcomeUnknown);
   peers.FailWith("a2", ErrorKind::kOutcomeUnknown);
   peers.FailWith("a3", ErrorKind::kOutcomeUnknown);
-  const Outcome<void> created = Create("job", absl::Milliseconds(50));
+  const Outcome<nlohmann::json> created = Create("job", absl::Milliseconds(50));
   BOOST_REQUIRE(!created.ok());
   BOOST_TEST(ErrorKindName(created.error().kind) == ErrorKindName(ErrorKind::kStoreUnavailable));
   BOOST_TEST(peers.called().empty());
@@ -84,7 +85,7 @@
   peers.FailWith("a1", ErrorKind::kStoreUnavailable);
   peers.FailWith("a2", ErrorKind::kOutcomeUnknown);
   peers.FailWith("a3", ErrorKind::kUnavailable);
-  const Outcome<void> created = Create("job");
+  const Outcome<nlohmann::json> created = Create("job");
   BOOST_REQUIRE(!created.ok());
   BOOST_TEST(ErrorKindName(created.error().kind) == ErrorKindName(ErrorKind::kOutcomeUnknown));
 }
@@ -132,7 +133,7 @@
   }
   BOOST_TEST(!Create("first").ok());
   BOOST_TEST(peers.called().size() == 4U);
-  const Outcome<void> second = Create("second");
+  const Outcome<nlohmann::json> second = Create("second");
   BOOST_REQUIRE(!second.ok());
   BOOST_TEST(second.error().retry_after.has_value());
   // No relay failure is logged for this entry, so the message has to name the earlier refusal.
