cell: Withdraw the id of a job that is cancelled before it is stored

What callers saw: a submission got no answer, its cancel was answered 410, and seconds later all tasks of the job started and ran to the end.

Cause: the 410 rested on a look at the store. Nothing kept a creation that was still under way from taking effect after it: a transaction without an answer, a retry, a relayed write, or one that commits between the look and the answer.

Fix: a cancel of an id that names no job creates the id's entry as withdrawn, on condition that there is none, and is answered 410 only then. Every creation requires that the entry does not exist, so a later one fails, whoever carries it out; an earlier one makes the withdrawal fail, and the job is cancelled. A withdrawal holds for the jobs that its caller could cancel; another workspace's submission replaces it. The owner of the part removes withdrawals after the retention. If nothing can be stored, the answer is 503 or 504.

On a related path: the submission writer could send a creation after its caller's deadline. It sends none then, and none later than a minute after the request has arrived, so that a withdrawal outlives it.

Calls of the store: a cancel of an id without a job takes a read and a write instead of three reads.

--- a/packages/base/event_catalog.cc
+++ b/packages/base/event_catalog.cc
@@ -98,6 +98,8 @@
       {Code::kCustomersOverShare, kNotice, "customers_over_share",
        "Customers of a pool part that use more than their shares or exceed their rates, every 5 "
        "s."},
+      {Code::kJobIdWithdrawn, kInfo, "job_id_withdrawn",
+       "A job was cancelled that is not stored; none of its id will be for the retention."},
       {Code::kRequestReceived, kInfo, "request_received", "A caller's request arrived."},
       {Code::kRequestSent, kInfo, "request_sent", "A request was sent to an executor."},
       {Code::kRequestAnswered, kInfo, "request_answered", "A request was answered."},
--- a/packages/base/event_catalog.h
+++ b/packages/base/event_catalog.h
@@ -79,6 +79,7 @@
   kTaskRestarted = 421,
   kCustomerAtCap = 422,
   kCustomersOverShare = 423,
+  kJobIdWithdrawn = 424,
 
   kRequestReceived = 500,
   kRequestSent = 501,
--- a/packages/cell/intake/cell_service.cc
+++ b/packages/cell/intake/cell_service.cc
@@ -20,6 +20,9 @@
 // After an owner fails, the next one serves within the lease TTL plus one second for reading the
 // stored jobs.
 constexpr absl::Duration kOwnerRetryAfter = absl::Seconds(2);
+// Longest time in which a submission is sent to the store. The withdrawal of an id has to outlive
+// it and the time that the store may take to carry out a write without an answer.
+constexpr absl::Duration kMaxSubmissionTime = absl::Minutes(1);
 // A notification is useful only if it reaches the owner before the store's watch does.
 constexpr absl::Duration kNotificationTimeout = absl::Milliseconds(200);
 constexpr size_t kMaxQueuedNotifications = 64;
@@ -28,6 +31,25 @@
 constexpr char kRegisterMethod[] = "register_job";
 constexpr char kCancelMethod[] = "cancel_job";
 
+// The answer to a "register_job" call says how it ended.
+constexpr char kResultField[] = "result";
+constexpr char kStored[] = "stored";
+constexpr char kInUse[] = "in_use";
+constexpr char kWithdrawn[] = "withdrawn";
+
+const char* ResultName(Registration registration) {
+  switch (registration) {
+    case Registration::kCreated:
+    case Registration::kKnown:
+      return kStored;
+    case Registration::kInUse:
+      return kInUse;
+    case Registration::kWithdrawn:
+      return kWithdrawn;
+  }
+  return kStored;
+}
+
 // Converts what JobRegistry needs of a caller's rights to and from the form that is sent to peers.
 json EncodeCaller(const CallerRights& caller) {
   return {{"submits_for", caller.submits_for.value()},
@@ -108,7 +130,6 @@
                          CellMembership* membership, const Clock* clock, EventLog* events,
                          FindOwner find_owner)
     : self_(std::move(self)),
-      store_(store),
       peers_(peers),
       membership_(membership),
       clock_(clock),
@@ -116,7 +137,7 @@
       find_owner_(std::move(find_owner)),
       relay_(self_, peers, clock, events),
       writer_(store, clock, membership),
-      registry_(store, &writer_, events,
+      registry_(store, &writer_, clock, events,
                 [this](const PartName& part, const NewEntry& entry) {
                   NotifyOwner(part, entry.key, entry.value);
                 }),
@@ -192,7 +213,8 @@
   if (caller.cap.has_value()) {
     BOOST_LEAF_CHECK(CheckFitsCap(spec, *caller.cap));
   }
-  const CreationLimits limits = {MaxOutageWait(LatencyObjective(route.policy, spec)), deadline};
+  const CreationLimits limits = {MaxOutageWait(LatencyObjective(route.policy, spec)),
+                                 std::min(deadline, clock_->Now() + kMaxSubmissionTime)};
   const JobIntake intake{id, route.policy, std::move(spec), clock_->Now(), caller.submits_for};
   BOOST_LEAF_AUTO(part, PartOf(route, id));
   json body = EncodeCaller(caller);
@@ -200,9 +222,15 @@
   body["job"] = id.value();
   body["intake"] = EncodeIntake(intake);
   BOOST_LEAF_AUTO(answer, Write(RelayedWrite{kRegisterMethod, id, std::move(body)}, limits));
-  if (answer.value("in_use", false)) {
+  const std::string result = answer.value(kResultField, "");
+  if (result == kInUse) {
     return Fail(ErrorKind::kInvalidArgument, "The job id is in use; choose another one.");
   }
+  if (result == kWithdrawn) {
+    return Fail(
+        ErrorKind::kInvalidArgument,
+        "The job was cancelled before it was stored; choose another id to submit it again.");
+  }
   return {};
 }
 
@@ -235,7 +263,7 @@
   if (method == kRegisterMethod) {
     BOOST_LEAF_AUTO(registration,
                     registry_.Register(NewJob{id, part, text("intake")}, caller, limits));
-    return json{{"in_use", registration == Registration::kInUse}};
+    return json{{kResultField, ResultName(registration)}};
   }
   BOOST_LEAF_AUTO(exists, registry_.Cancel(id, part, caller, limits));
   return json{{"exists", exists}};
@@ -281,6 +309,9 @@
     }
   }
   BOOST_LEAF_AUTO(record, registry_.Find(id));
+  if (record.has_value() && record->IsWithdrawn()) {
+    return FailAsMissing();
+  }
   if (!record.has_value() && !expected.ok()) {
     return Fail(expected.error());
   }
--- a/packages/cell/intake/cell_service.h
+++ b/packages/cell/intake/cell_service.h
@@ -90,7 +90,6 @@
                                    nlohmann::json body, absl::Time deadline);
 
   const InstanceId self_;
-  TransactionalStore* const store_;
   PeerPort* const peers_;
   CellMembership* const membership_;
   const Clock* const clock_;
--- a/packages/cell/intake/entry_creation.h
+++ b/packages/cell/intake/entry_creation.h
@@ -14,19 +14,25 @@
 struct NewEntry {
   std::string key;
   std::string value;
+  // Revision of the entry that this one replaces. 0: there must be none.
+  Revision replaced;
 };
 
 // Store entries of one job that are created together, exactly once.
 struct EntryCreation {
   // Entries of the same job are never created in the same transaction.
   JobId job;
-  // Created on condition that none of them exists. There is at least one.
+  // Created on condition that each replaces what it says. There is at least one.
   std::vector<NewEntry> entries;
   // Further conditions of the creation.
   std::vector<StoreCondition> conditions;
+  // Keys that are removed in the same transaction.
+  std::vector<std::string> removals;
 
-  // Number of conditions and writes that the creation adds to a transaction.
-  size_t TransactionSize() const { return 2 * entries.size() + conditions.size(); }
+  // Number of conditions, writes and removals that the creation adds to a transaction.
+  size_t TransactionSize() const {
+    return 2 * entries.size() + conditions.size() + removals.size();
+  }
 };
 
 // Adds the conditions and writes of the creation to the transaction.
--- a/packages/cell/intake/submission_writer.cc
+++ b/packages/cell/intake/submission_writer.cc
@@ -99,7 +99,9 @@
       }
       batch = TakeBatch();
     }
-    WriteBatch(batch);
+    if (!batch.empty()) {
+      WriteBatch(batch);
+    }
   }
 }
 
@@ -119,6 +121,9 @@
 
 SubmissionWriter::Batch SubmissionWriter::TakeBatch() {
   Batch batch;
+  // A caller that cancels the job later relies on it that nothing is sent after the deadline.
+  ReturnUnsent(
+      [now = clock_->Now()](const PendingCreation& entry) { return now >= entry.deadline; });
   size_t size = 0;
   while (!queue_.empty()) {
     const std::shared_ptr<PendingCreation> entry = queue_.front();
--- a/packages/cell/ownership/pool_owner.cc
+++ b/packages/cell/ownership/pool_owner.cc
@@ -51,7 +51,9 @@
       limits_(limits),
       context_(std::move(context)),
       unreadable_(context_.events),
-      scheduler_(part_, claim_.term, limits_, context_.events) {}
+      scheduler_(part_, claim_.term, limits_, context_.events),
+      withdrawal_cleanup_(claim_, context_.store, context_.clock, context_.events,
+                          limits_.retention) {}
 
 PoolOwner::~PoolOwner() {
   Halt();
@@ -296,6 +298,7 @@
     SyncRosterAndWake();
     LoadFinishedJobs();
     RemoveExpiredJobs();
+    withdrawal_cleanup_.Run();
   } while (WaitForDirectoryRound());
 }
 
--- a/packages/cell/ownership/pool_owner.h
+++ b/packages/cell/ownership/pool_owner.h
@@ -19,6 +19,7 @@
 #include "cell/membership/cell_membership.h"
 #include "cell/ownership/cap_owner.h"
 #include "cell/ownership/pool_scheduler.h"
+#include "cell/ownership/withdrawal_cleanup.h"
 #include "cell/store/commit_stream.h"
 #include "cell/store/prefix_watcher.h"
 #include "cell/store/revision_history.h"
@@ -201,6 +202,8 @@
   std::optional<std::string> stored_roster_;
   Revision roster_revision_;
 
+  // Used only by the directory thread.
+  WithdrawalCleanup withdrawal_cleanup_;
   std::unique_ptr<PrefixWatcher> intake_;
   std::vector<CommitStream> commit_streams_;
   std::thread schedule_thread_;
--- a/packages/cell/records/cell_keys.h
+++ b/packages/cell/records/cell_keys.h
@@ -28,6 +28,15 @@
 // Names the job of an id, whichever part holds it (see JobIdRecord).
 inline std::string JobIdEntry(const JobId& id) { return "pomelotray/ids/" + id.value(); }
 
+// Ids that were withdrawn before a job was stored (see JobIdRecord). The owner of the part removes
+// them. Apart from the intake, so that a takeover does not read them.
+inline std::string WithdrawnPrefix(const PartName& part) {
+  return "pomelotray/withdrawn/" + part.value() + "/";
+}
+inline std::string Withdrawn(const PartName& part, const JobId& id) {
+  return WithdrawnPrefix(part) + id.value();
+}
+
 // Jobs and cancellations, as stored by the instance that accepted the request.
 inline std::string IntakePrefix(const PartName& part) {
   return "pomelotray/intake/" + part.value() + "/";
--- a/tests/cell/job_identity_fixture.h
+++ b/tests/cell/job_identity_fixture.h
@@ -84,6 +84,13 @@
                                       Deadline());
     }));
   }
+  // The client waits for this long only.
+  std::string SubmitWithin(absl::Duration wait, int instance, const std::string& id) {
+    return Name(Capture([&] {
+      return Service(instance).Submit(RouteAt(instance), JobId(id), OneTask(), CallerRights(),
+                                      clock_.Now() + wait);
+    }));
+  }
   std::string Cancel(int instance, const std::string& id) {
     return Name(Capture([&] {
       return Service(instance).Cancel(RouteAt(instance), JobId(id), CallerRights(), Deadline());
--- a/tests/cell/job_registry_test.cc
+++ b/tests/cell/job_registry_test.cc
@@ -52,6 +52,8 @@
         return "known";
       case Registration::kInUse:
         return "in use";
+      case Registration::kWithdrawn:
+        return "withdrawn";
     }
     return "";
   }
@@ -70,9 +72,9 @@
   FakeStore store{&clock};
   DirectWriter writer{&store};
   std::vector<std::string> notified;
-  JobRegistry registry{&store, &writer, &events, [this](const PartName&, const NewEntry& entry) {
-                         notified.push_back(entry.key);
-                       }};
+  JobRegistry registry{
+      &store, &writer, &clock, &events,
+      [this](const PartName&, const NewEntry& entry) { notified.push_back(entry.key); }};
 };
 
 BOOST_FIXTURE_TEST_SUITE(JobRegistryTest, RegistryFixture)
@@ -148,6 +150,103 @@
   BOOST_TEST(!Has(cell_keys::Cancel(Rendering(), JobId(kId))));
 }
 
+// Guards against a job that is stored after its client was told that it does not exist, whatever
+// the part and however often the request arrives.
+BOOST_AUTO_TEST_CASE(WithdrawnIdTakesNoJob) {
+  BOOST_TEST(Cancel(Labels()) == "missing");
+  for (const PartName& part : {Rendering(), Labels()}) {
+    BOOST_TEST(Register(part) == "withdrawn");
+    BOOST_TEST(Cancel(part) == "missing");
+    BOOST_TEST(!Has(cell_keys::Job(part, JobId(kId))));
+  }
+  BOOST_TEST(notified.empty());
+}
+
+// Guards against a caller that keeps the id of another customer's job from being accepted, and
+// against entries of the replaced withdrawal that stay.
+BOOST_AUTO_TEST_CASE(WithdrawalHoldsForTheJobsThatItsCallerMayCancel) {
+  BOOST_TEST(Cancel(Labels(), "b") == "missing");
+  BOOST_TEST(Register(Rendering(), "b") == "withdrawn");
+  BOOST_TEST(Register(Rendering(), "a") == "created");
+  BOOST_TEST(!Has(cell_keys::Withdrawn(Labels(), JobId(kId))));
+  BOOST_TEST(Register(Rendering(), "b") == "in use");
+  BOOST_TEST(Cancel(Rendering(), "a") == "cancelled");
+}
+
+// Guards against a withdrawal that is lost when another customer withdraws the same id.
+BOOST_AUTO_TEST_CASE(SeveralCustomersMayWithdrawAnId) {
+  BOOST_TEST(Cancel(Labels(), "a") == "missing");
+  BOOST_TEST(Cancel(Rendering(), "b") == "missing");
+  BOOST_TEST(Register(Rendering(), "a") == "withdrawn");
+  BOOST_TEST(Register(Rendering(), "b") == "withdrawn");
+  BOOST_TEST(Has(cell_keys::Withdrawn(Labels(), JobId(kId))));
+  BOOST_TEST(!Has(cell_keys::Withdrawn(Rendering(), JobId(kId))));
+  BOOST_TEST(Register(Rendering(), "c") == "created");
+}
+
+// Guards against a withdrawal that ends soon after the last cancellation of the id: each one begins
+// its time anew, which the removal goes by.
+BOOST_AUTO_TEST_CASE(EachCancellationRenewsTheWithdrawal) {
+  BOOST_TEST(Cancel(Rendering()) == "missing");
+  const Revision first = store.Peek(cell_keys::JobIdEntry(JobId(kId)))->revision;
+  BOOST_TEST(Cancel(Labels()) == "missing");
+  const Revision second = store.Peek(cell_keys::JobIdEntry(JobId(kId)))->revision;
+  BOOST_TEST((first < second));
+  BOOST_TEST((store.Peek(cell_keys::Withdrawn(Rendering(), JobId(kId)))->revision == second));
+}
+
+// Guards against a 410 that nothing in the store keeps.
+BOOST_AUTO_TEST_CASE(CancellationThatIsNotStoredIsNotAnsweredAsMissing) {
+  store.SetHook([](const FakeStore::Call& call) {
+    return call.kind == "commit" ? StoreFault::kDown : StoreFault::kNone;
+  });
+  BOOST_TEST(Cancel(Rendering()) == "store_unavailable");
+  store.SetHook([](const FakeStore::Call& call) {
+    return call.kind == "commit" ? StoreFault::kRequestLost : StoreFault::kNone;
+  });
+  BOOST_TEST(Cancel(Rendering()) == "outcome_unknown");
+}
+
+// Guards against a submission that commits between the look and the withdrawal: the job is
+// cancelled.
+BOOST_AUTO_TEST_CASE(JobThatIsStoredMeanwhileIsCancelled) {
+  bool stored = false;
+  store.SetHook([&](const FakeStore::Call& call) {
+    if (call.kind == "commit" && !stored) {
+      stored = true;
+      BOOST_TEST(Register(Rendering()) == "created");
+    }
+    return StoreFault::kNone;
+  });
+  BOOST_TEST(Cancel(Labels()) == "cancelled");
+  BOOST_TEST(Has(cell_keys::Cancel(Rendering(), JobId(kId))));
+}
+
+// Load: one client cancels ids at random. Guards against using up the writes that all instances
+// share, and against refusing cancellations of jobs because of it.
+BOOST_AUTO_TEST_CASE(WithdrawalsAreLimited) {
+  BOOST_TEST(Register(Rendering()) == "created");
+  const auto cancel = [this](int number) {
+    return Capture([&] {
+      return registry.Cancel(JobId("random" + std::to_string(number)), Rendering(), CallerOf(""),
+                             kLimits);
+    });
+  };
+  int refused = 0;
+  for (int i = 0; i < 200; ++i) {
+    const Outcome<bool> cancelled = cancel(i);
+    if (!cancelled.ok()) {
+      ++refused;
+      BOOST_TEST(ErrorKindName(cancelled.error().kind) == ErrorKindName(ErrorKind::kOverloaded));
+      BOOST_TEST(cancelled.error().retry_after.has_value());
+    }
+  }
+  BOOST_TEST(refused == 100);
+  BOOST_TEST(Cancel(Rendering()) == "cancelled");
+  clock.Advance(absl::Seconds(1));
+  BOOST_TEST(cancel(1000).ok());
+}
+
 // Guards against calls of the store beyond those that the design names: its rates are shared by all
 // instances.
 BOOST_AUTO_TEST_CASE(CallsOfTheStore) {
@@ -157,6 +256,10 @@
   BOOST_TEST(store.Calls("get") == 1);
   BOOST_TEST(store.Calls("commit") == 2);
   BOOST_TEST(store.AllCalls() == 3);
+  registry.Cancel(JobId("unknown"), Rendering(), CallerOf(""), kLimits);
+  BOOST_TEST(store.Calls("get") == 2);
+  BOOST_TEST(store.Calls("commit") == 3);
+  BOOST_TEST(store.AllCalls() == 5);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/submission_writer_test.cc
+++ b/tests/cell/submission_writer_test.cc
@@ -42,9 +42,11 @@
 struct TestWriter {
   Outcome<bool> Create(const std::string& key, absl::Duration max_wait = kCreateTimeout,
                        absl::Duration timeout = kCreateTimeout) {
-    const EntryCreation creation{JobId(key),
-                                 {NewEntry{key, "value"}, NewEntry{key + ".second", "value"}},
-                                 {StoreCondition{key + ".absent", Revision(0)}}};
+    const EntryCreation creation{
+        JobId(key),
+        {NewEntry{key, "value", Revision(0)}, NewEntry{key + ".second", "value", Revision(0)}},
+        {StoreCondition{key + ".absent", Revision(0)}},
+        {}};
     return Capture([&] {
       return writer.Create(creation, CreationLimits{max_wait, clock.Now() + timeout});
     });
--- a/tests/fakes/fake_store.cc
+++ b/tests/fakes/fake_store.cc
@@ -102,7 +102,9 @@
   if (down_ || fault == StoreFault::kDown) {
     return StoreUnavailable();
   }
-  if (fault == StoreFault::kRequestLost || (fault == StoreFault::kAnswerLost && !call.write)) {
+  const bool is_late_commit = fault == StoreFault::kCarriedOutLate && call.kind == "commit";
+  if (fault == StoreFault::kRequestLost || (fault == StoreFault::kAnswerLost && !call.write) ||
+      (fault == StoreFault::kCarriedOutLate && !is_late_commit)) {
     if (call.write) {
       return OutcomeUnknown();
     }
@@ -237,6 +239,28 @@
                                                           : "";
   BOOST_LEAF_AUTO(fault, BeginCall(Call{"commit", key, true}));
   absl::MutexLock lock(&mutex_);
+  if (fault == StoreFault::kCarriedOutLate) {
+    late_commits_.push_back(transaction);
+    return OutcomeUnknown();
+  }
+  BOOST_LEAF_AUTO(revision, Apply(transaction));
+  if (fault == StoreFault::kAnswerLost) {
+    return OutcomeUnknown();
+  }
+  return revision;
+}
+
+int FakeStore::CarryOutLateCommits() {
+  absl::MutexLock lock(&mutex_);
+  int carried_out = 0;
+  for (const StoreTransaction& transaction : late_commits_) {
+    carried_out += Capture([&] { return Apply(transaction); }).ok() ? 1 : 0;
+  }
+  late_commits_.clear();
+  return carried_out;
+}
+
+Result<Revision> FakeStore::Apply(const StoreTransaction& transaction) {
   BOOST_LEAF_CHECK(CheckConditions(transaction));
   const Revision revision = NextRevision();
   for (const StoreWrite& write : transaction.writes) {
@@ -249,9 +273,6 @@
       deleted_[removed] = revision;
     }
   }
-  if (fault == StoreFault::kAnswerLost) {
-    return OutcomeUnknown();
-  }
   return revision;
 }
 
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -25,6 +25,9 @@
   // The request takes effect, but its response is lost. Writes fail with kOutcomeUnknown, reads
   // with kStoreUnavailable.
   kAnswerLost,
+  // A commit fails with kOutcomeUnknown and has no effect until CarryOutLateCommits(). Other calls
+  // behave as with kRequestLost.
+  kCarriedOutLate,
 };
 
 // An in-memory TransactionalStore with fault injection, whose leases and waits follow the given
@@ -56,6 +59,10 @@
   int64_t Calls(const std::string& kind) const;
   int64_t AllCalls() const;
   int64_t WrittenBytes() const;
+  // Carries out the commits that were delayed by kCarriedOutLate, in their order. Returns how many
+  // of them took effect; the conditions of the others do not hold any more.
+  int CarryOutLateCommits();
+
   // Reads a key; the call is not counted and no fault is injected.
   std::optional<StoreEntry> Peek(const std::string& key) const;
   // Writes a key without checking its revision; the call is not counted and no fault is injected.
@@ -94,6 +101,7 @@
   Result<StoreFault> BeginCall(const Call& call);
   Result<void> CheckConditions(const StoreTransaction& transaction) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  Result<Revision> Apply(const StoreTransaction& transaction) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   Revision NextRevision() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void Erase(const std::string& key) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ExpireLeases() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -114,6 +122,7 @@
   bool down_ ABSL_GUARDED_BY(mutex_) = false;
   absl::Duration latency_ ABSL_GUARDED_BY(mutex_);
   Hook hook_ ABSL_GUARDED_BY(mutex_);
+  std::vector<StoreTransaction> late_commits_ ABSL_GUARDED_BY(mutex_);
 };
 
 }  // namespace pomelotray
