soak: Move routes, carry writes out late and cancel jobs

JobsKeepTheirIdentityAndCancellationsHold plays three instances and three pools: versions that send each queue to another service, writes that get no answer and are carried out 1 to 6 s later, stops in series beside a slow store, callers with kept connections that submit again and cancel at any instance.

--- a/tests/cell/submission_writer_test.cc
+++ b/tests/cell/submission_writer_test.cc
@@ -150,6 +150,7 @@
     return StoreFault::kNone;
   });
   std::vector<std::unique_ptr<BackgroundCreation>> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.push_back(
         std::make_unique<BackgroundCreation>(&test, "k" + std::to_string(i), absl::Hours(1)));
--- a/tests/soak/run_history.cc
+++ b/tests/soak/run_history.cc
@@ -14,6 +14,9 @@
 constexpr int kMaxCrashes = 3;
 constexpr int kMaxStartsAfterCrashes = 2;
 
+// A task may be started for this long after the cancellation of its job was answered.
+constexpr absl::Duration kMaxCancelTime = absl::Seconds(3);
+
 constexpr char kLongRunningPayload[] = "long-running payload of ";
 
 }  // namespace
@@ -44,6 +47,16 @@
   }
 }
 
+void RunHistory::CancelAcknowledged(const std::string& job) {
+  absl::MutexLock lock(&mutex_);
+  cancelled_.emplace(job, absl::Now());
+}
+
+bool RunHistory::IsCancelled(const std::string& job) const {
+  absl::MutexLock lock(&mutex_);
+  return cancelled_.count(job) > 0;
+}
+
 void RunHistory::Started(const std::string& worker, const std::string& task, int64_t run,
                          const std::string& payload) {
   absl::MutexLock lock(&mutex_);
@@ -52,6 +65,12 @@
   if (refused_.count(job) > 0) {
     AddViolationLocked(absl::StrCat("job ", job, " was started although it was refused"));
   }
+  const auto cancelled = cancelled_.find(job);
+  if (cancelled != cancelled_.end() && absl::Now() > cancelled->second + kMaxCancelTime) {
+    AddViolationLocked(absl::StrCat(task, " run ", run, " started ",
+                                    absl::FormatDuration(absl::Now() - cancelled->second),
+                                    " after the answer to its job's cancellation"));
+  }
   const auto submitted = payloads_.find(job);
   if (submitted == payloads_.end() || submitted->second != payload) {
     AddViolationLocked(
--- a/tests/soak/run_history.h
+++ b/tests/soak/run_history.h
@@ -31,6 +31,10 @@
   // Records that every submission attempt failed in a way that rules out that the job was stored.
   void Refused(const std::string& job);
 
+  // Records that a cancellation of the job was answered, as carried out or because there is none.
+  void CancelAcknowledged(const std::string& job);
+  bool IsCancelled(const std::string& job) const;
+
   void Started(const std::string& worker, const std::string& task, int64_t run,
                const std::string& payload);
   void Ended(const std::string& worker, const std::string& task, int64_t run);
@@ -60,6 +64,8 @@
   mutable absl::Mutex mutex_;
   std::map<std::string, std::string> payloads_ ABSL_GUARDED_BY(mutex_);
   std::set<std::string> accepted_ ABSL_GUARDED_BY(mutex_);
+  // When the first cancellation of each job was answered.
+  std::map<std::string, absl::Time> cancelled_ ABSL_GUARDED_BY(mutex_);
   std::set<std::string> refused_ ABSL_GUARDED_BY(mutex_);
   std::set<std::string> started_jobs_ ABSL_GUARDED_BY(mutex_);
   // Workers that currently run a task, by task.
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -59,6 +59,30 @@
   }
 }
 
+int SoakCaller::SubmitOnce(const std::string& prefix, const std::string& id,
+                           const std::string& payload, const json& steps, absl::Duration wait,
+                           int instance) const {
+  history_->Submitted(id, payload);
+  const httplib::Headers headers = {
+      {"Host", kSoakHost},
+      {"X-Pomelotray-Deadline-Ms", std::to_string(absl::ToInt64Milliseconds(wait))}};
+  const httplib::Result result = ConnectionTo(instance).Post(
+      prefix + id, headers, json{{"spec", payload}, {"steps", steps}}.dump(), "application/json");
+  if (result && result->status == 200) {
+    history_->Accepted(id);
+  }
+  return result ? result->status : 0;
+}
+
+bool SoakCaller::Cancel(const std::string& prefix, const std::string& id, int instance) const {
+  const httplib::Result result = ConnectionTo(instance).Delete(prefix + id, {{"Host", kSoakHost}});
+  const bool answered = result && (result->status == 200 || result->status == 410);
+  if (answered) {
+    history_->CancelAcknowledged(id);
+  }
+  return answered;
+}
+
 std::string SoakCaller::StateOf(const std::string& prefix, const std::string& id,
                                 int instance) const {
   const httplib::Result result = ConnectionTo(instance).Get(prefix + id, {{"Host", kSoakHost}});
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -34,6 +34,11 @@
   // the route.
   void Submit(const std::string& prefix, const std::string& id, const std::string& payload,
               const nlohmann::json& steps, std::mt19937* random) const;
+  // Submits the job once; the caller waits for `wait`. Returns the status, or 0 without an answer.
+  int SubmitOnce(const std::string& prefix, const std::string& id, const std::string& payload,
+                 const nlohmann::json& steps, absl::Duration wait, int instance) const;
+  // Cancels the job once. Returns whether that was answered with 200 or 410.
+  bool Cancel(const std::string& prefix, const std::string& id, int instance) const;
   // Returns the state of the job as the instance shows it, "no answer" or the status of the answer.
   std::string StateOf(const std::string& prefix, const std::string& id, int instance) const;
 
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -1,6 +1,9 @@
 #include "tests/soak/soak_run.h"
 
 #include <algorithm>
+#include <functional>
+#include <map>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
@@ -15,6 +18,9 @@
 constexpr int64_t kWorkerCpu = 4000;
 constexpr absl::Duration kStartDelay = absl::Seconds(4);
 constexpr absl::Duration kFaultInterval = absl::Milliseconds(700);
+// How long callers wait that cancel a job without an answer, and until they try again.
+constexpr absl::Duration kCallerWait = absl::Milliseconds(700);
+constexpr absl::Duration kRetryPause = absl::Milliseconds(300);
 // One job out of this many is a gang.
 constexpr uint64_t kGangInterval = 3;
 // Longer than a gang runs and an owner waits for the store before it sends its next hold.
@@ -31,21 +37,23 @@
 std::string PoolOf(int number) { return absl::StrCat("work", number); }
 std::string Prefix(int pool) { return absl::StrCat("/jobs", pool, "/"); }
 
-std::string Configuration(int pools) {
+// `shift` says by how many pools each queue's route is moved.
+std::string Configuration(int pools, int64_t version, int shift) {
   json routes = json::array();
   json services = json::array();
   for (int pool = 0; pool < pools; ++pool) {
     routes.push_back({{"name", absl::StrCat("r", pool)},
                       {"host", kSoakHost},
                       {"prefix", Prefix(pool)},
-                      {"service", PoolOf(pool)},
+                      {"service", PoolOf((pool + shift) % pools)},
                       {"priority", 1},
                       {"max-attempts", 4},
                       {"stretch", 3.0},
                       {"target-latency-ms", 1000}});
     services.push_back({{"name", PoolOf(pool)}});
   }
-  return json{{"version", 7}, {"routes", std::move(routes)}, {"services", std::move(services)}}
+  return json{
+      {"version", version}, {"routes", std::move(routes)}, {"services", std::move(services)}}
       .dump();
 }
 
@@ -69,7 +77,7 @@
                R"({"instance":"gone","peer_address":"gone:1","incarnation":"old","term":4})");
     store_.Put(cell_keys::Term(part), "4");
   }
-  store_.Put("op/config", Configuration(limits_.pools));
+  store_.Put("op/config", Configuration(limits_.pools, version_, 0));
   for (int i = 0; i < limits_.workers; ++i) {
     workers_.push_back(std::make_unique<WorkerStandin>(absl::StrCat("w-", i), kWorkerCpu, &history_,
                                                        &gangs_, PoolOf(i % limits_.pools)));
@@ -106,6 +114,10 @@
   const bool slow = RandomBelow(&random_, 4) > 0;
   store_.SetDelay(absl::Milliseconds(slow ? 100 + RandomBelow(&random_, 200) : 0));
   store_fault_until_ = absl::Now() + absl::Milliseconds(1500 + RandomBelow(&random_, 3000));
+  if (limits_.moving_routes) {
+    MoveRoutes();
+    store_.SetLateWriteRatio(RandomBelow(&random_, 2) == 0 ? 0.25 : 0);
+  }
   const int first = RandomBelow(&random_, limits_.instances);
   const int stops = 1 + RandomBelow(&random_, limits_.instances + 1);
   for (int i = 0; i < stops; ++i) {
@@ -118,6 +130,11 @@
   }
 }
 
+void SoakRun::MoveRoutes() {
+  store_.Put("op/config",
+             Configuration(limits_.pools, ++version_, RandomBelow(&random_, limits_.pools)));
+}
+
 void SoakRun::InjectStoreFault() {
   switch (RandomBelow(&random_, 4)) {
     case 0:
@@ -176,6 +193,7 @@
     store_.SetDown(false);
     store_.SetDelay(absl::ZeroDuration());
     store_.SetLostAnswerRatio(0);
+    store_.SetLateWriteRatio(0);
   }
   instances_.EndFaults(all);
 }
@@ -223,10 +241,50 @@
   }
 }
 
+void SoakRun::CancellingCallerLoop(int caller) {
+  std::mt19937 random(static_cast<unsigned>(seed_ * 1000 + caller));
+  const json steps =
+      json::array({{{"count", 2}, {"cpu", 1000}, {"mem-mb", 10}, {"estimate-ms", 300}}});
+  const auto instance = [&] { return RandomBelow(&random, limits_.instances); };
+  const auto submit = [&](const std::string& id) {
+    return caller_.SubmitOnce(PrefixOf(id), id, "payload of " + id, steps, kCallerWait, instance());
+  };
+  std::multimap<absl::Time, std::function<void()>> later;
+  const std::function<void(std::string)> cancel = [&](const std::string& id) {
+    if (!caller_.Cancel(PrefixOf(id), id, instance())) {
+      later.emplace(absl::Now() + kRetryPause, [&cancel, id] { cancel(id); });
+    }
+  };
+  for (int number = 0; !stopping_ || !later.empty(); ++number) {
+    while (!later.empty() && (later.begin()->first <= absl::Now() || stopping_)) {
+      const std::function<void()> action = std::move(later.begin()->second);
+      later.erase(later.begin());
+      action();
+    }
+    const std::string id = JobName(caller, number);
+    if (stopping_ || HasCrashingTask(id)) {
+      continue;
+    }
+    const int status = submit(id);
+    const int kind = RandomBelow(&random, 4);
+    if (kind == 0 || status != 200) {
+      later.emplace(absl::Now() + absl::Milliseconds(RandomBelow(&random, 1500)),
+                    [&cancel, id] { cancel(id); });
+    } else if (kind == 1) {
+      later.emplace(absl::Now() + absl::Milliseconds(RandomBelow(&random, 5000)),
+                    [&submit, id] { submit(id); });
+    }
+    absl::SleepFor(absl::Milliseconds(30 + RandomBelow(&random, 100)));
+  }
+}
+
 void SoakRun::WaitForCompletion() {
   const absl::Time end = absl::Now() + limits_.recovery_timeout;
   int instance = 0;
   for (const std::string& id : history_.accepted()) {
+    if (history_.IsCancelled(id)) {
+      continue;
+    }
     const std::string expected = HasCrashingTask(id) ? "failed" : "completed";
     std::string state = caller_.StateOf(PrefixOf(id), id, ++instance % instances_.size());
     while (state != expected && absl::Now() < end) {
@@ -243,7 +301,9 @@
 std::vector<std::string> SoakRun::Run() {
   absl::SleepFor(kStartDelay);
   for (int caller = 0; caller < limits_.callers; ++caller) {
-    callers_.emplace_back([this, caller] { CallerLoop(caller); });
+    callers_.emplace_back([this, caller] {
+      limits_.moving_routes ? CancellingCallerLoop(caller) : CallerLoop(caller);
+    });
   }
   const absl::Time end = absl::Now() + limits_.fault_duration;
   while (absl::Now() < end) {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -35,6 +35,9 @@
     int pools = 1;
     // The only faults are stops of instances in series, which overlap, beside a slow store.
     bool stop_series = false;
+    // With `stop_series`: routes go to other services, the store carries writes out late, and
+    // callers cancel jobs and submit them again.
+    bool moving_routes = false;
   };
 
   SoakRun(int seed, Limits limits);
@@ -56,11 +59,15 @@
   // Stops some or all instances shortly one after the other, mostly beside a slow store.
   void StopInSeries();
   void InjectStoreFault();
+  // Puts a version into the store that sends each queue to another service.
+  void MoveRoutes();
   // Shrinks the capacity of the worker, or lets it grow again.
   void ChangeCapacity(int worker);
   // Ends the store and instance faults whose time is over, or all of them if `all` is set.
   void EndFaults(bool all);
   void CallerLoop(int caller);
+  // Submits jobs, repeats some of the requests and cancels some of the jobs.
+  void CancellingCallerLoop(int caller);
   std::string JobName(int caller, int number) const;
   // Returns the path prefix of the queue that the job is submitted to.
   std::string PrefixOf(const std::string& job) const;
@@ -80,6 +87,7 @@
   std::vector<std::unique_ptr<WorkerStandin>> workers_;
   InstanceGroup instances_;
   const SoakCaller caller_{&instances_, &history_};
+  int64_t version_ = 7;
   absl::Time store_fault_until_ = absl::InfinitePast();
   std::atomic<bool> stopping_{false};
   std::vector<std::thread> callers_;
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -3,6 +3,7 @@
 #include <functional>
 #include <sstream>
 
+#include "absl/time/clock.h"
 #include "tests/soak/soak_run.h"
 
 namespace pomelotray {
@@ -21,6 +22,9 @@
 constexpr char kStopSeed[] = "7";
 constexpr int kStopInstances = 2;
 constexpr int kStopPools = 6;
+constexpr char kMoveSeeds[] = "9";
+constexpr int kMoveInstances = 3;
+constexpr int kMovePools = 3;
 
 void CheckNoViolation(const std::vector<std::string>& violations, size_t accepted) {
   BOOST_TEST(accepted > 0U, "no job was accepted");
@@ -77,6 +81,28 @@
   }
 }
 
+// Guards against jobs that are unknown or run again after their queue has gone to another service,
+// and against jobs that run after their cancellation was answered: routes change and writes of the
+// store are carried out late, while instances are stopped one after the other.
+BOOST_AUTO_TEST_CASE(JobsKeepTheirIdentityAndCancellationsHold) {
+  SoakRun::Limits limits;
+  limits.instances = NumberSetting("POMELOTRAY_SOAK_INSTANCES", kMoveInstances);
+  limits.pools = kMovePools;
+  limits.workers = 2 * kMovePools;
+  limits.stop_series = true;
+  limits.moving_routes = true;
+  std::istringstream seeds(Setting("POMELOTRAY_SOAK_SEEDS", kMoveSeeds));
+  for (int seed = 0; seeds >> seed;) {
+    SoakRun run(seed, limits);
+    const std::vector<std::string> violations = run.Run();
+    BOOST_TEST_MESSAGE("moves, seed " << seed << ": " << run.accepted() << " jobs accepted");
+    BOOST_TEST(run.accepted() > 0U, "seed " << seed << ": no job was accepted");
+    for (const std::string& violation : violations) {
+      BOOST_ERROR("moves, seed " << seed << ": " << violation);
+    }
+  }
+}
+
 // Guards against members of a gang that wait for the others until they give up: the start of one
 // member is refused, and there is no other fault.
 BOOST_AUTO_TEST_CASE(NoMemberOfAGangIsLeftWaiting) {
@@ -137,6 +163,15 @@
                h->Refused("a");
              }) == 1U);
   BOOST_TEST(violation_count([](RunHistory* h) { h->Started("w1", "a.0.0.0", 1, "other"); }) == 1U);
+  BOOST_TEST(violation_count([](RunHistory* h) {
+               h->CancelAcknowledged("a");
+               h->Started("w1", "a.0.0.0", 1, "p");
+             }) == 0U);
+  BOOST_TEST(violation_count([](RunHistory* h) {
+               h->CancelAcknowledged("a");
+               absl::SleepFor(absl::Milliseconds(3100));
+               h->Started("w1", "a.0.0.0", 1, "p");
+             }) == 1U);
   BOOST_TEST(violation_count([](RunHistory* h) { h->Started("w1", "b.0.0.0", 1, "p"); }) == 1U);
 }
 
--- a/tests/soak/store_standin.cc
+++ b/tests/soak/store_standin.cc
@@ -16,6 +16,9 @@
 using nlohmann::json;
 
 // Each instance keeps up to four watch calls open, each of which occupies a thread.
+// A late write is carried out this long after it was sent, and up to kLatenessRange - 1 s later.
+constexpr absl::Duration kMinLateness = absl::Seconds(1);
+constexpr int64_t kLatenessRange = 6;
 constexpr size_t kServerThreads = 256;
 constexpr int kPageItems = 500;
 
@@ -81,7 +84,7 @@
   server_->Get("/pomelotray/kv-key",
                [this](const httplib::Request& request, httplib::Response& response) {
                  absl::MutexLock lock(&mutex_);
-                 RemoveExpiredLeases();
+                 Update();
                  const auto it = items_.find(request.get_param_value("key"));
                  it == items_.end() ? Answer(&response, 404, json::object())
                                     : Answer(&response, 200, ItemJson(it->first, it->second));
@@ -178,7 +181,7 @@
 
 json StoreStandin::Range(const std::string& prefix, const std::string& after) {
   absl::MutexLock lock(&mutex_);
-  RemoveExpiredLeases();
+  Update();
   json items = json::array();
   auto it = after.empty() ? items_.lower_bound(prefix) : items_.upper_bound(after);
   for (; it != items_.end() && absl::StartsWith(it->first, prefix) && items.size() < kPageItems;
@@ -193,7 +196,7 @@
   const absl::Time end = absl::Now() + wait;
   absl::MutexLock lock(&mutex_);
   for (;;) {
-    RemoveExpiredLeases();
+    Update();
     json events = json::array();
     for (auto it = items_.lower_bound(prefix);
          it != items_.end() && absl::StartsWith(it->first, prefix); ++it) {
@@ -215,7 +218,27 @@
 
 int StoreStandin::Commit(const json& transaction, json* answer) {
   absl::MutexLock lock(&mutex_);
+  Update();
+  ++commits_;
+  if (late_write_ratio_ > 0 && commits_ % static_cast<int64_t>(1 / late_write_ratio_) == 0) {
+    const absl::Duration delay = kMinLateness + absl::Seconds(commits_ % kLatenessRange);
+    late_writes_.emplace(absl::Now() + delay, transaction);
+    return 500;
+  }
+  return CommitNow(transaction, answer);
+}
+
+void StoreStandin::Update() {
   RemoveExpiredLeases();
+  while (!late_writes_.empty() && late_writes_.begin()->first <= absl::Now()) {
+    const json transaction = std::move(late_writes_.begin()->second);
+    late_writes_.erase(late_writes_.begin());
+    json ignored;
+    CommitNow(transaction, &ignored);
+  }
+}
+
+int StoreStandin::CommitNow(const json& transaction, json* answer) {
   for (const json& row : transaction.at("precondition")) {
     const auto it = items_.find(row.at("key").get<std::string>());
     if ((it == items_.end() ? 0 : it->second.revision) != row.at("revision").get<int64_t>()) {
@@ -282,6 +305,11 @@
   lost_answer_ratio_ = ratio;
 }
 
+void StoreStandin::SetLateWriteRatio(double ratio) {
+  absl::MutexLock lock(&mutex_);
+  late_write_ratio_ = ratio;
+}
+
 void StoreStandin::ExpireAllLeases() {
   absl::MutexLock lock(&mutex_);
   while (!leases_.empty()) {
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -35,6 +35,9 @@
   void SetDelay(absl::Duration delay);
   // Ratio of the writes that are committed but whose answer is lost.
   void SetLostAnswerRatio(double ratio);
+  // Ratio of the writes that get no answer and are carried out 1 to 6 s later, if their conditions
+  // still hold.
+  void SetLateWriteRatio(double ratio);
   // Ends all leases at once, with the items that depend on them.
   void ExpireAllLeases();
 
@@ -59,6 +62,10 @@
   nlohmann::json Watch(const std::string& prefix, int64_t after, absl::Duration wait);
   // Returns the HTTP status and fills `answer`.
   int Commit(const nlohmann::json& transaction, nlohmann::json* answer);
+  int CommitNow(const nlohmann::json& transaction, nlohmann::json* answer)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Brings the items up to date: ends leases and carries out late writes that are due.
+  void Update() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   bool DelayAndCheckDown() const;
   bool ShouldLoseAnswer();
 
@@ -71,6 +78,9 @@
   bool down_ ABSL_GUARDED_BY(mutex_) = false;
   absl::Duration delay_ ABSL_GUARDED_BY(mutex_);
   double lost_answer_ratio_ ABSL_GUARDED_BY(mutex_) = 0;
+  double late_write_ratio_ ABSL_GUARDED_BY(mutex_) = 0;
+  std::multimap<absl::Time, nlohmann::json> late_writes_ ABSL_GUARDED_BY(mutex_);
+  int64_t commits_ ABSL_GUARDED_BY(mutex_) = 0;
   int64_t calls_ ABSL_GUARDED_BY(mutex_) = 0;
   int64_t revision_ ABSL_GUARDED_BY(mutex_) = 10;
   int64_t next_lease_ ABSL_GUARDED_BY(mutex_) = 1;
