cell: Say where a job's state was read when no owner answered

The event `job_state_told` named the owner as the source of an answer that the store's entry of the id had given. The comment of JobRegistry::Register promised more of a refusal than it can: an earlier request may have stored the job.

--- a/packages/cell/intake/cell_service.cc
+++ b/packages/cell/intake/cell_service.cc
@@ -293,11 +293,13 @@
 
 Result<JobStatus> CellService::FindStatus(const QueueRoute& route, const JobId& id,
                                           absl::Time deadline, const char** source) {
-  *source = "owner";
-  const auto ask_owner = [&](const PartName& part) -> std::optional<JobStatus> {
+  *source = "store";
+  const auto ask_owner = [&](const PartName& part) {
     const Outcome<std::optional<JobStatus>> answer =
         Capture([&] { return StatusFromOwner(part, id, deadline); });
-    return answer.ok() ? answer.value() : std::nullopt;
+    std::optional<JobStatus> status = answer.ok() ? answer.value() : std::nullopt;
+    *source = status.has_value() ? "owner" : "store";
+    return status;
   };
   // Most jobs are where the route in force would store them. An owner knows a job only if the id
   // names it, so its answer holds whatever route led to it.
@@ -322,7 +324,6 @@
       return *status;
     }
   }
-  *source = "store";
   BOOST_LEAF_AUTO(status, registry_.StatusInPart(part, id));
   if (!status.has_value()) {
     return FailAsMissing();
@@ -332,7 +333,7 @@
 
 Result<CellJobState> CellService::State(const QueueRoute& route, const JobId& id,
                                         const CallerRights& caller, absl::Time deadline) {
-  const char* source = "store";
+  const char* source = "";
   const Outcome<CellJobState> state = Capture([&]() -> Result<CellJobState> {
     BOOST_LEAF_AUTO(status, FindStatus(route, id, deadline, &source));
     if (!caller.MaySee(status.customer)) {
--- a/packages/cell/intake/job_registry.h
+++ b/packages/cell/intake/job_registry.h
@@ -48,8 +48,8 @@
   JobRegistry(TransactionalStore* store, EntryWriter* writer, const Clock* clock, EventLog* events,
               EntryCreated entry_created);
 
-  // Errors: kStoreUnavailable if this call has not stored the job and never will, and the id named
-  // no job; kOutcomeUnknown if the job may be stored.
+  // Errors: kStoreUnavailable if this call has stored nothing and never will; kOutcomeUnknown if
+  // the job may be stored, by this call or an earlier one.
   Result<Registration> Register(const NewJob& job, const CallerRights& caller,
                                 const CreationLimits& limits);
   // Stores the cancellation of a job and returns true. If there is no job with the id that the
